--- /dev/null
+++ b/cmd/threadwall-lab/main.go
@@ -0,0 +1,169 @@
+// Command threadwall-lab runs small stand-ins for engines, services and the
+// platform, and loads that check every answer.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lab"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:                  "threadwall-lab",
+		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand()},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func exampleFlag() cli.Flag {
+	return &cli.StringFlag{Name: "example", Value: "examples/solano", Usage: "use the example in `DIR`"}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run an example with several VMs in this process, under each policy, and print a table",
+		Flags: []cli.Flag{
+			exampleFlag(),
+			&cli.StringSliceFlag{Name: "domain", Value: []string{"sala-heredia", "sala-cartago"}, Usage: "failure domains to run"},
+			&cli.StringSliceFlag{Name: "policy", Value: []string{"round-robin", "cost"}, Usage: "policies to compare"},
+			&cli.IntFlag{Name: "vms", Value: 2, Usage: "entry VMs in each domain"},
+			&cli.IntFlag{Name: "requests", Value: 2000, Usage: "requests under each policy"},
+			&cli.FloatFlag{Name: "rate", Value: 150, Usage: "requests a second"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the workload"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object"},
+		},
+		Action: demo,
+	}
+}
+
+func demo(ctx context.Context, c *cli.Command) error {
+	var domains []ids.FailureDomain
+	for _, d := range c.StringSlice("domain") {
+		domains = append(domains, ids.FailureDomain(d))
+	}
+	rows, err := lab.Demo(ctx, lab.DemoSpec{
+		Example: c.String("example"), Domains: domains, VMs: c.Int("vms"), Policies: c.StringSlice("policy"),
+		Requests: c.Int("requests"), Rate: c.Float("rate"), Seed: c.Uint64("seed"), Progress: os.Stderr,
+	})
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = printJSON(os.Stdout, rows)
+	} else {
+		err = printTable(os.Stdout, rows)
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Lost > 0 || r.Doubled > 0 {
+			return eris.Errorf("policy %s: %d lost, %d doubled", r.Policy, r.Lost, r.Doubled)
+		}
+	}
+	return nil
+}
+
+// demoOutput is the default policy's row, with all rows beside it.
+type demoOutput struct {
+	lab.DemoRow
+	Policies []lab.DemoRow `json:"policies"`
+}
+
+func printJSON(w io.Writer, rows []lab.DemoRow) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(demoOutput{DemoRow: rows[len(rows)-1], Policies: rows})
+}
+
+func printTable(w io.Writer, rows []lab.DemoRow) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "policy\trequests\twhole\tlost\tdoubled\trefused\thit rate\trecomputed tokens\tTTFT p50\tp95\tp99 ms\t")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%.1f\t%.1f\t%.1f\t\n", r.Policy, r.Requests, r.Whole, r.Lost, r.Doubled,
+			r.Refused, r.HitRate, r.RecomputedTokens, r.TTFT.P50, r.TTFT.P95, r.TTFT.P99)
+	}
+	return t.Flush()
+}
+
+func upCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "up",
+		Usage: "start an example's stand-ins at the addresses of its lab/vms.json and run until interrupted",
+		Flags: []cli.Flag{exampleFlag(), &cli.StringFlag{Name: "store", Value: "127.0.0.1:7000", Usage: "`ADDR` of the object API"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ex, err := lab.ReadExample(c.String("example"))
+			if err != nil {
+				return err
+			}
+			s, err := lab.Start(ctx, ex, lab.StartOptions{FixedPorts: true, StoreAddr: c.String("store"), Engine: lab.DefaultEngine})
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			fmt.Printf("object API at %s, %d engines, %d service replicas; stop with ^C\n", s.StoreURL, len(s.Engines), len(s.Services))
+			<-ctx.Done()
+			return nil
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "drive an example's workload against running VMs, check every answer and print the figures as JSON",
+		Flags: []cli.Flag{
+			exampleFlag(),
+			&cli.StringSliceFlag{Name: "entry", Required: true, Usage: "base `URL` of a VM's callers' interface"},
+			&cli.IntFlag{Name: "requests", Value: 1000},
+			&cli.FloatFlag{Name: "rate", Value: 100},
+			&cli.FloatFlag{Name: "bookings", Value: 0.2, Usage: "part of requests that are bookings"},
+			&cli.IntFlag{Name: "retries", Value: 10, Usage: "retries of a caller"},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: load,
+	}
+}
+
+// loadOutput is what the load command prints; keys allow to check the services.
+type loadOutput struct {
+	*lab.Result
+	TTFT   lab.TTFT `json:"ttft_ms"`
+	Booked []string `json:"booked"`
+	NotRun []string `json:"not_run"`
+	Wrong  []string `json:"wrong"`
+}
+
+func load(ctx context.Context, c *cli.Command) error {
+	ex, err := lab.ReadExample(c.String("example"))
+	if err != nil {
+		return err
+	}
+	spec := ex.Spec(c.StringSlice("entry"))
+	spec.Requests, spec.Rate, spec.Seed = c.Int("requests"), c.Float("rate"), c.Uint64("seed")
+	spec.BookingShare, spec.Retries, spec.Concurrency = c.Float("bookings"), c.Int("retries"), 256
+	res := spec.Run(ctx)
+	return json.NewEncoder(os.Stdout).Encode(loadOutput{
+		Result: res, TTFT: lab.QuantilesOf(res.TTFT), Booked: res.Booked, NotRun: res.NotRun, Wrong: res.Wrong,
+	})
+}
--- /dev/null
+++ b/cmd/threadwalld/main.go
@@ -0,0 +1,61 @@
+// Command threadwalld is threadwall's daemon on an entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+
+	"github.com/threadwall/threadwall/internal/daemon"
+	"github.com/threadwall/threadwall/internal/settings"
+)
+
+// stopMargin is what a shutdown may take beyond notice and drain.
+const stopMargin = 15 * time.Second
+
+func main() {
+	flag := &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "read settings from `FILE` (JSON with comments)", Required: true}
+	app := &cli.Command{
+		Name:                  "threadwalld",
+		Usage:                 "route language-model traffic from an entry VM to engines and services",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run the daemon until SIGTERM or SIGINT", Flags: []cli.Flag{flag}, Action: run},
+			{Name: "check-config", Usage: "check a settings file and print it with all defaults", Flags: []cli.Flag{flag}, Action: check},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "threadwalld:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s, daemon.Options{LogTo: os.Stderr}),
+		fx.StopTimeout(s.ReadyNotice.D()+s.DrainTimeout.D()+stopMargin),
+		daemon.Module,
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	app.Run()
+	return nil
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	return settings.Print(c.Root().Writer, s)
+}
--- /dev/null
+++ b/internal/apply/apply.go
@@ -0,0 +1,165 @@
+package apply
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// Action says what applying an object would do or did.
+type Action string
+
+// The actions.
+const (
+	Created   Action = "created"
+	Updated   Action = "updated"
+	Unchanged Action = "unchanged"
+	Deleted   Action = "deleted"
+)
+
+// Change is one object's part of a plan.
+type Change struct {
+	Kind    config.Kind        `json:"kind"`
+	Name    string             `json:"name"`
+	Action  Action             `json:"action"`
+	Version objectapi.Revision `json:"version"` // seen by the plan, then as written
+	Before  []byte             `json:"-"`
+	After   []byte             `json:"-"`
+}
+
+// Plan is what applying objects would do to the store as it was read.
+type Plan struct{ Changes []Change }
+
+// Make reads the store and plans how to bring objects into it. The whole
+// configuration that would result is compiled first: an object that would be
+// rejected, or would make another one rejected, is an error, and nothing is
+// written.
+func Make(ctx context.Context, s objectapi.Store, objects []config.Object) (*Plan, error) {
+	stored, rev, err := s.List(ctx, config.Prefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "read configuration")
+	}
+	byKey := map[string]objectapi.Object{}
+	for _, o := range stored {
+		byKey[o.Key] = o
+	}
+	rejectedBefore := config.Compile(rev, stored).Rejected
+	p := &Plan{}
+	for _, o := range objects {
+		c := Change{Kind: o.Kind, Name: o.Name, Action: Created, After: encode(o)}
+		if old, ok := byKey[o.Key()]; ok {
+			c.Action, c.Version, c.Before = Updated, old.Version, old.Value
+			if bytes.Equal(old.Value, c.After) {
+				c.Action = Unchanged
+			}
+		}
+		p.Changes = append(p.Changes, c)
+		byKey[o.Key()] = objectapi.Object{Key: o.Key(), Value: c.After}
+	}
+	return p, checkResult(rev, byKey, rejectedBefore)
+}
+
+func checkResult(rev objectapi.Revision, byKey map[string]objectapi.Object, before map[string]string) error {
+	var all []objectapi.Object
+	for _, o := range byKey {
+		all = append(all, o)
+	}
+	var keys []string
+	rejected := config.Compile(rev, all).Rejected
+	for key := range rejected {
+		if _, old := before[key]; !old {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	slices.Sort(keys)
+	return eris.Errorf("%s: %s", keys[0], rejected[keys[0]])
+}
+
+func encode(o config.Object) []byte {
+	b, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // plain data: can't fail
+	}
+	return b
+}
+
+// RacedError names an object that another operator changed since it was read.
+type RacedError struct{ Key string }
+
+// Error implements error.
+func (e *RacedError) Error() string {
+	return e.Key + " was changed by somebody else meanwhile; nothing of theirs was overwritten, look at it and apply again"
+}
+
+// Run writes a plan's changes in order and stops at the first failure. Done
+// holds what was written.
+func (p *Plan) Run(ctx context.Context, s objectapi.Store) (done []Change, err error) {
+	for _, c := range p.Changes {
+		if c.Action != Unchanged {
+			if c.Version, err = write(ctx, s, c); err != nil {
+				return done, err
+			}
+		}
+		done = append(done, c)
+	}
+	return done, nil
+}
+
+func write(ctx context.Context, s objectapi.Store, c Change) (objectapi.Revision, error) {
+	key := config.Key(c.Kind, c.Name)
+	mine := func(stored []byte) bool { return bytes.Equal(stored, c.After) }
+	var obj objectapi.Object
+	var err error
+	if c.Action == Created {
+		obj, err = objectapi.ResolveCreate(ctx, s, key, c.After, mine)
+	} else {
+		obj, err = objectapi.ResolveUpdate(ctx, s, key, c.After, c.Version, mine)
+	}
+	if errors.Is(err, objectapi.ErrExists) || errors.Is(err, objectapi.ErrConflict) {
+		return 0, &RacedError{Key: key}
+	}
+	return obj.Version, eris.Wrapf(err, "write %s", key)
+}
+
+// Delete removes one object if it still has the version that was read, and if no
+// other object refers to it.
+func Delete(ctx context.Context, s objectapi.Store, k config.Kind, name string) error {
+	stored, rev, err := s.List(ctx, config.Prefix)
+	if err != nil {
+		return eris.Wrap(err, "read configuration")
+	}
+	key := config.Key(k, name)
+	byKey := map[string]objectapi.Object{}
+	for _, o := range stored {
+		byKey[o.Key] = o
+	}
+	old, ok := byKey[key]
+	if !ok {
+		return eris.Errorf("%s/%s does not exist", k, name)
+	}
+	before := config.Compile(rev, stored).Rejected
+	delete(byKey, key)
+	if err := checkResult(rev, byKey, before); err != nil {
+		return eris.Wrapf(err, "%s/%s is still needed", k, name)
+	}
+	err = s.Delete(ctx, key, old.Version)
+	switch {
+	case errors.Is(err, objectapi.ErrConflict):
+		return &RacedError{Key: key}
+	case errors.Is(err, objectapi.ErrAmbiguous):
+		if _, gerr := s.Get(ctx, key); errors.Is(gerr, objectapi.ErrNotFound) {
+			return nil
+		}
+	}
+	return eris.Wrapf(err, "delete %s", key)
+}
--- /dev/null
+++ b/internal/cacheview/index.go
@@ -0,0 +1,350 @@
+// Package cacheview is a VM's picture of which target holds which prompt prefix.
+//
+// The picture is a set of beliefs, always somewhat wrong: engines evict within
+// seconds and their event feeds lose entries. A belief only biases a routing
+// choice; it never makes an answer wrong. Three rules keep beliefs honest:
+//
+//   - A belief is bound to one epoch of its target. A new incarnation, another
+//     weights version or a gap in the target's events starts a new epoch, which
+//     voids every older belief at once, in constant time.
+//   - Prefix ids are seeded with workspace and weights version (package prefix),
+//     so no look-up can reach another workspace's belief.
+//   - An answer's count of cached tokens overrides what was believed.
+//
+// The index is a fixed table of 16-byte entries, so its memory is bounded by a
+// setting and not by traffic. A prefix's beliefs lie in one window of slots; the
+// oldest entry of a full window gives way.
+package cacheview
+
+import (
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/prefix"
+)
+
+// Life names one life of a target under one set of weights. Beliefs, answers and
+// events of another life never count.
+type Life uint64
+
+// LifeOf returns the life of an incarnation under a weights version.
+func LifeOf(inc ids.Incarnation, w ids.WeightsVersion) Life {
+	return Life(xxh3.HashStringSeed(string(w), uint64(inc)))
+}
+
+// TargetNum is a target's short number on this VM. Numbers are not reused while
+// the process lives.
+type TargetNum uint16
+
+// EntryBytes is the size of one belief in the table.
+const EntryBytes = 16
+
+const (
+	window     = 32 // slots in which one prefix's beliefs lie
+	maxHolders = 16 // beliefs kept for one prefix
+	mixer      = 0x9E3779B97F4A7C15
+)
+
+// entry is one belief: target holds the prefix since tick, as of epoch.
+type entry struct {
+	id     prefix.ID // zero: free
+	tick   uint32    // milliseconds since the index was made, last confirmation
+	target TargetNum
+	epoch  uint16
+}
+
+// targetState is what a target's beliefs are bound to.
+type targetState struct {
+	name        ids.Target
+	incarnation ids.Incarnation
+	current     Life
+	epoch       uint16
+	lastSeq     uint64
+	life        lifetime
+}
+
+// Stats counts what happened to beliefs. Read by Index.Stats.
+type Stats struct {
+	Confirmed, Refuted, Evicted, Gaps, Voided uint64
+}
+
+// Index holds beliefs. Safe for concurrent use; Lookup does not allocate.
+type Index struct {
+	start time.Time
+	now   func() time.Time
+
+	mu      sync.RWMutex
+	slots   []entry
+	mask    uint64
+	targets []targetState
+	nums    map[ids.Target]TargetNum
+	stats   Stats
+	fresh   []Known
+}
+
+// New returns an index with room for at least capacity beliefs. now is nil for
+// the wall clock.
+func New(capacity int, now func() time.Time) *Index {
+	if now == nil {
+		now = time.Now
+	}
+	size := uint64(window)
+	for size < uint64(capacity) {
+		size *= 2
+	}
+	return &Index{
+		start: now(), now: now,
+		slots: make([]entry, size+window), mask: size - 1,
+		nums: map[ids.Target]TargetNum{},
+	}
+}
+
+// Number returns the target's number, giving it one at first sight.
+func (x *Index) Number(t ids.Target) TargetNum {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.number(t)
+}
+
+func (x *Index) number(t ids.Target) TargetNum {
+	if n, ok := x.nums[t]; ok {
+		return n
+	}
+	n := TargetNum(len(x.targets))
+	x.targets = append(x.targets, targetState{name: t, life: newLifetime()})
+	x.nums[t] = n
+	return n
+}
+
+// SetLife binds a target's future beliefs to a life. A change voids all earlier
+// beliefs about it; an incarnation older than the known one is ignored.
+func (x *Index) SetLife(t ids.Target, inc ids.Incarnation, w ids.WeightsVersion) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := &x.targets[x.number(t)]
+	life := LifeOf(inc, w)
+	if inc < s.incarnation || life == s.current {
+		return
+	}
+	s.incarnation, s.current, s.lastSeq = inc, life, 0
+	x.newEpoch(s)
+}
+
+// newEpoch voids a target's beliefs. Epoch numbers wrap after 65,536 voids, so
+// the target's old entries are wiped then, lest one come back to life.
+func (x *Index) newEpoch(s *targetState) {
+	s.epoch++
+	x.stats.Voided++
+	if s.epoch != 0 {
+		return
+	}
+	n := x.nums[s.name]
+	for i := range x.slots {
+		if x.slots[i].target == n {
+			x.slots[i] = entry{}
+		}
+	}
+}
+
+// Holds records that a target of the given life holds the prefixes now. A
+// report about another life than the known one is ignored.
+func (x *Index) Holds(t ids.Target, life Life, levels []prefix.Level) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := x.number(t)
+	if x.targets[n].current != life {
+		return
+	}
+	for _, l := range levels {
+		x.put(l.ID, n)
+	}
+}
+
+// Drop records that a target no longer holds a prefix.
+func (x *Index) Drop(t ids.Target, life Life, id prefix.ID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := x.number(t)
+	if x.targets[n].current == life {
+		x.drop(id, n)
+	}
+}
+
+func (x *Index) drop(id prefix.ID, n TargetNum) {
+	w := x.window(id)
+	for i := range w {
+		if w[i].id == id && w[i].target == n {
+			w[i] = entry{}
+			x.stats.Evicted++
+		}
+	}
+}
+
+func (x *Index) window(id prefix.ID) []entry {
+	at := (uint64(id) * mixer) >> 20 & x.mask
+	return x.slots[at : at+window]
+}
+
+// put inserts or refreshes a belief. It takes, in this order: the belief's own
+// slot, a free or void one, the prefix's oldest when it has too many holders,
+// the window's oldest.
+func (x *Index) put(id prefix.ID, n TargetNum) {
+	w := x.window(id)
+	free, oldest, ownOldest, holders := -1, 0, -1, 0
+	for i := range w {
+		e := &w[i]
+		switch {
+		case e.id == id && e.target == n:
+			e.tick, e.epoch = x.tick(), x.targets[n].epoch
+			return
+		case e.id == 0 || x.targets[e.target].epoch != e.epoch:
+			free = i
+			continue
+		case e.id == id:
+			holders++
+			if ownOldest < 0 || e.tick < w[ownOldest].tick {
+				ownOldest = i
+			}
+		}
+		if e.tick < w[oldest].tick {
+			oldest = i
+		}
+	}
+	at := free
+	if holders >= maxHolders {
+		at = ownOldest
+	} else if free < 0 {
+		at = oldest
+	}
+	w[at] = entry{id: id, tick: x.tick(), target: n, epoch: x.targets[n].epoch}
+}
+
+// tick is the index's clock in milliseconds; it wraps after 49 days, which makes
+// an old belief look young once.
+func (x *Index) tick() uint32 { return uint32(x.now().Sub(x.start).Milliseconds()) }
+
+// Overlap is what the index believes of one target about one prompt.
+type Overlap struct {
+	Tokens int32   // deepest believed prefix, in tokens
+	Trust  float32 // chance in 0..1 that it is still cached
+}
+
+// Lookup fills out, indexed by TargetNum, with the deepest believed prefix of
+// the prompt on each target; targets beyond len(out) are left out.
+func (x *Index) Lookup(levels []prefix.Level, out []Overlap) {
+	clear(out)
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	now := x.tick()
+	for _, l := range levels {
+		for _, e := range x.window(l.ID) {
+			if e.id != l.ID || int(e.target) >= len(out) || l.Tokens < out[e.target].Tokens {
+				continue
+			}
+			t := &x.targets[e.target]
+			if t.epoch == e.epoch {
+				out[e.target] = Overlap{Tokens: l.Tokens, Trust: t.life.trust(now - e.tick)}
+			}
+		}
+	}
+}
+
+// Answered corrects beliefs by an answer: the target of that life reused cached
+// tokens of the prompt, and holds all of it now.
+func (x *Index) Answered(t ids.Target, life Life, levels []prefix.Level, cached int32) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := x.number(t)
+	s := &x.targets[n]
+	if s.current != life {
+		return
+	}
+	now := x.tick()
+	for _, l := range levels {
+		e := x.find(l.ID, n)
+		if len(x.fresh) < maxFresh && (e == nil || now-e.tick > freshAfter) {
+			x.fresh = append(x.fresh, Known{ID: l.ID, Target: t, Life: life})
+		}
+		if e != nil {
+			hit := l.Tokens <= cached
+			s.life.observe(now-e.tick, hit)
+			if hit {
+				x.stats.Confirmed++
+			} else {
+				x.stats.Refuted++
+			}
+		}
+		x.put(l.ID, n)
+	}
+}
+
+func (x *Index) find(id prefix.ID, n TargetNum) *entry {
+	w := x.window(id)
+	for i := range w {
+		if w[i].id == id && w[i].target == n && w[i].epoch == x.targets[n].epoch {
+			return &w[i]
+		}
+	}
+	return nil
+}
+
+// Stats returns the counts so far.
+func (x *Index) Stats() Stats {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return x.stats
+}
+
+// Known is one belief, for peers.
+type Known struct {
+	ID     prefix.ID
+	Target ids.Target
+	Life   Life
+}
+
+// maxFresh bounds the beliefs kept for peers between two rounds.
+const maxFresh = 1024
+
+// freshAfter is how old a belief must be to be told again, in milliseconds.
+const freshAfter = 10_000
+
+// TakeFresh returns the beliefs that this VM's own answers made or renewed since
+// the last call.
+func (x *Index) TakeFresh() []Known {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f := x.fresh
+	x.fresh = nil
+	return f
+}
+
+// Told takes in a peer's belief. life is the lower half of the target's life.
+func (x *Index) Told(t ids.Target, life uint32, id uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := x.number(t)
+	if s := &x.targets[n]; uint32(s.current) == life && s.incarnation != 0 {
+		x.put(prefix.ID(id), n)
+	}
+}
+
+// Beliefs returns up to limit valid beliefs.
+func (x *Index) Beliefs(limit int) []Known {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	var out []Known
+	for _, e := range x.slots {
+		if e.id == 0 || x.targets[e.target].epoch != e.epoch {
+			continue
+		}
+		if len(out) == limit {
+			break
+		}
+		s := &x.targets[e.target]
+		out = append(out, Known{ID: e.id, Target: s.name, Life: s.current})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/confsync/current.go
@@ -0,0 +1,26 @@
+package confsync
+
+import (
+	"sync/atomic"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// Current is the compiled configuration in force. Its Adopt is an Adopter.
+type Current struct{ p atomic.Pointer[config.Config] }
+
+// NewCurrent returns an empty configuration at revision zero.
+func NewCurrent() *Current {
+	c := &Current{}
+	c.Adopt(0, nil)
+	return c
+}
+
+// Adopt compiles a revision and puts it in force.
+func (c *Current) Adopt(rev objectapi.Revision, objects []objectapi.Object) {
+	c.p.Store(config.Compile(rev, objects))
+}
+
+// Get returns the configuration in force; never nil.
+func (c *Current) Get() *config.Config { return c.p.Load() }
--- /dev/null
+++ b/internal/daemon/duties.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/confsync"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/peerpb"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// Rhythms of duties that no setting governs.
+const (
+	refreshEvery   = 50 * time.Millisecond
+	watchIdle      = 500 * time.Millisecond // a VM that is no watcher looks again
+	watchBackoff   = 500 * time.Millisecond
+	watchMaxWait   = 10 * time.Second
+	forgetEvery    = 10 * time.Second
+	bootstrapRetry = 300 * time.Millisecond
+)
+
+// dutyTable names every duty. Each runs in a goroutine of its own until its
+// context ends.
+func (d *Daemon) dutyTable() map[string]func(context.Context) {
+	return map[string]func(context.Context){
+		"bootstrap":      d.bootstrap,
+		"watch-config":   func(ctx context.Context) { d.watch(ctx, peerpb.KeySpace_CONFIG, config.Prefix) },
+		"watch-platform": func(ctx context.Context) { d.watch(ctx, peerpb.KeySpace_PLATFORM, platform.Prefix) },
+		"announce":       d.announce,
+		"fetch-wanted":   d.Node.FetchWanted,
+		"gossip":         d.gossip,
+		"probe":          d.probe,
+		"feed":           d.feed,
+		"refresh":        d.refresh,
+		"settle":         d.Settler.Run,
+		"forget":         d.forget,
+	}
+}
+
+// bootstrap fetches state from peers, else from the store, until this VM may
+// serve. It says why it is not ready meanwhile.
+func (d *Daemon) bootstrap(ctx context.Context) {
+	for _, addr := range d.Settings.Peers {
+		call, cancel := context.WithTimeout(ctx, d.Settings.StoreTimeout.D())
+		err := d.Node.FetchState(call, addr)
+		cancel()
+		if err == nil {
+			d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Peer: addr, Text: "state fetched"}, nil)
+			break
+		}
+		d.Log.Info().Err(err).Str("step", "bootstrap").Str("peer", addr).Msg("no state from this peer")
+	}
+	for {
+		reason := d.lacking()
+		if reason == "" {
+			break
+		}
+		d.ready.set(false, reason)
+		if d.Node.Config.Revision() == 0 {
+			d.list(ctx, peerpb.KeySpace_CONFIG, config.Prefix)
+		}
+		if d.Node.Platform.Revision() == 0 {
+			d.list(ctx, peerpb.KeySpace_PLATFORM, platform.Prefix)
+		}
+		// Ask peers again; they may have started meanwhile.
+		if len(d.Settings.Peers) > 0 && d.lacking() != "" {
+			call, cancel := context.WithTimeout(ctx, d.Settings.StoreTimeout.D())
+			_ = d.Node.FetchState(call, d.Settings.Peers[rand.IntN(len(d.Settings.Peers))])
+			cancel()
+		}
+		if !sleep(ctx, bootstrapRetry/2+rand.N(bootstrapRetry)) {
+			return
+		}
+	}
+	d.Fleet.Refresh()
+	d.ready.set(true, "")
+	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "ready"}, nil)
+	d.Log.Info().Str("step", "bootstrap").Uint64("config_revision", uint64(d.Node.Config.Revision())).Msg("ready")
+}
+
+// lacking says what this VM needs before it may serve; empty: nothing.
+func (d *Daemon) lacking() string {
+	switch {
+	case d.Node.Config.Revision() == 0:
+		return "no configuration: neither a peer nor the object API could be reached"
+	case !d.Node.Config.Reached():
+		return "the configuration at hand is older than one that peers have heard of"
+	case d.Node.Platform.Revision() == 0:
+		return "no list of targets: neither a peer nor the object API could be reached"
+	default:
+		return ""
+	}
+}
+
+// list reads a whole key space from the store.
+func (d *Daemon) list(ctx context.Context, space peerpb.KeySpace, prefix string) (objectapi.Revision, error) {
+	objects, rev, err := d.Store.List(ctx, prefix)
+	if err != nil {
+		d.Log.Info().Err(err).Str("step", "list "+prefix).Str("peer", d.Settings.Store).Msg("the object API can't be read")
+		return 0, err
+	}
+	d.Node.Adopt(space, confsync.Snapshot{Revision: max(rev, 1), Objects: objects}, "store")
+	return rev, nil
+}
+
+// watch follows a key space at the store while this VM is one of its domain's
+// watchers, through outages.
+func (d *Daemon) watch(ctx context.Context, space peerpb.KeySpace, prefix string) {
+	var after objectapi.Revision // zero: list first
+	backoff := watchBackoff
+	for ctx.Err() == nil {
+		if !d.Node.IsWatcher(time.Now()) {
+			after = 0
+			sleep(ctx, watchIdle)
+			continue
+		}
+		next, err := d.watchOnce(ctx, space, prefix, after)
+		after = next
+		if err == nil {
+			backoff = watchBackoff
+			continue
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(backoff*2, watchMaxWait)
+	}
+}
+
+// watchOnce lists or waits for one change, and returns where to go on.
+func (d *Daemon) watchOnce(ctx context.Context, space peerpb.KeySpace, prefix string, after objectapi.Revision) (objectapi.Revision, error) {
+	if after == 0 {
+		return d.list(ctx, space, prefix)
+	}
+	events, rev, err := d.Store.Watch(ctx, prefix, after)
+	if errors.Is(err, objectapi.ErrCompacted) {
+		return 0, nil
+	}
+	if err != nil {
+		return after, err
+	}
+	if len(events) == 0 {
+		return max(rev, after), nil
+	}
+	store := d.Node.Config
+	if space == peerpb.KeySpace_PLATFORM {
+		store = d.Node.Platform
+	}
+	// Peers may have brought us further than our watch; what they did is left out.
+	base := store.Revision()
+	events = slices.DeleteFunc(events, func(o objectapi.Object) bool { return o.Version <= base })
+	d.Node.Adopt(space, store.Events(base, events, rev), "store")
+	return rev, nil
+}
+
+// announce tells peers at once when a new configuration is in force.
+func (d *Daemon) announce(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Node.Config.Changed():
+		case <-d.Node.Platform.Changed():
+		}
+		d.Node.Kick(ctx)
+	}
+}
+
+// gossip exchanges news with peers at the heartbeat's rhythm, with jitter so
+// that VMs started together don't stay in step.
+func (d *Daemon) gossip(ctx context.Context) {
+	for {
+		d.Node.Round(ctx)
+		beat := d.Settings.Heartbeat.D()
+		if !sleep(ctx, beat*9/10+rand.N(beat/5+1)) {
+			return
+		}
+	}
+}
+
+// refresh renews the snapshot that decisions read.
+func (d *Daemon) refresh(ctx context.Context) {
+	for sleep(ctx, refreshEvery) {
+		d.Fleet.Refresh()
+	}
+}
+
+func (d *Daemon) forget(ctx context.Context) {
+	for sleep(ctx, forgetEvery) {
+		if n := d.Fleet.Members.Forget(time.Now()); n > 0 {
+			d.Events.Record(timeline.Event{Kind: timeline.KindMember, Text: "members that are gone were forgotten"}, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/probing.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/engine"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// probeTimeout bounds one probe.
+const probeTimeout = 800 * time.Millisecond
+
+// probesAtOnce bounds probes in flight.
+const probesAtOnce = 16
+
+// silentProbes in a row make a target silent.
+const silentProbes = 3
+
+// probed is what the last probe of a target told.
+type probed struct {
+	report membership.Report
+	told   time.Time
+	failed int
+}
+
+// probeState is the memory of the probe duty.
+type probeState struct {
+	mu   sync.Mutex
+	last map[ids.Target]probed
+}
+
+// probe asks the targets that this VM is responsible for about their load.
+func (d *Daemon) probe(ctx context.Context) {
+	for {
+		d.probeRound(ctx)
+		if !sleep(ctx, d.Settings.Probe.D()) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) probeRound(ctx context.Context) {
+	now := time.Now()
+	vms := d.Fleet.Members.Peers(now)
+	slots := make(chan struct{}, probesAtOnce)
+	var wg sync.WaitGroup
+	for _, t := range d.Fleet.Members.Targets(now) {
+		if !d.Node.Owns(t.ID, t.Record.FailureDomain, vms) {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			d.probeOne(ctx, t)
+		})
+	}
+	wg.Wait()
+}
+
+func (d *Daemon) probeOne(ctx context.Context, t membership.TargetStatus) {
+	l, err := d.Engine.Probe(ctx, t.Record.Addr, probeTimeout)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	d.probes.mu.Lock()
+	prev := d.probes.last[t.ID]
+	next := prev
+	if err != nil {
+		next.failed++
+		next.report = membership.Report{Incarnation: t.Incarnation, Weights: t.Weights, Seq: uint64(now.UnixMilli()), Silent: next.failed >= silentProbes}
+	} else {
+		next = probed{report: reportOf(l, now), told: prev.told}
+	}
+	d.probes.last[t.ID] = next
+	d.probes.mu.Unlock()
+	if err != nil && !next.report.Silent {
+		return
+	}
+	d.Node.Publish(t.ID, next.report, prev.report, prev.told, now)
+	if t.StateName != d.Fleet.Members.State(t.ID, now).String() {
+		d.Events.Record(timeline.Event{
+			Kind: timeline.KindMember, Peer: string(t.ID),
+			Text: t.StateName + " -> " + d.Fleet.Members.State(t.ID, now).String(),
+		}, nil)
+	}
+}
+
+func reportOf(l engine.Load, now time.Time) membership.Report {
+	return membership.Report{
+		Incarnation: l.Incarnation, Seq: uint64(now.UnixMilli()), QueuedTokens: l.QueuedTokens,
+		Running: l.Running, Slots: l.Slots, PrefillRate: l.PrefillRate, Leaving: l.Leaving, Weights: l.Weights,
+	}
+}
+
+// feedEvery is how often an engine's cache events are read.
+const feedEvery = 500 * time.Millisecond
+
+// cursor is where this VM reads on in an engine's feed.
+type cursor struct {
+	incarnation ids.Incarnation
+	after       uint64
+}
+
+// feed reads the cache events of the engines that this VM is first responsible
+// for, so that each engine's feed is read once in its domain.
+func (d *Daemon) feed(ctx context.Context) {
+	cursors := map[ids.Target]cursor{}
+	for sleep(ctx, feedEvery) {
+		vms := d.Fleet.Members.Peers(time.Now())
+		for _, t := range d.Fleet.Members.Targets(time.Now()) {
+			if t.Record.Role == platform.RoleEngine && d.Node.First(t.ID, t.Record.FailureDomain, vms) {
+				cursors[t.ID] = d.feedOne(ctx, t, cursors[t.ID])
+			} else {
+				delete(cursors, t.ID)
+			}
+		}
+	}
+}
+
+func (d *Daemon) feedOne(ctx context.Context, t membership.TargetStatus, c cursor) cursor {
+	f, err := d.Engine.Events(ctx, t.Record.Addr, c.after, probeTimeout)
+	if err != nil {
+		return c
+	}
+	if f.Incarnation != c.incarnation {
+		if c.incarnation != 0 && c.after > 0 {
+			return cursor{incarnation: f.Incarnation} // read the new life from its start
+		}
+		c.incarnation = f.Incarnation
+	}
+	if d.Fleet.Cache.Feed(t.ID, cacheview.LifeOf(f.Incarnation, f.Weights), f.Events) {
+		d.Events.Record(timeline.Event{Kind: timeline.KindCache, Peer: string(t.ID), Text: "gap in cache events, beliefs voided"}, nil)
+	}
+	for _, e := range f.Events {
+		c.after = max(c.after, e.Seq)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatch/conn.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/engine"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// conn is one connection to a target, watched for silence. Two rules end it:
+//
+//   - before the first event, a target may be busy with a queue, so silence alone
+//     is no reason; it is given up when it is dead to membership, or silent to
+//     probes and to this request for longer than the idle time;
+//   - between events, silence for the idle time is reason enough. Time in which
+//     the caller is slow to take events does not count.
+type conn struct {
+	answer *engine.Answer
+	cancel context.CancelFunc
+	timer  *time.Timer
+}
+
+// checkEvery is how often a waiting connection looks at membership.
+const checkEvery = 500 * time.Millisecond
+
+type opener func(context.Context, *engine.Call) (*engine.Answer, error)
+
+// open makes a connection and waits for the answer's start.
+func (r *run) open(ctx context.Context, call *engine.Call, start opener) (*conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	began := time.Now()
+	c := &conn{cancel: cancel}
+	ready := make(chan struct{})
+	c.timer = time.AfterFunc(checkEvery, func() {
+		<-ready
+		if r.givenUp(call.Target, time.Since(began)) {
+			cancel()
+			return
+		}
+		c.timer.Reset(checkEvery)
+	})
+	close(ready)
+	answer, err := start(ctx, call)
+	if err != nil {
+		c.close()
+		return nil, err
+	}
+	c.answer = answer
+	return c, nil
+}
+
+// givenUp tells whether a target that has not begun to answer won't.
+func (r *run) givenUp(t ids.Target, waited time.Duration) bool {
+	switch r.d.Fleet.Members.State(t, time.Now()) {
+	case routing.Dead:
+		return true
+	case routing.Suspect:
+		return waited > r.d.Idle
+	default:
+		return false
+	}
+}
+
+// pauseIdle stops the clock while the caller takes events.
+func (c *conn) pauseIdle() { c.timer.Stop() }
+
+// startIdle ends the connection unless an event comes in time.
+func (c *conn) startIdle(d time.Duration) {
+	c.timer.Stop()
+	c.timer = time.AfterFunc(d, c.cancel)
+}
+
+func (c *conn) close() {
+	c.timer.Stop()
+	c.cancel()
+	if c.answer != nil {
+		_ = c.answer.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/engine/probe.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Load is a target's answer to a probe. Plain services leave the engine's fields
+// out.
+type Load struct {
+	Incarnation  ids.Incarnation    `json:"incarnation"`
+	Leaving      bool               `json:"leaving,omitempty"`
+	Weights      ids.WeightsVersion `json:"weights,omitempty"`
+	Model        ids.Model          `json:"model,omitempty"`
+	QueuedTokens int                `json:"queued_tokens"`
+	Running      int                `json:"running"`
+	Slots        int                `json:"slots"`
+	PrefillRate  float64            `json:"prefill_rate"` // tokens/s
+}
+
+// Feed is a batch of cache events. Last is the number of the engine's newest
+// event; the batch may end before it.
+type Feed struct {
+	Incarnation ids.Incarnation    `json:"incarnation"`
+	Weights     ids.WeightsVersion `json:"weights"`
+	Last        uint64             `json:"last"`
+	Events      []cacheview.Event  `json:"events"`
+}
+
+const (
+	maxLoadBody = 64 << 10
+	maxFeedBody = 4 << 20
+)
+
+// Probe asks a target for its load.
+func (c *Client) Probe(ctx context.Context, addr string, timeout time.Duration) (Load, error) {
+	var l Load
+	err := c.get(ctx, "http://"+addr+PathLoad, timeout, maxLoadBody, &l)
+	return l, err
+}
+
+// Events asks an engine for cache events after a number.
+func (c *Client) Events(ctx context.Context, addr string, after uint64, timeout time.Duration) (Feed, error) {
+	var f Feed
+	err := c.get(ctx, fmt.Sprintf("http://%s%s?after=%d", addr, PathEvents, after), timeout, maxFeedBody, &f)
+	return f, err
+}
+
+func (c *Client) get(ctx context.Context, url string, timeout time.Duration, limit int64, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "build probe")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "probe %s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("probe %s: status %d", url, resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return eris.Wrapf(err, "probe %s", url)
+	}
+	return eris.Wrapf(json.Unmarshal(body, into), "probe %s", url)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,161 @@
+// Package fleet gathers what routing decides on: it joins membership, cache
+// beliefs and load into an immutable snapshot and per-request inputs.
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// Snapshot is one immutable picture of all targets.
+type Snapshot struct {
+	View     routing.View
+	statuses []membership.TargetStatus
+	nums     []cacheview.TargetNum
+	maxNum   int
+	at       time.Time
+}
+
+// Status returns one target's status by its index in View.
+func (s *Snapshot) Status(i int) *membership.TargetStatus { return &s.statuses[i] }
+
+// Fleet makes snapshots and decisions. Safe for concurrent use.
+type Fleet struct {
+	Members *membership.Table
+	Cache   *cacheview.Index
+	Load    *loadview.Tracker
+
+	policy  *routing.Router
+	counter atomic.Uint64
+	snap    atomic.Pointer[Snapshot]
+	dirty   atomic.Bool
+	scratch sync.Pool
+	now     func() time.Time
+}
+
+// New returns a fleet over the given parts. now is nil for the wall clock.
+func New(m *membership.Table, c *cacheview.Index, l *loadview.Tracker, policy *routing.Router, now func() time.Time) *Fleet {
+	if now == nil {
+		now = time.Now
+	}
+	f := &Fleet{Members: m, Cache: c, Load: l, policy: policy, now: now}
+	f.scratch.New = func() any { return &Scratch{} }
+	f.Refresh()
+	return f
+}
+
+// Refresh makes a new snapshot. A duty calls it every few tens of milliseconds.
+func (f *Fleet) Refresh() *Snapshot {
+	f.dirty.Store(false)
+	now := f.now()
+	statuses := f.Members.Targets(now)
+	s := &Snapshot{statuses: statuses, at: now, nums: make([]cacheview.TargetNum, len(statuses))}
+	s.View.Targets = make([]routing.Target, len(statuses))
+	for i := range statuses {
+		st := &statuses[i]
+		if st.Incarnation != 0 {
+			f.Cache.SetLife(st.ID, st.Incarnation, st.Weights)
+		}
+		s.nums[i] = f.Cache.Number(st.ID)
+		s.maxNum = max(s.maxNum, int(s.nums[i]))
+		s.View.Targets[i] = routing.Target{
+			ID: st.ID, FailureDomain: st.Record.FailureDomain, Model: st.Record.Model,
+			Weights: st.Weights, Service: st.Record.Service, Incarnation: st.Incarnation,
+			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID),
+		}
+	}
+	f.snap.Store(s)
+	return s
+}
+
+// MarkDirty asks for a fresh snapshot before the next decision: something
+// happened that must not wait for the duty.
+func (f *Fleet) MarkDirty() { f.dirty.Store(true) }
+
+// Snapshot returns the newest snapshot.
+func (f *Fleet) Snapshot() *Snapshot {
+	if f.dirty.Load() {
+		return f.Refresh()
+	}
+	return f.snap.Load()
+}
+
+// PolicyName returns the name of the policy in force.
+func (f *Fleet) PolicyName() string { return f.policy.Name }
+
+// Seed returns a number that differs from decision to decision.
+func (f *Fleet) Seed() uint64 { return f.counter.Add(1) }
+
+// Scratch is the reusable memory of one decision.
+type Scratch struct {
+	Routing  routing.Scratch
+	Inputs   []routing.Input
+	overlaps []cacheview.Overlap
+}
+
+// Acquire returns scratch memory; give it back with Release.
+func (f *Fleet) Acquire() *Scratch { return f.scratch.Get().(*Scratch) }
+
+// Release takes scratch memory back.
+func (f *Fleet) Release(s *Scratch) { f.scratch.Put(s) }
+
+// Decide gathers inputs and picks a target among those not tried yet.
+func (f *Fleet) Decide(r *routing.Request, tried []ids.Target, sc *Scratch) (*Snapshot, routing.Decision) {
+	snap := f.Snapshot()
+	f.gather(snap, r, tried, sc)
+	return snap, f.policy.Decide(r, &snap.View, sc.Inputs, &sc.Routing)
+}
+
+func (f *Fleet) gather(snap *Snapshot, r *routing.Request, tried []ids.Target, sc *Scratch) {
+	n := len(snap.statuses)
+	if cap(sc.Inputs) < n {
+		sc.Inputs = make([]routing.Input, n)
+	}
+	sc.Inputs = sc.Inputs[:n]
+	if cap(sc.overlaps) <= snap.maxNum {
+		sc.overlaps = make([]cacheview.Overlap, snap.maxNum+1)
+	}
+	sc.overlaps = sc.overlaps[:snap.maxNum+1]
+	f.Cache.Lookup(r.Levels, sc.overlaps)
+	now := f.now()
+	for i := range snap.statuses {
+		sc.Inputs[i] = f.input(&snap.statuses[i], sc.overlaps[snap.nums[i]], now.Sub(snap.at), now)
+	}
+	for _, t := range tried {
+		for i := range snap.statuses {
+			if snap.statuses[i].ID == t {
+				sc.Inputs[i].Tried = true
+			}
+		}
+	}
+}
+
+// defaultPrefillRate is assumed until a target has told its rate, in tokens/s.
+const defaultPrefillRate = 8000
+
+// slotSeconds is the expected wait for each request beyond the batch's places.
+const slotSeconds = 0.25
+
+func (f *Fleet) input(st *membership.TargetStatus, o cacheview.Overlap, since time.Duration, now time.Time) routing.Input {
+	rate := st.Report.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	load := f.Load.Estimate(st.ID, st.Report.QueuedTokens, rate, st.ReportAge+since, now)
+	in := routing.Input{
+		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart,
+		QueueTokens: float32(load.QueueTokens), PrefillRate: float32(rate),
+		Cached: o.Tokens, Trust: o.Trust,
+	}
+	if busy := max(st.Report.Running, load.OwnInFlight) + 1 - st.Report.Slots; st.Report.Slots > 0 && busy > 0 {
+		in.SlotWait = slotSeconds * float32(busy)
+	}
+	return in
+}
--- /dev/null
+++ b/internal/gateway/answers.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/threadwall/threadwall/internal/engine"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// errorBody is the error shape of the OpenAI-compatible interface, with the
+// request's id and outcome added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string       `json:"message"`
+	Type      string       `json:"type"`
+	Code      outcome.Code `json:"code"`
+	Param     *string      `json:"param"`
+	Outcome   string       `json:"outcome"`
+	RequestID ids.Request  `json:"request_id"`
+}
+
+// statuses maps codes to HTTP statuses. A status never implies an outcome; the
+// outcome is told beside it.
+var statuses = map[outcome.Code]int{
+	outcome.CodeInvalidKey:      http.StatusUnauthorized,
+	outcome.CodeBadRequest:      http.StatusBadRequest,
+	outcome.CodeUnknownModel:    http.StatusNotFound,
+	outcome.CodeUnknownTemplate: http.StatusNotFound,
+	outcome.CodeUnknownService:  http.StatusNotFound,
+	outcome.CodeParameter:       http.StatusBadRequest,
+	outcome.CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	outcome.CodeNoTarget:        http.StatusServiceUnavailable,
+	outcome.CodeOverloaded:      http.StatusServiceUnavailable,
+	outcome.CodeRateLimited:     http.StatusTooManyRequests,
+	outcome.CodeDeadline:        http.StatusGatewayTimeout,
+	outcome.CodeUpstream:        http.StatusBadGateway,
+	outcome.CodeStreamBroken:    http.StatusBadGateway,
+	outcome.CodeStoreDown:       http.StatusServiceUnavailable,
+	outcome.CodeKeyReused:       http.StatusUnprocessableEntity,
+	outcome.CodeKeyRequired:     http.StatusBadRequest,
+	outcome.CodeKeyExpired:      http.StatusUnprocessableEntity,
+	outcome.CodeInProgress:      http.StatusConflict,
+	outcome.CodeOutcomeUnknown:  http.StatusConflict,
+	outcome.CodeShuttingDown:    http.StatusServiceUnavailable,
+}
+
+func (g *Gateway) mark(c *gin.Context, req ids.Request, o outcome.Outcome) {
+	h := c.Writer.Header()
+	h.Set(HeaderRequestID, string(req))
+	h.Set(HeaderOutcome, o.String())
+	h.Set(HeaderVM, string(g.VM))
+}
+
+// fail answers with an error and ends the request.
+func (g *Gateway) fail(c *gin.Context, req ids.Request, e *outcome.Error) {
+	g.refused(req, e)
+	c.Abort()
+	if c.Writer.Written() {
+		return
+	}
+	g.mark(c, req, e.Outcome)
+	if e.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		c.Header("Retry-After-Ms", strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+	c.JSON(statusOf(e), bodyOf(req, e))
+}
+
+func statusOf(e *outcome.Error) int {
+	if status, ok := statuses[e.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func bodyOf(req ids.Request, e *outcome.Error) errorBody {
+	kind := "invalid_request_error"
+	if statusOf(e) >= http.StatusInternalServerError {
+		kind = "server_error"
+	}
+	return errorBody{Error: errorDetail{
+		Message: e.Message + callerDetail(e), Type: kind, Code: e.Code, Outcome: e.Outcome.String(), RequestID: req,
+	}}
+}
+
+// callerDetail passes on what a target said of a request at fault.
+func callerDetail(e *outcome.Error) string {
+	var ce *engine.CallerError
+	if e.Outcome != outcome.Ran || !errors.As(e, &ce) {
+		return ""
+	}
+	var body errorBody
+	if json.Unmarshal(ce.Body, &body) == nil && body.Error.Message != "" {
+		return ": " + body.Error.Message
+	}
+	return ": " + string(ce.Body)
+}
+
+func (g *Gateway) refused(req ids.Request, e *outcome.Error) {
+	g.Refused.Add(1)
+	g.Log.Info().Str("request", string(req)).Str("step", e.Step).Str("peer", e.Peer).
+		Str("code", string(e.Code)).Str("outcome", e.Outcome.String()).Err(e.Unwrap()).Msg(e.Message)
+	g.Events.Record(timeline.Event{
+		Kind: timeline.KindRefusal, Request: req, Peer: e.Peer,
+		Text: string(e.Code) + " " + e.Outcome.String() + " at " + e.Step + ": " + e.Message,
+	}, nil)
+}
+
+// sink writes a model's answer to the caller.
+type sink struct {
+	g       *Gateway
+	c       *gin.Context
+	ctl     *http.ResponseController
+	request ids.Request
+	started bool
+	number  uint64
+	buf     []byte
+}
+
+// callerTimeout bounds one write to a caller that takes nothing.
+const callerTimeout = 60 * time.Second
+
+// Start implements dispatch.Sink.
+func (s *sink) Start(t ids.Target) {
+	s.started = true
+	h := s.c.Writer.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set(HeaderTarget, string(t))
+	// The outcome is not known before the end; it comes as a trailer and as the
+	// stream's last event.
+	h.Set("Trailer", HeaderOutcome)
+	h.Set(HeaderRequestID, string(s.request))
+	h.Set(HeaderVM, string(s.g.VM))
+	s.c.Writer.WriteHeader(http.StatusOK)
+}
+
+// Event implements dispatch.Sink. Events are numbered from 1.
+func (s *sink) Event(data []byte) error {
+	s.number++
+	s.buf = append(s.buf, "id: "...)
+	s.buf = strconv.AppendUint(s.buf, s.number, 10)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = append(s.buf, data...)
+	s.buf = append(s.buf, "\n\n"...)
+	return nil
+}
+
+// Flush implements dispatch.Sink.
+func (s *sink) Flush() error {
+	if len(s.buf) == 0 {
+		return nil
+	}
+	_ = s.ctl.SetWriteDeadline(time.Now().Add(callerTimeout))
+	_, err := s.c.Writer.Write(s.buf)
+	s.buf = s.buf[:0]
+	if err != nil {
+		return err
+	}
+	s.c.Writer.Header().Set(HeaderOutcome, outcome.Ran.String())
+	return s.ctl.Flush()
+}
+
+// Whole implements dispatch.Sink.
+func (s *sink) Whole(t ids.Target, body []byte) error {
+	s.started = true
+	s.g.mark(s.c, s.request, outcome.Ran)
+	s.c.Header(HeaderTarget, string(t))
+	s.c.Data(http.StatusOK, "application/json", body)
+	return nil
+}
+
+// fail ends the answer with an error: as a status if nothing was sent, as an
+// error event if the stream had begun. The stream then has no [DONE], and its
+// connection is cut, so that no reader can take it for complete.
+func (s *sink) fail(e *outcome.Error) {
+	if !s.started {
+		s.g.fail(s.c, s.request, e)
+		return
+	}
+	s.g.Broken.Add(1)
+	s.g.refused(s.request, e)
+	_ = s.Flush()
+	s.c.Writer.Header().Set(HeaderOutcome, e.Outcome.String())
+	body, _ := json.Marshal(bodyOf(s.request, e))
+	s.buf = append(s.buf, "event: error\ndata: "...)
+	s.buf = append(s.buf, body...)
+	s.buf = append(s.buf, "\n\n"...)
+	_, _ = s.c.Writer.Write(s.buf)
+	_ = s.ctl.Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,281 @@
+// Package gateway is the callers' interface: the OpenAI-compatible model paths,
+// plain services, and health for the platform's balancer.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rs/zerolog"
+
+	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/confsync"
+	"github.com/threadwall/threadwall/internal/dispatch"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/services"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// Headers of answers to callers.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderOutcome   = "X-Threadwall-Outcome"
+	HeaderTarget    = "X-Threadwall-Target"
+	HeaderVM        = "X-Threadwall-Vm"
+)
+
+// Readiness tells whether this VM may take work, and why not.
+type Readiness interface {
+	Ready() (ok bool, reason string)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	VM         ids.VM
+	Config     *confsync.Current
+	Limiter    *admission.Limiter
+	Dispatcher *dispatch.Dispatcher
+	Services   *services.Runner
+	Events     *timeline.Log
+	Readiness  Readiness
+	MaxBody    int64
+	Log        zerolog.Logger
+	Requests   atomic.Int64
+	Refused    atomic.Int64
+	Broken     atomic.Int64
+}
+
+// Handler returns the HTTP handler.
+func (g *Gateway) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.Use(g.recover)
+	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", g.ready)
+	e.NoRoute(func(c *gin.Context) {
+		g.fail(c, ids.NewRequest(), outcome.New(outcome.NotRun, outcome.CodeBadRequest, "route", "", "there is nothing at this path"))
+	})
+	v1 := e.Group("/v1", g.enter)
+	v1.GET("/models", g.models)
+	v1.POST("/chat/completions", g.prompt(dispatch.PathChat))
+	v1.POST("/completions", g.prompt(dispatch.PathCompletions))
+	v1.Any("/services/:service/*path", g.service)
+	return e
+}
+
+func (g *Gateway) ready(c *gin.Context) {
+	if ok, reason := g.Readiness.Ready(); !ok {
+		c.String(http.StatusServiceUnavailable, "not ready: %s\n", reason)
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// recover turns a panic into an answer that claims nothing.
+func (g *Gateway) recover(c *gin.Context) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if p == http.ErrAbortHandler { //nolint:errorlint // net/http compares it so
+			panic(p)
+		}
+		g.Log.Error().Interface("panic", p).Str("step", "handle").Msg("request handler panicked")
+		g.fail(c, requestOf(c), outcome.New(outcome.Unknown, outcome.CodeOutcomeUnknown, "handle", "", "the request failed in an unexpected way"))
+	}()
+	c.Next()
+}
+
+// Keys of values in a gin context.
+const (
+	keyRequest   = "request"
+	keyWorkspace = "workspace"
+	keyConfig    = "config"
+)
+
+func requestOf(c *gin.Context) ids.Request {
+	id, _ := c.Get(keyRequest)
+	r, _ := id.(ids.Request)
+	return r
+}
+
+// enter gives the request its id, its workspace and one configuration for its
+// whole life, and admits it.
+func (g *Gateway) enter(c *gin.Context) {
+	req := ids.NewRequest()
+	g.Requests.Add(1)
+	c.Set(keyRequest, req)
+	cfg := g.Config.Get()
+	ws, ok := cfg.WorkspaceOf(bearer(c.Request))
+	if !ok {
+		if cfg.Revision == 0 {
+			g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeShuttingDown, "authenticate", "", "this VM has no configuration yet").After(time.Second))
+			return
+		}
+		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeInvalidKey, "authenticate", "", "the API key is missing or wrong"))
+		return
+	}
+	c.Set(keyWorkspace, ws)
+	c.Set(keyConfig, cfg)
+	g.Events.Record(timeline.Event{Kind: timeline.KindReceived, Request: req, Text: c.Request.Method + " " + c.Request.URL.Path + " workspace=" + string(ws)}, nil)
+	release, refusal := g.Limiter.Admit(ws, cfg.Workspaces[ws].Limits)
+	if refusal != nil {
+		g.fail(c, req, refusal)
+		return
+	}
+	defer release()
+	c.Next()
+}
+
+func bearer(r *http.Request) string {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func workspaceOf(c *gin.Context) (ids.Workspace, *config.Config) {
+	return c.MustGet(keyWorkspace).(ids.Workspace), c.MustGet(keyConfig).(*config.Config)
+}
+
+// body reads a bounded body.
+func (g *Gateway) body(c *gin.Context, limit int64) ([]byte, *outcome.Error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, outcome.New(outcome.NotRun, outcome.CodeTooLarge, "read", "caller", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", "the body could not be read")
+	}
+	return data, nil
+}
+
+func (g *Gateway) prompt(path string) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		ws, cfg := workspaceOf(c)
+		req := requestOf(c)
+		body, refusal := g.body(c, g.MaxBody)
+		if refusal != nil {
+			g.fail(c, req, refusal)
+			return
+		}
+		p, err := dispatch.ReadPrompt(req, ws, path, body, cfg)
+		if err != nil {
+			g.fail(c, req, badPrompt(err))
+			return
+		}
+		s := &sink{g: g, c: c, request: req, ctl: http.NewResponseController(c.Writer)}
+		if err := g.Dispatcher.Run(c.Request.Context(), p, s); err != nil {
+			s.fail(outcome.Of(err))
+			return
+		}
+		g.done(req, outcome.Ran)
+	}
+}
+
+func badPrompt(err error) *outcome.Error {
+	var unknown *dispatch.UnknownTemplateError
+	if errors.As(err, &unknown) {
+		return outcome.New(outcome.NotRun, outcome.CodeUnknownTemplate, "render", "", err.Error())
+	}
+	code := outcome.CodeBadRequest
+	if strings.Contains(err.Error(), "parameter") {
+		code = outcome.CodeParameter
+	}
+	return outcome.New(outcome.NotRun, code, "render", "", err.Error())
+}
+
+func (g *Gateway) service(c *gin.Context) {
+	ws, cfg := workspaceOf(c)
+	req := requestOf(c)
+	t, ok := cfg.ServiceOf(c.Param("service"))
+	if !ok {
+		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeUnknownService, "route", "", "there is no service "+c.Param("service")))
+		return
+	}
+	key := c.GetHeader(services.HeaderIdempotencyKey)
+	if key == "" && !t.Repeatable {
+		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeKeyRequired, "read", "caller", "this call may not be repeated, so it needs the header Idempotency-Key"))
+		return
+	}
+	body, refusal := g.body(c, t.MaxBodyBytes)
+	if refusal != nil {
+		g.fail(c, req, refusal)
+		return
+	}
+	path := c.Param("path")
+	if c.Request.URL.RawQuery != "" {
+		path += "?" + c.Request.URL.RawQuery
+	}
+	answer, err := g.Services.Run(c.Request.Context(), &services.Call{
+		Request: req, Workspace: ws, Template: t, Method: c.Request.Method, Path: path,
+		ContentType: c.ContentType(), Body: body, Key: key,
+	})
+	if err != nil {
+		g.fail(c, req, outcome.Of(err))
+		return
+	}
+	g.mark(c, req, outcome.Ran)
+	if !answer.Kept {
+		c.JSON(http.StatusOK, ranBefore{Outcome: outcome.Ran.String(), Status: answer.Status, Message: "the call ran before; its answer is not kept"})
+	} else {
+		c.Data(answer.Status, answer.ContentType, answer.Body)
+	}
+	g.done(req, outcome.Ran)
+}
+
+// ranBefore answers a late duplicate whose answer is not kept.
+type ranBefore struct {
+	Outcome string `json:"outcome"`
+	Status  int    `json:"status"`
+	Message string `json:"message"`
+}
+
+func (g *Gateway) done(req ids.Request, o outcome.Outcome) {
+	g.Events.Record(timeline.Event{Kind: timeline.KindDone, Request: req, Text: o.String()}, nil)
+}
+
+// modelList is the answer of /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (g *Gateway) models(c *gin.Context) {
+	ws, cfg := workspaceOf(c)
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range cfg.ModelNames(ws) {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "threadwall"})
+	}
+	g.mark(c, requestOf(c), outcome.Ran)
+	c.JSON(http.StatusOK, list)
+}
+
+// Serve runs the gateway on a server until ctx ends; see the daemon for the
+// order of a graceful shutdown.
+func Serve(ctx context.Context, srv *http.Server) error {
+	err := srv.ListenAndServe()
+	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,224 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/daemon"
+	"github.com/threadwall/threadwall/internal/durations"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/settings"
+)
+
+// DemoSpec sets up a demo.
+type DemoSpec struct {
+	Example  string
+	Domains  []ids.FailureDomain
+	VMs      int // of each failure domain
+	Policies []string
+	Requests int
+	Rate     float64
+	Seed     uint64
+	Progress io.Writer
+}
+
+// DemoRow is one policy's result.
+type DemoRow struct {
+	Policy           string  `json:"policy"`
+	Requests         int     `json:"requests"`
+	Whole            int     `json:"whole"`
+	Lost             int     `json:"lost"`
+	Doubled          int     `json:"doubled"`
+	Refused          int     `json:"refused"`
+	Unknown          int     `json:"unknown"`
+	HitRate          float64 `json:"hit_rate"`
+	RecomputedTokens int64   `json:"recomputed_tokens"`
+	TTFT             TTFT    `json:"ttft_ms"`
+	Seconds          float64 `json:"seconds"`
+}
+
+// TTFT are quantiles of the time to first token, in milliseconds.
+type TTFT struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// Demo runs an example under each policy, with stand-ins and VMs in this process.
+func Demo(ctx context.Context, spec DemoSpec) ([]DemoRow, error) {
+	ex, err := ReadExample(spec.Example)
+	if err != nil {
+		return nil, err
+	}
+	var rows []DemoRow
+	for _, policy := range spec.Policies {
+		row, err := spec.one(ctx, ex, policy)
+		if err != nil {
+			return rows, err
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (spec DemoSpec) one(ctx context.Context, ex *Example, policy string) (DemoRow, error) {
+	s, err := Start(ctx, ex, StartOptions{Domains: spec.Domains, Engine: DefaultEngine})
+	if err != nil {
+		return DemoRow{}, err
+	}
+	defer s.Close()
+	fleet, err := StartVMs(ctx, s, spec.Domains, spec.VMs, policy)
+	if err != nil {
+		return DemoRow{}, err
+	}
+	defer fleet.Stop(ctx)
+	load := ex.Spec(fleet.Entries())
+	load.Requests, load.Rate, load.Seed = spec.Requests, spec.Rate, spec.Seed
+	load.BookingShare, load.Concurrency, load.Retries = 0.2, 128, 6
+	load.Progress = func(done, total int) {
+		if done%max(total/10, 1) == 0 {
+			_, _ = fmt.Fprintf(spec.Progress, "%-12s %4d/%d requests\n", policy, done, total)
+		}
+	}
+	res := load.Run(ctx)
+	for _, w := range res.Wrong {
+		_, _ = fmt.Fprintln(spec.Progress, " ", w)
+	}
+	return demoRow(policy, s, res), nil
+}
+
+func demoRow(policy string, s *StandIns, res *Result) DemoRow {
+	prompted, cached := s.Tokens()
+	doubled, untrue := Doubled(s.Booked(), res)
+	row := DemoRow{
+		Policy: policy, Requests: res.Requests, Whole: res.Whole, Lost: res.Lost + untrue, Doubled: doubled,
+		Refused: res.Refused, Unknown: res.Unknown, RecomputedTokens: prompted - cached,
+		TTFT: QuantilesOf(res.TTFT), Seconds: res.Seconds,
+	}
+	if prompted > 0 {
+		row.HitRate = float64(cached) / float64(prompted)
+	}
+	return row
+}
+
+// QuantilesOf reads the quantiles off a histogram of microseconds.
+func QuantilesOf(h *hdrhistogram.Histogram) TTFT {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return TTFT{P50: ms(50), P95: ms(95), P99: ms(99)}
+}
+
+// VMs are daemons in this process.
+type VMs struct {
+	Daemons []*daemon.Daemon
+}
+
+// readyTimeout bounds waiting for daemons to be ready.
+const readyTimeout = 10 * time.Second
+
+// StartVMs starts some entry VMs in each domain and waits until they are ready.
+func StartVMs(ctx context.Context, s *StandIns, domains []ids.FailureDomain, each int, policy string) (*VMs, error) {
+	v := &VMs{}
+	var all []settings.Settings
+	for _, d := range domains {
+		var local []settings.Settings
+		for i := range each {
+			local = append(local, vmSettings(s, d, i, policy))
+		}
+		for i := range local {
+			for j := range local {
+				if i != j {
+					local[i].Peers = append(local[i].Peers, local[j].PeerListen)
+				}
+			}
+		}
+		all = append(all, local...)
+	}
+	for _, set := range all {
+		err := s.Put(ctx, platform.Record{
+			ID: string(set.VM), Role: platform.RoleEntry, FailureDomain: set.FailureDomain, Addr: set.Listen,
+			PeerAddr: set.PeerListen, AdminAddr: set.AdminListen, State: platform.StateLive,
+		})
+		if err != nil {
+			return v, err
+		}
+	}
+	for _, set := range all {
+		d, err := daemon.New(set.WithDefaults(), daemon.Options{LogTo: io.Discard})
+		if err != nil {
+			return v, err
+		}
+		if err := d.Start(ctx); err != nil {
+			return v, err
+		}
+		v.Daemons = append(v.Daemons, d)
+	}
+	return v, v.waitReady(ctx)
+}
+
+func vmSettings(s *StandIns, d ids.FailureDomain, i int, policy string) settings.Settings {
+	return settings.Settings{
+		VM: ids.VM(fmt.Sprintf("entry-%s-%d", d, i+1)), FailureDomain: d,
+		Listen: FreeAddr(), PeerListen: FreeAddr(), AdminListen: FreeAddr(),
+		Store: s.StoreURL, Policy: policy, ReadyNotice: durations.Duration(time.Millisecond),
+	}
+}
+
+// FreeAddr returns a loopback address that was free a moment ago.
+func FreeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (v *VMs) waitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for _, d := range v.Daemons {
+		for !isReady(ctx, d.Settings.Listen) {
+			if time.Now().After(end) || ctx.Err() != nil {
+				return eris.Errorf("%s is not ready: %s", d.Settings.VM, d.Status().Reason)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Entries returns the base URLs of the callers' interfaces.
+func (v *VMs) Entries() []string {
+	var out []string
+	for _, d := range v.Daemons {
+		out = append(out, "http://"+d.Settings.Listen)
+	}
+	return out
+}
+
+// Stop stops all daemons gracefully.
+func (v *VMs) Stop(ctx context.Context) {
+	for _, d := range v.Daemons {
+		_ = d.Stop(ctx)
+	}
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,323 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"github.com/threadwall/threadwall/internal/gateway"
+	"github.com/threadwall/threadwall/internal/services"
+)
+
+// LoadSpec is a mixed workload of streamed prompts and bookings.
+type LoadSpec struct {
+	Entries      []string // http://ip:port of VMs' callers' interfaces
+	Workspaces   []string // names; a workspace's key is KeyOf(name)
+	Template     string
+	Parameter    string // the template's request parameter
+	Texts        func(workspace string, i int) string
+	TextsPer     int // distinct parameter texts of one workspace
+	Service      string
+	Requests     int
+	BookingShare float64 // part of requests that are bookings
+	Concurrency  int
+	Rate         float64 // requests/s; 0: as fast as Concurrency allows
+	MaxTokens    int
+	Seed         uint64
+	Retries      int // of a caller, for bookings and refused prompts
+	Progress     func(done, total int)
+}
+
+// KeyOf returns the API key of an example workspace.
+func KeyOf(workspace string) string { return "key-" + workspace }
+
+// Result is what callers saw.
+type Result struct {
+	Requests int                     `json:"requests"`
+	Whole    int                     `json:"whole"`
+	Lost     int                     `json:"lost"`    // never got a whole answer or a true refusal, or got a wrong one
+	Refused  int                     `json:"refused"` // ended with a refusal, after all retries
+	Unknown  int                     `json:"unknown"` // bookings whose end the caller was honestly not told
+	Retries  int                     `json:"retries"`
+	Seconds  float64                 `json:"seconds"`
+	TTFT     *hdrhistogram.Histogram `json:"-"`
+	Booked   []string                `json:"-"` // keys that callers were told ran
+	NotRun   []string                `json:"-"` // keys that callers were told did not run
+	Wrong    []string                `json:"-"` // first few descriptions of wrong answers
+}
+
+// histogram bounds, in microseconds.
+const (
+	histMin    = 1
+	histMax    = 120_000_000
+	histDigits = 3
+)
+
+// loader runs one workload.
+type loader struct {
+	spec   LoadSpec
+	client *http.Client
+	mu     sync.Mutex
+	res    Result
+	done   atomic.Int64
+}
+
+// Run drives the workload and checks every answer.
+func (s LoadSpec) Run(ctx context.Context) *Result {
+	l := &loader{spec: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Concurrency}}}
+	l.res.TTFT = hdrhistogram.New(histMin, histMax, histDigits)
+	start := time.Now()
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range s.Concurrency {
+		wg.Go(func() {
+			for i := range work {
+				l.one(ctx, i)
+				if s.Progress != nil {
+					s.Progress(int(l.done.Add(1)), s.Requests)
+				}
+			}
+		})
+	}
+	for i := range s.Requests {
+		if s.Rate > 0 {
+			due := start.Add(time.Duration(float64(i) / s.Rate * float64(time.Second)))
+			time.Sleep(time.Until(due))
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+	l.client.CloseIdleConnections()
+	l.res.Seconds = time.Since(start).Seconds()
+	return &l.res
+}
+
+func (l *loader) one(ctx context.Context, i int) {
+	r := rand.New(rand.NewPCG(l.spec.Seed, uint64(i)))
+	// A few workspaces are large.
+	ws := l.spec.Workspaces[min(int(r.ExpFloat64()*2), len(l.spec.Workspaces)-1)]
+	l.add(func(res *Result) { res.Requests++ })
+	if r.Float64() < l.spec.BookingShare {
+		l.booking(ctx, r, ws)
+		return
+	}
+	l.prompt(ctx, r, ws, i)
+}
+
+func (l *loader) add(f func(*Result)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.res)
+}
+
+func (l *loader) wrong(format string, args ...any) {
+	l.add(func(res *Result) {
+		res.Lost++
+		if len(res.Wrong) < 10 {
+			res.Wrong = append(res.Wrong, fmt.Sprintf(format, args...))
+		}
+	})
+}
+
+// refusal is an error answer.
+type refusal struct {
+	Error struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// retryPause is the wait before a caller's retry when the answer names none.
+const retryPause = 200 * time.Millisecond
+
+func pause(ctx context.Context, resp *http.Response) {
+	wait := retryPause
+	if resp != nil {
+		if ms, err := strconv.Atoi(resp.Header.Get("Retry-After-Ms")); err == nil {
+			wait = time.Duration(ms) * time.Millisecond
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(wait, 5*time.Second)):
+	}
+}
+
+func (l *loader) entry(r *rand.Rand) string { return l.spec.Entries[r.IntN(len(l.spec.Entries))] }
+
+func (l *loader) post(ctx context.Context, url, ws, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+KeyOf(ws))
+	if key != "" {
+		req.Header.Set(services.HeaderIdempotencyKey, key)
+	}
+	return l.client.Do(req)
+}
+
+type promptBody struct {
+	Model     string            `json:"model"`
+	Messages  []promptMessage   `json:"messages"`
+	Metadata  map[string]string `json:"metadata"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
+}
+
+type promptMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (l *loader) prompt(ctx context.Context, r *rand.Rand, ws string, i int) {
+	question := fmt.Sprintf("Question %d of %s: is this in order?", i, ws)
+	body, _ := json.Marshal(promptBody{
+		Model: "template:" + l.spec.Template, Stream: true, MaxTokens: l.spec.MaxTokens,
+		Messages: []promptMessage{{Role: "user", Content: question}},
+		Metadata: map[string]string{l.spec.Parameter: l.spec.Texts(ws, min(int(r.ExpFloat64()*3), l.spec.TextsPer-1))},
+	})
+	start := time.Now()
+	for try := 0; ; try++ {
+		resp, err := l.post(ctx, l.entry(r)+"/v1/chat/completions", ws, "", body)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			why := l.readStream(resp, AnswerTag(question), start)
+			if why == "" {
+				l.add(func(res *Result) { res.Whole++ })
+				return
+			}
+			if try >= l.spec.Retries || strings.HasPrefix(why, "wrong") {
+				l.wrong("request %d: %s", i, why)
+				return
+			}
+			resp = nil
+		} else if try >= l.spec.Retries {
+			l.refused(resp, err, i)
+			return
+		}
+		drain(resp)
+		l.add(func(res *Result) { res.Retries++ })
+		pause(ctx, resp)
+	}
+}
+
+func drain(resp *http.Response) {
+	if resp != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
+		_ = resp.Body.Close()
+	}
+}
+
+// refused counts a request that ended without an answer: a typed refusal is
+// honest, anything else is lost.
+func (l *loader) refused(resp *http.Response, err error, i int) {
+	if err != nil {
+		l.wrong("request %d: %v", i, err)
+		return
+	}
+	defer drain(resp)
+	var ref refusal
+	if json.NewDecoder(resp.Body).Decode(&ref) != nil || ref.Error.Outcome == "" {
+		l.wrong("request %d: status %d without an outcome", i, resp.StatusCode)
+		return
+	}
+	l.add(func(res *Result) { res.Refused++ })
+}
+
+// readStream checks a streamed answer token by token. It returns what is wrong
+// with it; a "broken" stream was announced as such and may be asked for again.
+func (l *loader) readStream(resp *http.Response, tag string, start time.Time) string {
+	defer func() { _ = resp.Body.Close() }()
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(make([]byte, 0, 4096), 1<<20)
+	var text strings.Builder
+	finished, failed := false, false
+	for scan.Scan() {
+		line := scan.Text()
+		data, ok := strings.CutPrefix(line, "data: ")
+		failed = failed || line == "event: error"
+		if !ok || failed {
+			continue
+		}
+		if data == "[DONE]" {
+			finished = true
+			continue
+		}
+		t := textOf(data)
+		if t != "" && text.Len() == 0 {
+			l.add(func(res *Result) { _ = res.TTFT.RecordValue(time.Since(start).Microseconds()) })
+		}
+		text.WriteString(t)
+	}
+	tokens := strings.Fields(text.String())
+	for n, tok := range tokens {
+		if tok != fmt.Sprintf("%d:%s", n, tag) {
+			return fmt.Sprintf("wrong: token %d is %q, want tag %s", n, tok, tag)
+		}
+	}
+	switch {
+	case finished && len(tokens) != l.spec.MaxTokens:
+		return fmt.Sprintf("wrong: looks complete with %d of %d tokens", len(tokens), l.spec.MaxTokens)
+	case !finished:
+		return "broken"
+	default:
+		return ""
+	}
+}
+
+// booking books once, with one key over all retries.
+func (l *loader) booking(ctx context.Context, r *rand.Rand, ws string) {
+	key := uuid.NewString()
+	body := []byte(fmt.Sprintf(`{"drum":"D-%d"}`, r.IntN(1000)))
+	for try := 0; ; try++ {
+		resp, err := l.post(ctx, l.entry(r)+"/v1/services/"+l.spec.Service+"/bookings", ws, key, body)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			drain(resp)
+			l.add(func(res *Result) { res.Whole++; res.Booked = append(res.Booked, key) })
+			return
+		}
+		var told string
+		if err == nil {
+			told = resp.Header.Get(gateway.HeaderOutcome)
+			drain(resp)
+		}
+		if try >= l.spec.Retries {
+			l.bookingEnd(key, told)
+			return
+		}
+		l.add(func(res *Result) { res.Retries++ })
+		pause(ctx, resp)
+	}
+}
+
+func (l *loader) bookingEnd(key, told string) {
+	l.add(func(res *Result) {
+		switch told {
+		case "not-run":
+			res.Refused++
+			res.NotRun = append(res.NotRun, key)
+		default:
+			res.Unknown++
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/standins.go
@@ -0,0 +1,187 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/apply"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/platform"
+)
+
+// StandIns are the outside systems of one example, in this process.
+type StandIns struct {
+	Store    *FaultyStore
+	StoreURL string
+	Engines  map[string]*Engine
+	Services map[string]*Service
+	Records  []platform.Record
+
+	served []*Served
+}
+
+// serviceDelay is how long a stand-in service works on a call.
+const serviceDelay = 2 * time.Millisecond
+
+// StartOptions chooses what is started.
+type StartOptions struct {
+	// FixedPorts uses the example's addresses; otherwise free ports are taken.
+	FixedPorts bool
+	// StoreAddr is where the store listens with fixed ports.
+	StoreAddr string
+	// Domains limits the failure domains; empty is all.
+	Domains []ids.FailureDomain
+	Engine  EngineSpec
+}
+
+// Start starts the store, engines and services of an example, lists them at the
+// platform and applies the example's objects.
+func Start(ctx context.Context, ex *Example, o StartOptions) (*StandIns, error) {
+	s := &StandIns{Store: NewFaultyStore(objectapi.NewMemory()), Engines: map[string]*Engine{}, Services: map[string]*Service{}}
+	storeAddr := "127.0.0.1:0"
+	if o.FixedPorts {
+		storeAddr = o.StoreAddr
+	}
+	srv, err := Serve(storeAddr, s.Store.Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.served = append(s.served, srv)
+	s.StoreURL = "http://" + srv.Addr
+	for _, r := range ex.VMs {
+		if len(o.Domains) > 0 && !contains(o.Domains, r.FailureDomain) {
+			continue
+		}
+		if err := s.startVM(r, o); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	if err := s.publish(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	plan, err := apply.Make(ctx, s.Store, ex.Objects)
+	if err == nil {
+		_, err = plan.Run(ctx, s.Store)
+	}
+	return s, err
+}
+
+func contains(domains []ids.FailureDomain, d ids.FailureDomain) bool {
+	for _, x := range domains {
+		if x == d {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *StandIns) startVM(r platform.Record, o StartOptions) error {
+	inc := ids.Incarnation(time.Now().UnixMilli())
+	addr := "127.0.0.1:0"
+	if o.FixedPorts {
+		addr = r.Addr
+	}
+	var srv *Served
+	var err error
+	switch r.Role {
+	case platform.RoleEngine:
+		spec := o.Engine
+		spec.Model = r.Model
+		e := NewEngine(spec, inc)
+		s.Engines[r.ID] = e
+		srv, err = Serve(addr, e.Handler())
+	case platform.RoleService:
+		svc := NewService(r.Service, inc, serviceDelay)
+		s.Services[r.ID] = svc
+		srv, err = Serve(addr, svc.Handler())
+	default:
+		s.Records = append(s.Records, r)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.served = append(s.served, srv)
+	r.Addr, r.Incarnation, r.State, r.Weights = srv.Addr, inc, platform.StateLive, o.Engine.Weights
+	s.Records = append(s.Records, r)
+	return nil
+}
+
+// publish writes the platform's list.
+func (s *StandIns) publish(ctx context.Context) error {
+	for _, r := range s.Records {
+		if err := s.Put(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Put writes one VM's record into the platform's list.
+func (s *StandIns) Put(ctx context.Context, r platform.Record) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+	key := platform.Prefix + r.ID
+	if old, err := s.Store.Get(ctx, key); err == nil {
+		_, err = s.Store.Update(ctx, key, value, old.Version)
+		return eris.Wrapf(err, "list %s", r.ID)
+	}
+	_, err = s.Store.Create(ctx, key, value)
+	return eris.Wrapf(err, "list %s", r.ID)
+}
+
+// Booked returns how often each key ran, over all services.
+func (s *StandIns) Booked() map[string]int {
+	out := map[string]int{}
+	for _, svc := range s.Services {
+		for k, n := range svc.Runs() {
+			out[k] += n
+		}
+	}
+	return out
+}
+
+// Tokens returns prompt tokens and cached ones, over all engines.
+func (s *StandIns) Tokens() (prompted, cached int64) {
+	for _, e := range s.Engines {
+		prompted += e.Prompted.Load()
+		cached += e.Cached.Load()
+	}
+	return prompted, cached
+}
+
+// Close ends all stand-ins.
+func (s *StandIns) Close() {
+	for _, x := range s.served {
+		x.Close()
+	}
+}
+
+// Doubled returns how many keys ran more than once, and how many of those that
+// callers were told ran did not, or the other way round.
+func Doubled(runs map[string]int, res *Result) (doubled, untrue int) {
+	for _, n := range runs {
+		if n > 1 {
+			doubled++
+		}
+	}
+	for _, k := range res.Booked {
+		if runs[k] == 0 {
+			untrue++
+		}
+	}
+	for _, k := range res.NotRun {
+		if runs[k] != 0 {
+			untrue++
+		}
+	}
+	return doubled, untrue
+}
--- /dev/null
+++ b/internal/loadview/loadview.go
@@ -0,0 +1,115 @@
+// Package loadview estimates the prefill work that stands before a new request
+// on a target, from reports that lag and from what this VM has sent since.
+package loadview
+
+import (
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Tracker counts this VM's own work on targets. Safe for concurrent use.
+type Tracker struct {
+	mu  sync.Mutex
+	own map[ids.Target]*own
+}
+
+// own is what this VM has sent to one target.
+type own struct {
+	pending  float64 // tokens of prefill without a first token yet
+	inFlight int
+	sent     []sent // newest last
+}
+
+type sent struct {
+	at     time.Time
+	tokens float64
+}
+
+// memory is how long single sends are remembered; older reports are not used.
+const memory = 5 * time.Second
+
+// New returns an empty tracker.
+func New() *Tracker { return &Tracker{own: map[ids.Target]*own{}} }
+
+// Work is one request's share of a target's load.
+type Work struct {
+	t      *Tracker
+	target ids.Target
+	tokens float64
+	begun  bool
+	ended  bool
+}
+
+// Sent counts a request with so many uncached tokens.
+func (t *Tracker) Sent(target ids.Target, uncached int32, now time.Time) *Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.own[target]
+	if o == nil {
+		o = &own{}
+		t.own[target] = o
+	}
+	tokens := float64(max(uncached, 0))
+	o.pending += tokens
+	o.inFlight++
+	for len(o.sent) > 0 && now.Sub(o.sent[0].at) > memory {
+		o.sent = o.sent[1:]
+	}
+	o.sent = append(o.sent, sent{at: now, tokens: tokens})
+	return &Work{t: t, target: target, tokens: tokens}
+}
+
+// FirstToken ends the prefill part of the work. Further calls do nothing.
+func (w *Work) FirstToken() {
+	w.t.mu.Lock()
+	defer w.t.mu.Unlock()
+	w.first()
+}
+
+func (w *Work) first() {
+	if !w.begun {
+		w.begun = true
+		w.t.own[w.target].pending -= w.tokens
+	}
+}
+
+// End takes the work off the target. Further calls do nothing.
+func (w *Work) End() {
+	w.t.mu.Lock()
+	defer w.t.mu.Unlock()
+	w.first()
+	if !w.ended {
+		w.ended = true
+		w.t.own[w.target].inFlight--
+	}
+}
+
+// Load is an estimate for one target.
+type Load struct {
+	QueueTokens float64
+	OwnInFlight int
+}
+
+// Estimate combines a report with own work. The report is drained at the
+// target's prefill rate over its age, and what this VM sent since is added; own
+// requests that still wait for their first token are a lower bound.
+func (t *Tracker) Estimate(target ids.Target, queued int, rate float64, age time.Duration, now time.Time) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.own[target]
+	if o == nil {
+		o = &own{}
+	}
+	tokens := float64(queued)
+	if age > memory {
+		tokens = 0 // too old to say anything; own work is all that is known
+		age = memory
+	}
+	for i := len(o.sent) - 1; i >= 0 && now.Sub(o.sent[i].at) < age; i-- {
+		tokens += o.sent[i].tokens
+	}
+	tokens -= rate * age.Seconds()
+	return Load{QueueTokens: max(tokens, o.pending, 0), OwnInFlight: o.inFlight}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,331 @@
+// Package membership combines three sources into one state per VM and target:
+// the platform's list (which lags, and may be unreachable), reports and
+// heartbeats within the failure domain, and this VM's own experience.
+//
+// Rules:
+//
+//   - No source alone declares a target dead. One source against it makes it
+//     suspect: it gets work only when nothing better is left. Two make it dead.
+//     Any later proof of life from the same source heals it.
+//   - Leaving is believed from any source and holds for that incarnation: a
+//     target that was told to go must get no new work, also while the platform
+//     can't be reached.
+//   - A larger incarnation is a new life: it starts as joining, with its load and
+//     failures forgotten.
+//   - A VM is judged by the counter in its heartbeats alone. The platform's list
+//     says whom to expect; it can't revive a silent VM.
+//
+// Table is a plain state machine over explicit times; it starts no goroutine.
+package membership
+
+import (
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// Tuning holds the delays of the state machine.
+type Tuning struct {
+	// SuspectAfter is the silence that makes a member suspect. Default 3s.
+	SuspectAfter time.Duration
+	// DeadAfter is the silence after which a VM is dead. Default 10s.
+	DeadAfter time.Duration
+	// SlowStart is how long a new incarnation of a target is joining. Default 10s.
+	SlowStart time.Duration
+	// Failures in a row that count as evidence against a target. Default 3.
+	Failures int
+	// BreakerOpen is how long a failing target gets no work from this VM before
+	// one request may try it. Default 2s.
+	BreakerOpen time.Duration
+	// Grace is how long a VM that is listed, and not yet heard of, is joining.
+	// Default 5s.
+	Grace time.Duration
+}
+
+// DefaultTuning suits heartbeats and probes of one second.
+var DefaultTuning = Tuning{
+	SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second, SlowStart: 10 * time.Second,
+	Failures: 3, BreakerOpen: 2 * time.Second, Grace: 5 * time.Second,
+}
+
+// Report is what a probe of a target told.
+type Report struct {
+	Incarnation  ids.Incarnation
+	Seq          uint64 // orders reports of one incarnation
+	QueuedTokens int
+	Running      int
+	Slots        int
+	PrefillRate  float64 // tokens/s
+	Leaving      bool
+	Silent       bool // the prober got no answer for SuspectAfter
+	Weights      ids.WeightsVersion
+}
+
+// target is all evidence about one target.
+type target struct {
+	record      platform.Record
+	listed      bool
+	report      Report
+	reportAt    time.Time // when this VM heard it
+	bornAt      time.Time
+	leaving     bool
+	firstSeen   time.Time
+	fails       int
+	lastFail    time.Time
+	incarnation ids.Incarnation
+	weights     ids.WeightsVersion
+}
+
+// peer is all evidence about one entry VM.
+type peer struct {
+	record      platform.Record
+	listed      bool
+	firstSeen   time.Time
+	incarnation ids.Incarnation
+	counter     uint64
+	advancedAt  time.Time
+	leaving     bool
+	revision    uint64
+}
+
+// Table holds all members. Safe for concurrent use.
+type Table struct {
+	self   ids.VM
+	tuning Tuning
+
+	mu      sync.RWMutex
+	targets map[ids.Target]*target
+	peers   map[ids.VM]*peer
+	version uint64 // grows when the set of targets or a descriptor changes
+}
+
+// New returns an empty table for this VM.
+func New(self ids.VM, tuning Tuning) *Table {
+	return &Table{self: self, tuning: tuning, targets: map[ids.Target]*target{}, peers: map[ids.VM]*peer{}}
+}
+
+// Platform takes in the platform's whole list. Members that it no longer holds
+// become unlisted, which is evidence against a target, no more.
+func (t *Table) Platform(records []platform.Record, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.targets {
+		m.listed = false
+	}
+	for _, p := range t.peers {
+		p.listed = false
+	}
+	for _, r := range records {
+		if r.Role == platform.RoleEntry {
+			t.listPeer(r, now)
+		} else {
+			t.listTarget(r, now)
+		}
+	}
+	t.version++
+}
+
+func (t *Table) listPeer(r platform.Record, now time.Time) {
+	p := t.peer(ids.VM(r.ID), now)
+	p.record, p.listed = r, true
+	p.leaving = p.leaving || r.State == platform.StateLeaving && r.Incarnation >= p.incarnation
+}
+
+func (t *Table) listTarget(r platform.Record, now time.Time) {
+	m := t.targets[ids.Target(r.ID)]
+	if m == nil {
+		m = &target{firstSeen: now, incarnation: r.Incarnation, weights: r.Weights}
+		t.targets[ids.Target(r.ID)] = m
+	}
+	m.record, m.listed = r, true
+	m.reborn(r.Incarnation, r.Weights, now)
+	if r.State == platform.StateLeaving && r.Incarnation >= m.incarnation {
+		m.leaving = true
+	}
+}
+
+// reborn starts a new life if inc is later than the known one.
+func (m *target) reborn(inc ids.Incarnation, w ids.WeightsVersion, now time.Time) {
+	if inc == m.incarnation && w != "" {
+		m.weights = w
+	}
+	if inc <= m.incarnation {
+		return
+	}
+	m.incarnation, m.weights = inc, w
+	m.bornAt, m.leaving, m.fails = now, false, 0
+	m.report = Report{Incarnation: inc}
+}
+
+func (t *Table) peer(id ids.VM, now time.Time) *peer {
+	p := t.peers[id]
+	if p == nil {
+		p = &peer{firstSeen: now}
+		t.peers[id] = p
+	}
+	return p
+}
+
+// Heartbeat takes in a VM's heartbeat, heard directly or passed on. Only a
+// counter that advances within the latest incarnation is proof of life. It
+// returns whether this was news.
+func (t *Table) Heartbeat(id ids.VM, inc ids.Incarnation, counter, revision uint64, leaving bool, now time.Time) bool {
+	if id == t.self {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peer(id, now)
+	if inc < p.incarnation || inc == p.incarnation && counter <= p.counter {
+		return false
+	}
+	if inc > p.incarnation {
+		p.leaving = false
+	}
+	p.incarnation, p.counter, p.advancedAt = inc, counter, now
+	p.leaving = p.leaving || leaving
+	p.revision = max(p.revision, revision)
+	return true
+}
+
+// Probed takes in a report on a target, own or from a peer. It returns whether
+// the report was news.
+func (t *Table) Probed(id ids.Target, r Report, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	if m == nil || r.Incarnation < m.incarnation {
+		return false
+	}
+	if r.Incarnation == m.incarnation && r.Seq <= m.report.Seq {
+		return false
+	}
+	if r.Incarnation > m.incarnation || r.Weights != m.weights && !r.Silent {
+		t.version++
+	}
+	if r.Silent {
+		m.report.Silent, m.report.Seq, m.reportAt = true, r.Seq, now
+		return true
+	}
+	m.reborn(r.Incarnation, r.Weights, now)
+	m.report, m.reportAt = r, now
+	m.leaving = m.leaving || r.Leaving
+	return true
+}
+
+// Succeeded records that the target answered a request of this VM.
+func (t *Table) Succeeded(id ids.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.fails = 0
+	}
+}
+
+// Failed records that an attempt on the target failed through the target's fault.
+func (t *Table) Failed(id ids.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.fails++
+		m.lastFail = now
+	}
+}
+
+// Leaves records that the target itself refused work because it is leaving.
+func (t *Table) Leaves(id ids.Target, inc ids.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil && inc >= m.incarnation {
+		m.leaving = true
+	}
+}
+
+// Trying records that a request goes to the target. If the target's breaker time
+// has just ended, this is its one trial: the breaker stays open for others until
+// the trial ends or another breaker time is over. It returns whether it is.
+func (t *Table) Trying(id ids.Target, now time.Time) (trial bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	if m == nil || m.fails < t.tuning.Failures {
+		return false
+	}
+	m.lastFail = now
+	return true
+}
+
+// maxBreakerDoublings bounds the breaker's growth: 16 times BreakerOpen.
+const maxBreakerDoublings = 4
+
+// breakerOpen tells whether the target gets no work from this VM for now. The
+// time doubles with each failure beyond the first that opened the breaker.
+func (m *target) breakerOpen(tu Tuning, now time.Time) bool {
+	if m.fails < tu.Failures {
+		return false
+	}
+	return now.Sub(m.lastFail) < tu.BreakerOpen<<min(m.fails-tu.Failures, maxBreakerDoublings)
+}
+
+// state judges a target by its evidence.
+func (m *target) state(tu Tuning, now time.Time) routing.State {
+	if m.leaving {
+		return routing.Leaving
+	}
+	against := 0
+	if !m.listed {
+		against++
+	}
+	if m.silent(tu, now) {
+		against++
+	}
+	if m.breakerOpen(tu, now) {
+		against++
+	}
+	switch {
+	case against >= 2:
+		return routing.Dead
+	case against == 1:
+		return routing.Suspect
+	case now.Sub(m.bornAt) < tu.SlowStart:
+		return routing.Joining
+	default:
+		return routing.Live
+	}
+}
+
+// silent judges by exception: the VM that probes a target reports when it falls
+// silent, so that a hundred healthy targets cost no messages.
+func (m *target) silent(tu Tuning, now time.Time) bool {
+	if m.reportAt.IsZero() {
+		return now.Sub(m.firstSeen) > tu.Grace
+	}
+	return m.report.Silent
+}
+
+// state judges a VM.
+func (p *peer) state(tu Tuning, now time.Time) routing.State {
+	if p.advancedAt.IsZero() {
+		if p.leaving {
+			return routing.Leaving
+		}
+		if now.Sub(p.firstSeen) < tu.Grace {
+			return routing.Joining
+		}
+		return routing.Dead
+	}
+	silence := now.Sub(p.advancedAt)
+	switch {
+	case silence > tu.DeadAfter || silence > tu.SuspectAfter && !p.listed:
+		return routing.Dead
+	case p.leaving:
+		return routing.Leaving
+	case silence > tu.SuspectAfter:
+		return routing.Suspect
+	default:
+		return routing.Live
+	}
+}
--- /dev/null
+++ b/internal/objectapi/memory.go
@@ -0,0 +1,139 @@
+package objectapi
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// watchHistory is how many changes Memory keeps for watches.
+const watchHistory = 4096
+
+// Memory is an in-process Store: the fake of tests and the heart of the lab's
+// stand-in server. It is linearizable and loses nothing; wrap it to inject
+// faults.
+type Memory struct {
+	mu      sync.Mutex
+	rev     Revision
+	objects map[string]Object
+	history []Object
+	changed chan struct{} // closed and replaced at each change
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{objects: map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Get implements Store.
+func (m *Memory) Get(_ context.Context, key string) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[key]
+	if !ok {
+		return Object{}, ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements Store.
+func (m *Memory) List(_ context.Context, prefix string) ([]Object, Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Object
+	for k, o := range m.objects {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b Object) int { return cmp.Compare(a.Key, b.Key) })
+	return out, m.rev, nil
+}
+
+// Create implements Store.
+func (m *Memory) Create(_ context.Context, key string, value []byte) (Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.objects[key]; ok {
+		return 0, ErrExists
+	}
+	return m.put(Object{Key: key, Value: bytes.Clone(value)}), nil
+}
+
+// Update implements Store.
+func (m *Memory) Update(_ context.Context, key string, value []byte, version Revision) (Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o, ok := m.objects[key]; !ok || o.Version != version {
+		return 0, ErrConflict
+	}
+	return m.put(Object{Key: key, Value: bytes.Clone(value)}), nil
+}
+
+// Delete implements Store.
+func (m *Memory) Delete(_ context.Context, key string, version Revision) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[key]
+	if !ok {
+		return ErrNotFound
+	}
+	if o.Version != version {
+		return ErrConflict
+	}
+	m.put(Object{Key: key, Deleted: true})
+	return nil
+}
+
+// Watch implements Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, after Revision) ([]Object, Revision, error) {
+	for {
+		events, rev, wait, err := m.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, rev, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, rev, nil
+		case <-wait:
+		}
+	}
+}
+
+func (m *Memory) since(prefix string, after Revision) ([]Object, Revision, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if uint64(m.rev-min(after, m.rev)) > uint64(len(m.history)) {
+		return nil, m.rev, nil, ErrCompacted
+	}
+	var events []Object
+	for _, o := range m.history {
+		if o.Version > after && strings.HasPrefix(o.Key, prefix) {
+			events = append(events, o)
+		}
+	}
+	return events, m.rev, m.changed, nil
+}
+
+// put applies one change. The lock is held.
+func (m *Memory) put(o Object) Revision {
+	m.rev++
+	o.Version = m.rev
+	if o.Deleted {
+		delete(m.objects, o.Key)
+	} else {
+		m.objects[o.Key] = o
+	}
+	m.history = append(m.history, o)
+	if len(m.history) > watchHistory {
+		m.history = slices.Clone(m.history[watchHistory/2:])
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.rev
+}
--- /dev/null
+++ b/internal/routing/filters.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// ServesFilter reads the request's model or service: a target must serve it.
+type ServesFilter struct{}
+
+// StateFilter reads the membership state: leaving and dead targets get no work.
+type StateFilter struct{}
+
+// BreakerFilter reads this VM's own recent experience with the target.
+type BreakerFilter struct{}
+
+// TriedFilter reads the request's earlier attempts.
+type TriedFilter struct{}
+
+var (
+	_ Filter = ServesFilter{}
+	_ Filter = StateFilter{}
+	_ Filter = BreakerFilter{}
+	_ Filter = TriedFilter{}
+)
+
+// Check implements Filter.
+func (ServesFilter) Check(r *Request, t *Target, _ *Input) Reason {
+	if t.Service != r.Service || r.Service == "" && t.Model != r.Model {
+		return WrongModel
+	}
+	return Eligible
+}
+
+// Check implements Filter.
+func (StateFilter) Check(_ *Request, _ *Target, in *Input) Reason {
+	if in.State <= Leaving {
+		return NotServing
+	}
+	return Eligible
+}
+
+// Check implements Filter.
+func (BreakerFilter) Check(_ *Request, _ *Target, in *Input) Reason {
+	if in.BreakerOpen {
+		return BreakerOpen
+	}
+	return Eligible
+}
+
+// Check implements Filter.
+func (TriedFilter) Check(_ *Request, _ *Target, in *Input) Reason {
+	if in.Tried {
+		return AlreadyTried
+	}
+	return Eligible
+}
+
+// HashTarget returns the value for Target.Hash.
+func HashTarget(id ids.Target) uint64 { return xxh3.HashString(string(id)) }
+
+func hashBytes(h uint64) []byte {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], h)
+	return b[:]
+}
--- /dev/null
+++ b/internal/routing/pickers.go
@@ -0,0 +1,112 @@
+package routing
+
+import "github.com/zeebo/xxh3"
+
+// BandPicker takes the cheapest target; among those within a band above the
+// cheapest it takes the one with the highest rendezvous weight for the prompt's
+// prefix, so that VMs with slightly different pictures agree.
+type BandPicker struct {
+	Ratio   float32 // band relative to the lowest cost
+	Seconds float32 // plus this
+}
+
+// RandomBandPicker is BandPicker with a seeded random choice within the band.
+type RandomBandPicker struct{ Ratio, Seconds float32 }
+
+// RoundRobinPicker spreads requests by their seed and ignores costs: a baseline.
+type RoundRobinPicker struct{}
+
+var (
+	_ Picker = BandPicker{}
+	_ Picker = RandomBandPicker{}
+	_ Picker = RoundRobinPicker{}
+)
+
+// Pick implements Picker.
+func (p BandPicker) Pick(r *Request, v *View, _ []Input, costs []float32) int {
+	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 { return affinity(r, &v.Targets[i]) })
+}
+
+// Pick implements Picker.
+func (p RandomBandPicker) Pick(r *Request, v *View, _ []Input, costs []float32) int {
+	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 {
+		return xxh3.HashSeed(hashBytes(v.Targets[i].Hash), r.Seed)
+	})
+}
+
+func pickInBand(costs []float32, ratio, seconds float32, weight func(int) uint64) int {
+	lowest := infinite
+	for _, c := range costs {
+		lowest = min(lowest, c)
+	}
+	if lowest == infinite {
+		return -1
+	}
+	limit := lowest*(1+ratio) + seconds
+	best, bestWeight := -1, uint64(0)
+	for i, c := range costs {
+		if c > limit {
+			continue
+		}
+		if w := weight(i); best < 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+// Pick implements Picker.
+func (RoundRobinPicker) Pick(r *Request, _ *View, _ []Input, costs []float32) int {
+	eligible := 0
+	for _, c := range costs {
+		if c != infinite {
+			eligible++
+		}
+	}
+	if eligible == 0 {
+		return -1
+	}
+	skip := int(r.Seed % uint64(eligible))
+	for i, c := range costs {
+		if c == infinite {
+			continue
+		}
+		if skip == 0 {
+			return i
+		}
+		skip--
+	}
+	return -1
+}
+
+// Defaults of the cost policy; docs/design/routing.md gives the measurement.
+const (
+	defaultBandRatio       = 0.05
+	defaultBandSeconds     = 0.002
+	defaultDistanceSeconds = 0.004
+	defaultSlowStart       = 0.25
+)
+
+// AllFilters are the filters of every policy.
+var AllFilters = []Filter{ServesFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}}
+
+// NewCost returns the default policy.
+func NewCost() *Router {
+	return &Router{
+		Name:    "cost",
+		Filters: AllFilters,
+		Scorers: []Scorer{
+			QueueScorer{},
+			PrefillScorer{},
+			RecomputeScorer{},
+			DistanceScorer{Seconds: defaultDistanceSeconds},
+			SlowStartScorer{Seconds: defaultSlowStart},
+		},
+		Picker: BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
+	}
+}
+
+// NewRoundRobin returns the baseline policy. Seeds must count up.
+func NewRoundRobin() *Router {
+	return &Router{Name: "round-robin", Filters: AllFilters, Picker: RoundRobinPicker{}}
+}
--- /dev/null
+++ b/internal/routing/record.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Candidate is one eligible target in a recorded decision.
+type Candidate struct {
+	Target ids.Target        `json:"target"`
+	Domain ids.FailureDomain `json:"failure_domain"`
+	Cost   float32           `json:"cost_s"`
+	Input  Input             `json:"input"`
+}
+
+// maxCandidates bounds a recorded decision. The cheapest are kept: the choice
+// lies in a narrow band above the lowest cost.
+const maxCandidates = 8
+
+// TopCandidates returns the cheapest candidates of the last decision.
+func TopCandidates(v *View, in []Input, s *Scratch) []Candidate {
+	var out []Candidate
+	for i, c := range s.costs {
+		if c != infinite {
+			out = append(out, Candidate{Target: v.Targets[i].ID, Domain: v.Targets[i].FailureDomain, Cost: c, Input: in[i]})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+	return out[:min(len(out), maxCandidates)]
+}
+
+var reasonNames = [reasonCount]string{"eligible", "other model or service", "not serving", "breaker open", "already tried"}
+
+// FilteredByName returns how many targets each filter turned down.
+func (s *Scratch) FilteredByName() map[string]int {
+	out := map[string]int{}
+	for r, n := range s.Filtered {
+		if n > 0 && Reason(r) != Eligible {
+			out[reasonNames[r]] = n
+		}
+	}
+	return out
+}
+
+// AffinityKey returns the rendezvous key of a request: its deepest prefix, or
+// its seed if it has none.
+func AffinityKey(r *Request) uint64 {
+	if len(r.Levels) > 0 {
+		return uint64(r.Levels[len(r.Levels)-1].ID)
+	}
+	return r.Seed
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,215 @@
+// Package routing picks a target for a request: Filter, then Scorer, then Picker.
+//
+// A decision is a pure function of a Request, an immutable View, the Inputs
+// gathered for it and a seed. It does no I/O, reads no clock and allocates
+// nothing; the same inputs give the same choice, on any VM and in a replay.
+//
+// Costs are seconds, so unlike signals are never weighed against each other by
+// taste: a scorer says how many seconds of the caller's time, or of the
+// engines', a choice is expected to cost.
+package routing
+
+import (
+	"math"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/prefix"
+)
+
+// State is a target's state as membership sees it.
+type State uint8
+
+// The states. Only Live, Joining and Suspect targets can be picked, Suspect ones
+// only when nothing better is left.
+const (
+	Dead State = iota
+	Leaving
+	Suspect
+	Joining
+	Live
+)
+
+// Target is the slowly changing part of what is known of a target.
+type Target struct {
+	ID            ids.Target
+	FailureDomain ids.FailureDomain
+	Model         ids.Model
+	Weights       ids.WeightsVersion
+	Service       string
+	Incarnation   ids.Incarnation
+	Addr          string
+	Hash          uint64 // of ID, for rendezvous
+}
+
+// View is an immutable list of targets.
+type View struct{ Targets []Target }
+
+// Input is the fast changing part, gathered for one decision. Inputs stand in
+// the order of View.Targets.
+type Input struct {
+	State       State   `json:"state"`
+	BreakerOpen bool    `json:"breaker_open,omitempty"`
+	Tried       bool    `json:"tried,omitempty"` // by an earlier attempt of this request
+	SlowStart   float32 `json:"slow_start"`      // 0 (just back) to 1 (warm)
+	// QueueTokens is the prefill work before this request, in tokens: the last
+	// report, aged, plus what this VM has sent since.
+	QueueTokens float32 `json:"queue_tokens"`
+	// SlotWait is the expected wait for a place in the batch, in seconds.
+	SlotWait float32 `json:"slot_wait"`
+	// PrefillRate is the target's measured speed in tokens/s.
+	PrefillRate float32 `json:"prefill_rate"`
+	// Cached is the deepest prefix believed cached, in tokens; Trust the chance
+	// that it still is.
+	Cached int32   `json:"cached"`
+	Trust  float32 `json:"trust"`
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Model           ids.Model
+	Service         string
+	FailureDomain   ids.FailureDomain // of this VM
+	Levels          []prefix.Level
+	Tokens          int32
+	RecomputeWeight float32
+	Seed            uint64
+}
+
+// Reason says why a filter turned a target down.
+type Reason uint8
+
+// The reasons.
+const (
+	Eligible Reason = iota
+	WrongModel
+	NotServing
+	BreakerOpen
+	AlreadyTried
+	reasonCount
+)
+
+// Scratch is the reusable memory of decisions. Not safe for concurrent use.
+type Scratch struct {
+	costs    []float32
+	Filtered [reasonCount]int
+}
+
+// Decision is the result.
+type Decision struct {
+	Index         int // into View.Targets; -1: no target is eligible
+	Cost          float32
+	PredictedTTFT float32 // seconds
+	Cached        int32   // believed cached on the choice, in tokens
+	BestCached    int32   // the deepest belief among eligible targets
+}
+
+// Filter turns targets down.
+type Filter interface {
+	Check(r *Request, t *Target, in *Input) Reason
+}
+
+// Scorer gives one part of a target's cost, in seconds.
+type Scorer interface {
+	Cost(r *Request, t *Target, in *Input, best int32) float32
+}
+
+// Picker chooses among costs; an infinite cost is not eligible. It returns -1
+// when there is no choice.
+type Picker interface {
+	Pick(r *Request, v *View, in []Input, costs []float32) int
+}
+
+// Router is a fixed pipeline. It holds no state between decisions.
+type Router struct {
+	Name    string
+	Filters []Filter
+	Scorers []Scorer
+	Picker  Picker
+}
+
+var infinite = float32(math.Inf(1))
+
+// Decide picks a target. len(in) must be len(v.Targets).
+func (p *Router) Decide(r *Request, v *View, in []Input, s *Scratch) Decision {
+	s.reset(len(v.Targets))
+	best := p.filter(r, v, in, s)
+	for i := range v.Targets {
+		if s.costs[i] == infinite {
+			continue
+		}
+		for _, sc := range p.Scorers {
+			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], best)
+		}
+	}
+	d := Decision{Index: p.Picker.Pick(r, v, in, s.costs), BestCached: best}
+	if d.Index >= 0 {
+		d.Cost = s.costs[d.Index]
+		d.Cached = in[d.Index].Cached
+		d.PredictedTTFT = queueWait(&in[d.Index]) + prefillTime(r, &in[d.Index])
+	}
+	return d
+}
+
+func (s *Scratch) reset(n int) {
+	if cap(s.costs) < n {
+		s.costs = make([]float32, n)
+	}
+	s.costs = s.costs[:n]
+	clear(s.costs)
+	s.Filtered = [reasonCount]int{}
+}
+
+// Costs returns the costs of the last decision, in the order of its view.
+func (s *Scratch) Costs() []float32 { return s.costs }
+
+// filter marks ineligible targets in s.costs and returns the deepest belief
+// among the rest. Suspect targets stay only when nothing better does.
+func (p *Router) filter(r *Request, v *View, in []Input, s *Scratch) int32 {
+	healthy := false
+	for i := range v.Targets {
+		reason := p.check(r, &v.Targets[i], &in[i])
+		s.Filtered[reason]++
+		if reason != Eligible {
+			s.costs[i] = infinite
+			continue
+		}
+		healthy = healthy || in[i].State != Suspect
+	}
+	var best int32
+	for i := range in {
+		if s.costs[i] == infinite {
+			continue
+		}
+		if healthy && in[i].State == Suspect {
+			s.costs[i] = infinite
+			continue
+		}
+		best = max(best, expectedCached(&in[i]))
+	}
+	return best
+}
+
+func (p *Router) check(r *Request, t *Target, in *Input) Reason {
+	for _, f := range p.Filters {
+		if reason := f.Check(r, t, in); reason != Eligible {
+			return reason
+		}
+	}
+	return Eligible
+}
+
+// expectedCached is a belief weighed by the trust in it, in tokens.
+func expectedCached(in *Input) int32 { return int32(float32(in.Cached) * in.Trust) }
+
+// affinity is the rendezvous weight of a target for a request: equal on all VMs,
+// so that VMs which know nothing of each other send a prefix to the same place.
+func affinity(r *Request, t *Target) uint64 {
+	return xxh3.HashSeed(hashBytes(t.Hash), AffinityKey(r))
+}
+
+// String returns the state's name in status and time line.
+func (s State) String() string {
+	return [...]string{"dead", "leaving", "suspect", "joining", "live"}[s]
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,156 @@
+// Package settings reads the daemon's settings: JSON with comments, every
+// duration with its unit, checked before anything starts.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+
+	"github.com/threadwall/threadwall/internal/durations"
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Settings are those of one threadwalld. The comment of each field gives
+// default, unit and effect.
+type Settings struct {
+	// VM is this VM's name. Required.
+	VM ids.VM `json:"vm" validate:"required"`
+	// FailureDomain is where this VM stands. Required.
+	FailureDomain ids.FailureDomain `json:"failure_domain" validate:"required"`
+	// Listen is ip:port for callers. Required.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// PeerListen is ip:port for other VMs. Required.
+	PeerListen string `json:"peer_listen" validate:"required,hostname_port"`
+	// AdminListen is ip:port for operators: status, metrics, time line. Required.
+	AdminListen string `json:"admin_listen" validate:"required,hostname_port"`
+	// Store is the object API's base URL. Required.
+	Store string `json:"store" validate:"required,http_url"`
+	// Peers are seed addresses (ip:port) of other VMs of the failure domain,
+	// used until the platform's list is known. Default none.
+	Peers []string `json:"peers,omitempty" validate:"dive,hostname_port"`
+	// StoreTimeout bounds one call of the object API. Default 2s.
+	StoreTimeout durations.Duration `json:"store_timeout,omitempty"`
+	// StoreWritesPerSecond bounds this VM's writes. Default 40.
+	StoreWritesPerSecond float64 `json:"store_writes_per_second,omitempty" validate:"min=0"`
+	// StoreReadsPerSecond bounds this VM's reads. Default 60.
+	StoreReadsPerSecond float64 `json:"store_reads_per_second,omitempty" validate:"min=0"`
+	// Heartbeat is how often this VM speaks to peers. Default 1s.
+	Heartbeat durations.Duration `json:"heartbeat,omitempty"`
+	// Probe is how often idle targets are probed. Default 1s.
+	Probe durations.Duration `json:"probe,omitempty"`
+	// IdleTimeout ends a stream on which the target is silent. Default 10s.
+	IdleTimeout durations.Duration `json:"idle_timeout,omitempty"`
+	// DialTimeout bounds connecting to a target. Default 1s.
+	DialTimeout durations.Duration `json:"dial_timeout,omitempty"`
+	// ReadyNotice is how long the VM says "not ready" before it stops taking
+	// work at shutdown, so that the balancer sees it. Default 2s.
+	ReadyNotice durations.Duration `json:"ready_notice,omitempty"`
+	// DrainTimeout bounds waiting for requests in flight at shutdown. Default 150s.
+	DrainTimeout durations.Duration `json:"drain_timeout,omitempty"`
+	// MaxBodyBytes bounds a caller's body. Default 4194304.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" validate:"min=0"`
+	// MaxInFlight bounds requests in flight on this VM. Default 2048.
+	MaxInFlight int `json:"max_in_flight,omitempty" validate:"min=0"`
+	// TimelineEvents is how many events are kept in memory. Default 8192.
+	TimelineEvents int `json:"timeline_events,omitempty" validate:"min=0,max=1000000"`
+	// Policy picks targets: "cost" or "round-robin". Default "cost".
+	Policy string `json:"policy,omitempty" validate:"omitempty,oneof=cost round-robin"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// Load reads, checks and completes the settings of a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	s, err := Parse(data)
+	return s, eris.Wrapf(err, "settings %s", path)
+}
+
+// Parse reads, checks and completes settings.
+func Parse(data []byte) (Settings, error) {
+	var s Settings
+	std, err := hujson.Standardize(data)
+	if err != nil {
+		return s, eris.New(err.Error())
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return s, eris.New(err.Error())
+	}
+	if err := check(s); err != nil {
+		return s, err
+	}
+	return s.WithDefaults(), nil
+}
+
+func check(s Settings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	err := v.Struct(s)
+	var fields validator.ValidationErrors
+	if !eris.As(err, &fields) {
+		return err
+	}
+	var parts []string
+	for _, f := range fields {
+		parts = append(parts, fmt.Sprintf("%s: %v fails %q", f.Field(), f.Value(), f.Tag()))
+	}
+	return eris.New(strings.Join(parts, "; "))
+}
+
+// WithDefaults returns s with every unset field at its default.
+func (s Settings) WithDefaults() Settings {
+	for _, d := range []struct {
+		field *durations.Duration
+		def   time.Duration
+	}{
+		{&s.StoreTimeout, 2 * time.Second},
+		{&s.Heartbeat, time.Second},
+		{&s.Probe, time.Second},
+		{&s.IdleTimeout, 10 * time.Second},
+		{&s.DialTimeout, time.Second},
+		{&s.ReadyNotice, 2 * time.Second},
+		{&s.DrainTimeout, 150 * time.Second},
+	} {
+		*d.field = durations.Duration(d.field.Or(d.def))
+	}
+	orDefault(&s.StoreWritesPerSecond, 40)
+	orDefault(&s.StoreReadsPerSecond, 60)
+	orDefault(&s.MaxBodyBytes, 4<<20)
+	orDefault(&s.MaxInFlight, 2048)
+	orDefault(&s.TimelineEvents, 8192)
+	orDefault(&s.Policy, "cost")
+	orDefault(&s.LogLevel, "info")
+	return s
+}
+
+func orDefault[T comparable](field *T, def T) {
+	var zero T
+	if *field == zero {
+		*field = def
+	}
+}
+
+// Print writes settings as indented JSON.
+func Print(w io.Writer, s Settings) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return eris.Wrap(enc.Encode(s), "print settings")
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Formatting, vet, staticcheck, build, the model checks, and all tests with the
+# race detector.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export PATH="$PATH:$(go env GOPATH)/bin"
+
+echo "gofumpt"
+unformatted=$(git ls-files '*.go' | grep -v '\.pb\.go$' | xargs gofumpt -l)
+if [ -n "$unformatted" ]; then
+  echo "not formatted:"; echo "$unformatted"; exit 1
+fi
+echo "go vet";      go vet ./...
+echo "staticcheck"; staticcheck ./...
+echo "build";       go build ./...
+if [ -x spec/check.sh ]; then
+  echo "model checks"; spec/check.sh
+fi
+echo "tests"
+go test -race -count=1 -timeout 8m ./...
