Add the operators' command line and fix waits at start

Cause: callers were told to wait 5 s at start although engines were idle: the predicted time used a guessed prefill rate of 8,000 tokens/s before the first probe, requests behind one another with the same prefix were each counted as uncached, and a workspace's bucket began empty.

Change: the first probe round comes before readiness, an unknown rate is the mean of the known ones, a dispatched prompt counts as cached for whoever comes behind it (Index.Expect; the answer corrects it), buckets begin full.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -89,13 +89,13 @@
 	if l.inFlight >= l.tuning.MaxInFlight {
 		return nil, refuse(outcome.CodeOverloaded, "this VM is full", retryCapacity)
 	}
-	s := l.space(ws)
+	perSecond := limits.RequestsPerSecond * share
+	s := l.space(ws, perSecond)
 	if s.inFlight >= max(1, int(float64(limits.Concurrency)*share)) {
 		return nil, refuse(outcome.CodeRateLimited, "the workspace has too many requests in flight", retryCapacity)
 	}
-	perSecond := limits.RequestsPerSecond * share
 	s.limiter.SetLimitAt(now, rate.Limit(perSecond))
-	s.limiter.SetBurstAt(now, max(1, int(perSecond*burstSeconds)))
+	s.limiter.SetBurstAt(now, burst(perSecond))
 	if !s.limiter.AllowN(now, 1) {
 		wait := time.Duration((1 - s.limiter.TokensAt(now)) / perSecond * float64(time.Second))
 		return nil, refuse(outcome.CodeRateLimited, "the workspace is over its rate", wait)
@@ -110,10 +110,13 @@
 	return outcome.New(outcome.NotRun, code, "admit", "", message).After(after)
 }
 
-func (l *Limiter) space(ws ids.Workspace) *space {
+func burst(perSecond float64) int { return max(1, int(perSecond*burstSeconds)) }
+
+// space returns a workspace's use; at first sight it has its whole burst.
+func (l *Limiter) space(ws ids.Workspace, perSecond float64) *space {
 	s := l.spaces[ws]
 	if s == nil {
-		s = &space{limiter: rate.NewLimiter(rate.Inf, 1)}
+		s = &space{limiter: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond))}
 		l.spaces[ws] = s
 	}
 	return s
--- a/internal/cacheview/index.go
+++ b/internal/cacheview/index.go
@@ -252,9 +252,33 @@
 	}
 }
 
-// Answered corrects beliefs by an answer: the target of that life reused cached
-// tokens of the prompt, and holds all of it now.
-func (x *Index) Answered(t ids.Target, life Life, levels []prefix.Level, cached int32) {
+// Prior is what was believed of a prompt on a target when it was sent there: the
+// age of each level's belief in milliseconds, or notBelieved.
+type Prior []int32
+
+const notBelieved = -1
+
+// Expect records that a prompt is on its way to a target: whoever comes behind it
+// will find its prefixes cached. The answer confirms or corrects this.
+func (x *Index) Expect(t ids.Target, levels []prefix.Level) Prior {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := x.number(t)
+	prior := make(Prior, len(levels))
+	now := x.tick()
+	for i, l := range levels {
+		prior[i] = notBelieved
+		if e := x.find(l.ID, n); e != nil {
+			prior[i] = int32(now - e.tick)
+		}
+		x.put(l.ID, n)
+	}
+	return prior
+}
+
+// Answered corrects beliefs by an answer: the target in that life reused cached
+// tokens of the prompt, and holds all of it now. prior is what Expect returned.
+func (x *Index) Answered(t ids.Target, life Life, levels []prefix.Level, prior Prior, cached int32) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := x.number(t)
@@ -262,25 +286,32 @@
 	if s.current != life {
 		return
 	}
-	now := x.tick()
-	for _, l := range levels {
-		e := x.find(l.ID, n)
-		if len(x.fresh) < maxFresh && (e == nil || now-e.tick > freshAfter) {
-			x.fresh = append(x.fresh, Known{ID: l.ID, Target: t, Life: life})
+	for i, l := range levels {
+		age := int32(notBelieved)
+		if i < len(prior) {
+			age = prior[i]
 		}
-		if e != nil {
-			hit := l.Tokens <= cached
-			s.life.observe(now-e.tick, hit)
-			if hit {
-				x.stats.Confirmed++
-			} else {
-				x.stats.Refuted++
-			}
+		if len(x.fresh) < maxFresh && (age == notBelieved || age > freshAfter) {
+			x.fresh = append(x.fresh, Known{ID: l.ID, Target: t, Life: life})
 		}
+		x.judge(s, age, l.Tokens <= cached)
 		x.put(l.ID, n)
 	}
 }
 
+// judge learns from a belief of some age that proved right or wrong.
+func (x *Index) judge(s *targetState, age int32, hit bool) {
+	if age == notBelieved {
+		return
+	}
+	s.life.observe(uint32(age), hit)
+	if hit {
+		x.stats.Confirmed++
+	} else {
+		x.stats.Refuted++
+	}
+}
+
 func (x *Index) find(id prefix.ID, n TargetNum) *entry {
 	w := x.window(id)
 	for i := range w {
--- /dev/null
+++ b/internal/cli/queries/objects.go
@@ -0,0 +1,151 @@
+// Package queries holds the parts of the command line that only look.
+package queries
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/threadwall/threadwall/internal/apply"
+	"github.com/threadwall/threadwall/internal/cli/common"
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// stored is one object as listed.
+type stored struct {
+	Kind    string             `json:"kind"`
+	Name    string             `json:"name"`
+	Version objectapi.Revision `json:"version"`
+	Bytes   int                `json:"bytes"`
+	Reason  string             `json:"rejected,omitempty"`
+	Object  json.RawMessage    `json:"object,omitempty"`
+}
+
+// Get returns "threadwall get".
+func Get() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "list objects, or print one",
+		ArgsUsage: "[KIND [NAME]]",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			prefix := config.Prefix
+			if c.Args().Len() > 0 {
+				prefix += c.Args().Get(0) + "/"
+			}
+			whole := c.Args().Len() > 1
+			if whole {
+				prefix += c.Args().Get(1)
+			}
+			list, err := read(ctx, c, prefix, whole)
+			if err != nil {
+				return err
+			}
+			return common.Print(c, list, func(w io.Writer) { printObjects(w, list, whole) })
+		},
+	}
+}
+
+func read(ctx context.Context, c *cli.Command, prefix string, whole bool) ([]stored, error) {
+	objects, rev, err := common.Store(c).List(ctx, config.Prefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "read configuration")
+	}
+	rejected := config.Compile(rev, objects).Rejected
+	var out []stored
+	for _, o := range objects {
+		if !strings.HasPrefix(o.Key, prefix) || whole && o.Key != prefix {
+			continue
+		}
+		kind, name, _ := strings.Cut(strings.TrimPrefix(o.Key, config.Prefix), "/")
+		s := stored{Kind: kind, Name: name, Version: o.Version, Bytes: len(o.Value), Reason: rejected[o.Key]}
+		if whole {
+			s.Object = o.Value
+		}
+		out = append(out, s)
+	}
+	if len(out) == 0 {
+		return nil, eris.Errorf("there is nothing at %s", prefix)
+	}
+	return out, nil
+}
+
+func printObjects(w io.Writer, list []stored, whole bool) {
+	if whole {
+		var b bytes.Buffer
+		_ = json.Indent(&b, list[0].Object, "", "  ")
+		common.Row(w, b.String())
+		return
+	}
+	common.Row(w, "KIND", "NAME", "VERSION", "BYTES", "REJECTED")
+	for _, s := range list {
+		common.Row(w, s.Kind, s.Name, s.Version, s.Bytes, s.Reason)
+	}
+}
+
+// Diff returns "threadwall diff".
+func Diff() *cli.Command {
+	return &cli.Command{
+		Name:  "diff",
+		Usage: "show what applying files would change",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "read objects from `PATH`"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			objects, err := apply.ReadPath(c.String("file"))
+			if err != nil {
+				return err
+			}
+			plan, err := apply.Make(ctx, common.Store(c), objects)
+			if err != nil {
+				return err
+			}
+			return common.Print(c, plan.Changes, func(w io.Writer) {
+				for _, ch := range plan.Changes {
+					if ch.Action != apply.Unchanged {
+						common.Row(w, fmt.Sprintf("%s/%s: %s", ch.Kind, ch.Name, ch.Action))
+						printLines(w, lines(ch.Before), lines(ch.After))
+					}
+				}
+			})
+		},
+	}
+}
+
+func lines(object []byte) []string {
+	var b bytes.Buffer
+	if len(object) == 0 || json.Indent(&b, object, "", "  ") != nil {
+		return nil
+	}
+	return strings.Split(b.String(), "\n")
+}
+
+// maxCell bounds a printed line; documents are long.
+const maxCell = 160
+
+// printLines prints the lines that are in one of two objects only.
+func printLines(w io.Writer, before, after []string) {
+	count := map[string]int{}
+	for _, l := range before {
+		count[l]++
+	}
+	for _, l := range after {
+		count[l]--
+	}
+	for _, l := range before {
+		if count[l] > 0 {
+			count[l]--
+			common.Row(w, "- "+l[:min(len(l), maxCell)])
+		}
+	}
+	for _, l := range after {
+		if count[l] < 0 {
+			count[l]++
+			common.Row(w, "+ "+l[:min(len(l), maxCell)])
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/queries/vms.go
@@ -0,0 +1,183 @@
+package queries
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/threadwall/threadwall/internal/cli/common"
+	"github.com/threadwall/threadwall/internal/daemon"
+	"github.com/threadwall/threadwall/internal/dispatch"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// vmStatus is one VM's answer, or why there is none.
+type vmStatus struct {
+	VM     string         `json:"vm"`
+	Error  string         `json:"error,omitempty"`
+	Status *daemon.Status `json:"status,omitempty"`
+}
+
+// Status returns "threadwall status".
+func Status() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show which VMs are ready, which configuration revision is in force on each, and what they think of targets",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "targets", Aliases: []string{"t"}, Usage: "show each VM's view of each target"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			vms, err := common.VMs(ctx, c)
+			if err != nil {
+				return err
+			}
+			all := make([]vmStatus, len(vms))
+			var wg sync.WaitGroup
+			for i, vm := range vms {
+				wg.Go(func() {
+					var s daemon.Status
+					all[i].VM = vm.Name
+					if err := common.Ask(ctx, vm, "/status", &s); err != nil {
+						all[i].Error = eris.Cause(err).Error()
+						return
+					}
+					all[i].Status = &s
+				})
+			}
+			wg.Wait()
+			return common.Print(c, all, func(w io.Writer) { printStatus(w, all, c.Bool("targets")) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, all []vmStatus, targets bool) {
+	common.Row(w, "VM", "DOMAIN", "READY", "CONFIG", "WATCHER", "IN FLIGHT", "PENDING CLAIMS", "NOTE")
+	for _, s := range all {
+		if s.Status == nil {
+			common.Row(w, s.VM, "?", "?", "?", "?", "?", "?", s.Error)
+			continue
+		}
+		st := s.Status
+		common.Row(w, st.VM, st.FailureDomain, st.Ready, st.ConfigRevision, st.Watcher, st.InFlight, st.PendingClaims, st.Reason)
+	}
+	if !targets {
+		return
+	}
+	common.Row(w)
+	common.Row(w, "VM", "TARGET", "STATE", "INCARNATION", "WEIGHTS", "QUEUED", "RUNNING", "BREAKER")
+	for _, s := range all {
+		if s.Status == nil {
+			continue
+		}
+		for _, t := range s.Status.Targets {
+			common.Row(w, s.VM, t.ID, t.StateName, t.Incarnation, t.Weights, t.Report.QueuedTokens, t.Report.Running, t.BreakerOpen)
+		}
+	}
+}
+
+// gather asks all VMs for events; those that can't be asked are named.
+func gather(ctx context.Context, c *cli.Command, request string) (events []timeline.Event, missing []string, err error) {
+	vms, err := common.VMs(ctx, c)
+	if err != nil {
+		return nil, nil, err
+	}
+	logs := make([][]timeline.Event, len(vms))
+	failed := make([]bool, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Go(func() { failed[i] = common.Ask(ctx, vm, "/timeline?request="+request, &logs[i]) != nil })
+	}
+	wg.Wait()
+	for i, vm := range vms {
+		if failed[i] {
+			missing = append(missing, vm.Name)
+		}
+	}
+	return timeline.Merge(logs...), missing, nil
+}
+
+// Timeline returns "threadwall timeline".
+func Timeline() *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "merge the events of all VMs into one causal order",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "only events of the request `ID`"},
+			&cli.StringFlag{Name: "kind", Usage: "only events of `KIND`, such as membership, config, claim"},
+			&cli.IntFlag{Name: "last", Value: 100, Usage: "at most the last `N` events"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			events, missing, err := gather(ctx, c, c.String("request"))
+			if err != nil {
+				return err
+			}
+			var kept []timeline.Event
+			for _, e := range events {
+				if k := c.String("kind"); k == "" || string(e.Kind) == k {
+					kept = append(kept, e)
+				}
+			}
+			kept = kept[max(0, len(kept)-c.Int("last")):]
+			return common.Print(c, kept, func(w io.Writer) {
+				common.Row(w, "AT", "VM", "KIND", "REQUEST", "PEER", "TEXT")
+				for _, e := range kept {
+					common.Row(w, e.At, e.VM, e.Kind, e.Request, e.Peer, e.Text)
+				}
+				for _, m := range missing {
+					common.Row(w, "?", m, "", "", "", "this VM did not answer; its events are missing")
+				}
+			})
+		},
+	}
+}
+
+// Explain returns "threadwall explain".
+func Explain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show why a request went where it did",
+		ArgsUsage: "REQUEST",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return eris.New("explain needs a request's id, as answers carry it in X-Request-Id")
+			}
+			events, missing, err := gather(ctx, c, c.Args().First())
+			if err != nil {
+				return err
+			}
+			if len(events) == 0 {
+				return eris.Errorf("no VM that answers remembers request %s (no answer from: %v)", c.Args().First(), missing)
+			}
+			return common.Print(c, events, func(w io.Writer) {
+				for _, e := range events {
+					common.Row(w, e.At, e.VM, e.Kind, e.Peer, e.Text)
+					if e.Kind == timeline.KindDecision {
+						printDecision(w, e.Detail)
+					}
+				}
+			})
+		},
+	}
+}
+
+func printDecision(w io.Writer, detail json.RawMessage) {
+	var d dispatch.DecisionRecord
+	if json.Unmarshal(detail, &d) != nil {
+		return
+	}
+	common.Row(w, "", "", "policy "+d.Policy, "", "")
+	for reason, n := range d.Filtered {
+		common.Row(w, "", "", "filtered", n, reason)
+	}
+	common.Row(w, "", "", "", "TARGET", "COST s", "QUEUED tokens", "CACHED tokens", "TRUST", "STATE")
+	for _, x := range d.Candidates {
+		mark := ""
+		if x.Target == ids.Target(d.Chosen) {
+			mark = "chosen"
+		}
+		common.Row(w, "", "", mark, x.Target, x.Cost, int(x.Input.QueueTokens), x.Input.Cached, x.Input.Trust, x.Input.State)
+	}
+}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -78,6 +78,7 @@
 			return
 		}
 	}
+	d.probeRound(ctx) // so that the first decisions know the targets' load
 	d.Fleet.Refresh()
 	d.ready.set(true, "")
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "ready"}, nil)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,7 +75,7 @@
 	attempts int
 	started  bool // something was delivered
 	text     deliveredText
-	received time.Time
+	prior    cacheview.Prior // of the current attempt's target
 }
 
 // Run runs a prompt and delivers its answer to sink. A nil error means that the
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Template.Deadline.D())
 	defer cancel()
 	d.Budget.Deposit()
-	r := &run{d: d, p: p, sink: sink, received: time.Now()}
+	r := &run{d: d, p: p, sink: sink}
 	for {
 		err := r.attempt(ctx)
 		if err == nil {
@@ -130,9 +130,9 @@
 	return e
 }
 
-// decisionRecord is the detail of a decision event: enough to explain the choice
+// DecisionRecord is the detail of a decision event: enough to explain the choice
 // and to replay it. Candidates beyond the limit are the costlier ones.
-type decisionRecord struct {
+type DecisionRecord struct {
 	Policy     string              `json:"policy"`
 	Seed       uint64              `json:"seed"`
 	Tokens     int32               `json:"tokens"`
@@ -159,6 +159,7 @@
 		Path: r.p.Path, Body: r.p.targetBody(r.text.String()),
 	}
 	r.d.Fleet.Members.Trying(choice.target.ID, time.Now())
+	r.prior = r.d.Fleet.Cache.Expect(choice.target.ID, r.p.Levels)
 	work := r.d.Fleet.Load.Sent(choice.target.ID, r.p.Tokens-choice.cached, time.Now())
 	defer work.End()
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindAttempt, Request: r.p.Request, Attempt: call.Attempt, Peer: string(call.Target), Text: "begin"}, nil)
@@ -182,7 +183,7 @@
 		RecomputeWeight: float32(*r.p.Template.RecomputeWeight), Seed: r.d.Fleet.Seed(),
 	}
 	snap, dec := r.d.Fleet.Decide(&req, r.tried, sc)
-	rec := decisionRecord{
+	rec := DecisionRecord{
 		Policy: r.d.Fleet.PolicyName(), Seed: req.Seed, Tokens: req.Tokens, Weight: req.RecomputeWeight,
 		Levels: len(req.Levels), Affinity: routing.AffinityKey(&req), Domain: req.FailureDomain,
 		Filtered: sc.Routing.FilteredByName(), Candidates: routing.TopCandidates(&snap.View, sc.Inputs, &sc.Routing),
@@ -250,7 +251,7 @@
 func (r *run) answered(call *engine.Call, a *engine.Answer, u engine.Usage) {
 	life := cacheview.LifeOf(a.Incarnation, a.Weights)
 	if r.text.Len() == 0 || r.attempts == 1 {
-		r.d.Fleet.Cache.Answered(call.Target, life, r.p.Levels, u.Details.CachedTokens)
+		r.d.Fleet.Cache.Answered(call.Target, life, r.p.Levels, r.prior, u.Details.CachedTokens)
 	}
 	r.d.Stats.PromptTokens.Add(int64(u.PromptTokens))
 	r.d.Stats.CachedTokens.Add(int64(u.Details.CachedTokens))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	nums     []cacheview.TargetNum
 	maxNum   int
 	at       time.Time
+	rate     float64 // tokens/s, assumed of a target that has not told its own
 }
 
 // Status returns one target's status by its index in View.
@@ -71,10 +72,26 @@
 			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID),
 		}
 	}
+	s.rate = assumedRate(statuses)
 	f.snap.Store(s)
 	return s
 }
 
+// assumedRate is the mean prefill rate of the targets that told theirs.
+func assumedRate(statuses []membership.TargetStatus) float64 {
+	sum, n := 0.0, 0
+	for i := range statuses {
+		if r := statuses[i].Report.PrefillRate; r > 0 {
+			sum += r
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultPrefillRate
+	}
+	return sum / float64(n)
+}
+
 // MarkDirty asks for a fresh snapshot before the next decision: something
 // happened that must not wait for the duty.
 func (f *Fleet) MarkDirty() { f.dirty.Store(true) }
@@ -126,7 +143,7 @@
 	f.Cache.Lookup(r.Levels, sc.overlaps)
 	now := f.now()
 	for i := range snap.statuses {
-		sc.Inputs[i] = f.input(&snap.statuses[i], sc.overlaps[snap.nums[i]], now.Sub(snap.at), now)
+		sc.Inputs[i] = f.input(snap, i, sc.overlaps[snap.nums[i]], now)
 	}
 	for _, t := range tried {
 		for i := range snap.statuses {
@@ -137,18 +154,19 @@
 	}
 }
 
-// defaultPrefillRate is assumed until a target has told its rate, in tokens/s.
-const defaultPrefillRate = 8000
+// defaultPrefillRate is assumed until any target has told its rate, in tokens/s.
+const defaultPrefillRate = 20_000
 
 // slotSeconds is the expected wait for each request beyond the batch's places.
 const slotSeconds = 0.25
 
-func (f *Fleet) input(st *membership.TargetStatus, o cacheview.Overlap, since time.Duration, now time.Time) routing.Input {
+func (f *Fleet) input(snap *Snapshot, i int, o cacheview.Overlap, now time.Time) routing.Input {
+	st := &snap.statuses[i]
 	rate := st.Report.PrefillRate
 	if rate <= 0 {
-		rate = defaultPrefillRate
+		rate = snap.rate
 	}
-	load := f.Load.Estimate(st.ID, st.Report.QueuedTokens, rate, st.ReportAge+since, now)
+	load := f.Load.Estimate(st.ID, st.Report.QueuedTokens, rate, st.ReportAge+now.Sub(snap.at), now)
 	in := routing.Input{
 		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart,
 		QueueTokens: float32(load.QueueTokens), PrefillRate: float32(rate),
--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -72,7 +72,8 @@
 	case e.faults.take(FaultCloseEarly):
 		return false
 	case e.faults.take(FaultDuplicate):
-		return write(n, data) && write(n, data)
+		again := write(n, data)
+		return again && write(n, data)
 	case e.faults.take(FaultReorder):
 		return write(n+1, data) && write(n, data)
 	case e.faults.take(FaultCross):
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -35,7 +35,7 @@
 
 // DefaultEngine is a small engine that lets a demo run quickly.
 var DefaultEngine = EngineSpec{
-	Weights: "w1", PrefillRate: 60_000, TokenEvery: 2 * time.Millisecond, Slots: 32, CacheBlocks: 6_000,
+	Weights: "w1", PrefillRate: 60_000, TokenEvery: 2 * time.Millisecond, Slots: 32, CacheBlocks: 2_500,
 }
 
 // resumeGrace is how long an answer goes on without a reader before it is
