--- a/internal/cli/commands/call.go
+++ b/internal/cli/commands/call.go
@@ -31,6 +31,8 @@
 		Name:      "ask",
 		Usage:     "ask a template or model, and print the answer as it comes",
 		ArgsUsage: "TEXT",
+		// A parameter's text may hold commas.
+		DisableSliceFlagSeparator: true,
 		Flags: append(callerFlags(),
 			&cli.StringFlag{Name: "template", Usage: "use the template `NAME`"},
 			&cli.StringFlag{Name: "model", Usage: "ask the model `NAME` directly"},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,6 +124,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e = outcome.Wrap(err, e.Outcome, outcome.CodeDeadline, e.Step, e.Peer, "the request's time is over")
 	}
+	if e.Outcome == outcome.NotRun && e.RetryAfter == 0 {
+		e.RetryAfter = retryNoTarget
+	}
 	if r.started {
 		e = outcome.Wrap(err, outcome.Unknown, outcome.CodeStreamBroken, e.Step, e.Peer, "the answer broke off and is not whole")
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"github.com/threadwall/threadwall/internal/gateway"
+	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/services"
 )
 
@@ -289,6 +290,8 @@
 func (l *loader) booking(ctx context.Context, r *rand.Rand, ws string) {
 	key := uuid.NewString()
 	body := []byte(fmt.Sprintf(`{"drum":"D-%d"}`, r.IntN(1000)))
+	// Only if every try ended with "not-run" is the booking known not to be made.
+	notRun := true
 	for try := 0; ; try++ {
 		resp, err := l.post(ctx, l.entry(r)+"/v1/services/"+l.spec.Service+"/bookings", ws, key, body)
 		if err == nil && resp.StatusCode == http.StatusOK {
@@ -296,13 +299,14 @@
 			l.add(func(res *Result) { res.Whole++; res.Booked = append(res.Booked, key) })
 			return
 		}
-		var told string
 		if err == nil {
-			told = resp.Header.Get(gateway.HeaderOutcome)
+			notRun = notRun && resp.Header.Get(gateway.HeaderOutcome) == outcome.NotRun.String()
 			drain(resp)
+		} else {
+			notRun = false
 		}
 		if try >= l.spec.Retries {
-			l.bookingEnd(key, told)
+			l.bookingEnd(key, notRun)
 			return
 		}
 		l.add(func(res *Result) { res.Retries++ })
@@ -310,14 +314,13 @@
 	}
 }
 
-func (l *loader) bookingEnd(key, told string) {
+func (l *loader) bookingEnd(key string, notRun bool) {
 	l.add(func(res *Result) {
-		switch told {
-		case "not-run":
+		if notRun {
 			res.Refused++
 			res.NotRun = append(res.NotRun, key)
-		default:
-			res.Unknown++
+			return
 		}
+		res.Unknown++
 	})
 }
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -88,62 +88,51 @@
 // the same value is written again: whichever copy lands, it is recognised as
 // ours. ErrAmbiguous is returned only when the tries run out.
 func ResolveCreate(ctx context.Context, s Store, key string, value []byte, mine func([]byte) bool) (Object, error) {
-	ambiguous := false
-	for try := range resolveTries {
-		version, err := s.Create(ctx, key, value)
-		switch {
-		case err == nil:
-			return Object{Key: key, Value: value, Version: version}, nil
-		case errors.Is(err, ErrExists):
-			existing, gerr := s.Get(ctx, key)
-			if gerr == nil && mine(existing.Value) {
-				return existing, nil
-			}
-			if gerr == nil {
-				return existing, err
-			}
-			// The object exists but can't be read now. Whether it is ours is
-			// open only if one of our writes is.
-			if !ambiguous {
-				return Object{}, errors.Join(ErrUnavailable, gerr)
-			}
-		case errors.Is(err, ErrAmbiguous):
-			ambiguous = true
-		case !ambiguous:
-			return Object{}, err
-		}
-		if !pause(ctx, try) {
-			break
-		}
-	}
-	return Object{}, ErrAmbiguous
+	return resolve(ctx, s, key, mine, ErrExists, func() (Object, error) {
+		v, err := s.Create(ctx, key, value)
+		return Object{Key: key, Value: value, Version: v}, err
+	}, func(Object) bool { return false })
 }
 
 // ResolveUpdate updates an object and reads back a lost answer. mine is as in
 // ResolveCreate. On ErrConflict the current object is returned beside the error.
 func ResolveUpdate(ctx context.Context, s Store, key string, value []byte, version Revision, mine func([]byte) bool) (Object, error) {
-	ambiguous := false
-	for try := range resolveTries {
+	return resolve(ctx, s, key, mine, ErrConflict, func() (Object, error) {
 		v, err := s.Update(ctx, key, value, version)
+		return Object{Key: key, Value: value, Version: v}, err
+	}, func(o Object) bool { return o.Version == version })
+}
+
+// resolve repeats a conditional write until its effect is known. untouched tells
+// whether a stored object is still the one that the write is to replace.
+//
+// Repeating is safe: of all copies of one conditional write at most one takes
+// effect, since it changes the version that the others ask for. lost is the error
+// when another's object is found in the write's place.
+func resolve(ctx context.Context, s Store, key string, mine func([]byte) bool, lost error, write func() (Object, error), untouched func(Object) bool) (Object, error) {
+	sent := false // a copy of the write may be stored or under way
+	for try := range resolveTries {
+		o, err := write()
 		switch {
 		case err == nil:
-			return Object{Key: key, Value: value, Version: v}, nil
-		case errors.Is(err, ErrConflict):
-			current, gerr := s.Get(ctx, key)
-			if gerr == nil && mine(current.Value) {
-				return current, nil
-			}
-			if gerr == nil {
-				return current, err
-			}
-			if !ambiguous {
-				return Object{}, errors.Join(ErrUnavailable, gerr)
-			}
+			return o, nil
 		case errors.Is(err, ErrAmbiguous):
-			ambiguous = true
-		case !ambiguous:
+			sent = true
+		case !errors.Is(err, ErrExists) && !errors.Is(err, ErrConflict) && !sent:
 			return Object{}, err
 		}
+		current, gerr := s.Get(ctx, key)
+		switch {
+		case gerr == nil && mine(current.Value):
+			return current, nil
+		case gerr == nil && !untouched(current):
+			return current, lost
+		case errors.Is(gerr, ErrNotFound) && errors.Is(err, ErrConflict):
+			return Object{}, ErrConflict // deleted by somebody else
+		case gerr != nil && !sent && !errors.Is(gerr, ErrNotFound):
+			// Somebody else's object is in the way and can't be read.
+			return Object{}, errors.Join(ErrUnavailable, gerr)
+		}
 		if !pause(ctx, try) {
 			break
 		}
