--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -7,9 +7,12 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -26,33 +29,65 @@
 	LostAnswer      // applied, the caller does not know
 	LostWrite       // not applied, the caller does not know
 	Delayed         // applied later by Land, the caller does not know
-	FateCount
 )
 
+// Weather is how the store behaves in one drawn case.
+type Weather struct {
+	good int // of ten calls
+	bad  []Fate
+}
+
+// DrawWeather draws the behaviour of a case: how much goes wrong, and whether all
+// kinds of trouble come together or one alone, which drives code far down a path.
+func DrawWeather(rt *rapid.T) Weather {
+	return Weather{
+		good: rapid.SampledFrom([]int{2, 4, 6, 9}).Draw(rt, "good of ten"),
+		bad: rapid.SampledFrom([][]Fate{
+			{Refused, LostAnswer, LostWrite, Delayed}, {Delayed}, {Delayed, Refused}, {LostAnswer}, {LostWrite},
+		}).Draw(rt, "trouble"),
+	}
+}
+
+// Draw draws what becomes of a call.
+func (w Weather) Draw(rt *rapid.T) Fate {
+	if rapid.IntRange(0, 9).Draw(rt, "goes well") < w.good {
+		return Normal
+	}
+	return rapid.SampledFrom(w.bad).Draw(rt, "fate")
+}
+
 // Call is one waiting call.
 type Call struct {
-	Write bool
-	Key   string
+	Actor int
 	fate  chan Fate
 }
 
-// Store hands its calls to the test. Use New.
+// Store hands its calls to the test. Use New, and As for each actor.
 type Store struct {
 	objectapi.Store
 	mu      sync.Mutex
 	waiting []*Call
 	late    []func()
-	free    bool
 }
 
 // New returns a store over a memory.
 func New() *Store { return &Store{Store: objectapi.NewMemory()} }
 
-// Waiting returns the calls that wait for their fate, oldest first.
+// Waiting returns the calls that wait for their fate, by actor: the order does
+// not depend on the scheduler, so a drawn case is the same on every run.
 func (s *Store) Waiting() []*Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]*Call(nil), s.waiting...)
+	return slices.SortedStableFunc(slices.Values(s.waiting), func(a, b *Call) int { return a.Actor - b.Actor })
+}
+
+// As returns the store as one actor uses it. An actor makes one call at a time.
+func (s *Store) As(actor int) objectapi.Store { return &view{Store: s, actor: actor} }
+
+// view is the store of one actor.
+type view struct {
+	*Store
+	actor int
 }
 
 // Decide lets one waiting call go on.
@@ -84,32 +119,44 @@
 	f()
 }
 
-// Free lets all calls, now and later, go on normally.
-func (s *Store) Free() {
-	s.mu.Lock()
-	s.free = true
-	waiting := s.waiting
-	s.waiting = nil
-	s.mu.Unlock()
-	for _, c := range waiting {
-		c.fate <- Normal
+// idleSeconds of virtual time without a call mean that nothing is left to do.
+const idleSeconds = 3
+
+// Drain lets everything that is left go well, one call after another; delayed
+// writes land when nothing else is left to do.
+func (s *Store) Drain() {
+	s.drain()
+	for s.Late() > 0 {
+		s.Land(0)
 	}
+	s.drain()
 }
 
-func (s *Store) wait(write bool, key string) Fate {
-	s.mu.Lock()
-	if s.free {
-		s.mu.Unlock()
-		return Normal
+func (s *Store) drain() {
+	for idle := 0; idle < idleSeconds; {
+		synctest.Wait()
+		if w := s.Waiting(); len(w) > 0 {
+			s.Decide(w[0], Normal)
+			idle = 0
+			continue
+		}
+		time.Sleep(time.Second)
+		idle++
 	}
-	c := &Call{Write: write, Key: key, fate: make(chan Fate)}
+}
+
+func (v *view) wait() Fate {
+	s := v.Store
+	s.mu.Lock()
+	c := &Call{Actor: v.actor, fate: make(chan Fate)}
 	s.waiting = append(s.waiting, c)
 	s.mu.Unlock()
 	return <-c.fate
 }
 
-func (s *Store) write(key string, do func() (objectapi.Revision, error)) (objectapi.Revision, error) {
-	switch s.wait(true, key) {
+func (v *view) write(do func() (objectapi.Revision, error)) (objectapi.Revision, error) {
+	s := v.Store
+	switch v.wait() {
 	case Refused:
 		return 0, objectapi.ErrUnavailable
 	case LostAnswer:
@@ -128,42 +175,56 @@
 }
 
 // Get implements objectapi.Store.
-func (s *Store) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	if s.wait(false, key) != Normal {
+func (v *view) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if v.wait() != Normal {
 		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
-	return s.Store.Get(ctx, key)
+	return v.Store.Store.Get(ctx, key)
 }
 
 // Create implements objectapi.Store.
-func (s *Store) Create(ctx context.Context, key string, value []byte) (objectapi.Revision, error) {
-	return s.write(key, func() (objectapi.Revision, error) { return s.Store.Create(ctx, key, value) })
+func (v *view) Create(ctx context.Context, key string, value []byte) (objectapi.Revision, error) {
+	return v.write(func() (objectapi.Revision, error) { return v.Store.Store.Create(ctx, key, value) })
 }
 
 // Update implements objectapi.Store.
-func (s *Store) Update(ctx context.Context, key string, value []byte, version objectapi.Revision) (objectapi.Revision, error) {
-	return s.write(key, func() (objectapi.Revision, error) { return s.Store.Update(ctx, key, value, version) })
+func (v *view) Update(ctx context.Context, key string, value []byte, version objectapi.Revision) (objectapi.Revision, error) {
+	return v.write(func() (objectapi.Revision, error) { return v.Store.Store.Update(ctx, key, value, version) })
 }
 
 // Delete implements objectapi.Store.
-func (s *Store) Delete(ctx context.Context, key string, version objectapi.Revision) error {
-	_, err := s.write(key, func() (objectapi.Revision, error) { return 0, s.Store.Delete(ctx, key, version) })
+func (v *view) Delete(ctx context.Context, key string, version objectapi.Revision) error {
+	_, err := v.write(func() (objectapi.Revision, error) { return 0, v.Store.Store.Delete(ctx, key, version) })
 	return err
 }
 
 // FixSeed makes rapid draw the same cases on every run. Call it from TestMain.
 func FixSeed() {
-	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.nofailfile": "true", "rapid.checks": "400"} {
+	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.nofailfile": "true", "rapid.checks": "600"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
 }
 
-// noDeadline hides testing.T.Deadline, which may not be called in a bubble.
-type noDeadline struct{ rapid.TB }
-
-// Check runs a property in a bubble of virtual time.
+// Check runs a property, each case in a bubble of virtual time of its own. The
+// rapid check itself stays outside: it ends early when its clock has run on by a
+// day, which virtual time does at once. A property must let all its goroutines
+// end, also when it fails.
 func Check(t *testing.T, property func(*rapid.T)) {
-	synctest.Test(t, func(t *testing.T) { rapid.Check(noDeadline{t}, property) })
+	rapid.Check(t, func(rt *rapid.T) {
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failure = recover() }()
+			property(rt)
+		})
+		// Rapid tells failures apart by where they are raised.
+		switch kind := fmt.Sprintf("%T", failure); {
+		case failure == nil:
+		case kind == "rapid.invalidData":
+			panic(failure)
+		default:
+			rt.Fatalf("%v", failure)
+		}
+	})
 }
