--- /dev/null
+++ b/internal/cacheview/fuzz_test.go
@@ -0,0 +1,138 @@
+package cacheview
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// oracle remembers, for each target, in which life each prefix was last said to
+// be held, and voids all at a new life or a gap.
+type oracle struct {
+	inc  map[ids.Target]ids.Incarnation
+	w    map[ids.Target]ids.WeightsVersion
+	held map[ids.Target]map[prefix.ID]bool
+	seq  map[ids.Target]uint64
+}
+
+// TestBeliefs: a look-up never reports a prefix that was not said to be held by
+// that target in its present life since the last gap. (It may forget: the table
+// is bounded.)
+func TestBeliefs(t *testing.T) {
+	targets := []ids.Target{"t0", "t1", "t2"}
+	rapid.Check(t, func(rt *rapid.T) {
+		x := New(64, func() time.Time { return time.Unix(0, 0) })
+		o := &oracle{
+			inc: map[ids.Target]ids.Incarnation{}, w: map[ids.Target]ids.WeightsVersion{},
+			held: map[ids.Target]map[prefix.ID]bool{}, seq: map[ids.Target]uint64{},
+		}
+		for _, tg := range targets {
+			x.Number(tg)
+			o.held[tg] = map[prefix.ID]bool{}
+		}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			o.step(rt, x, rapid.SampledFrom(targets).Draw(rt, "target"))
+			o.check(rt, x, targets)
+		}
+	})
+}
+
+func (o *oracle) life(t ids.Target) Life { return LifeOf(o.inc[t], o.w[t]) }
+
+func (o *oracle) step(rt *rapid.T, x *Index, t ids.Target) {
+	id := prefix.ID(rapid.IntRange(1, 12).Draw(rt, "prefix"))
+	level := []prefix.Level{{ID: id, Tokens: 16}}
+	stale := LifeOf(o.inc[t]+7, "other")
+	switch rapid.IntRange(0, 7).Draw(rt, "step") {
+	case 0:
+		inc := ids.Incarnation(rapid.IntRange(0, 4).Draw(rt, "incarnation"))
+		w := ids.WeightsVersion(fmt.Sprint("w", rapid.IntRange(0, 1).Draw(rt, "weights")))
+		changed := inc > o.inc[t] || inc == o.inc[t] && w != o.w[t]
+		x.SetLife(t, inc, w)
+		if changed {
+			o.inc[t], o.w[t], o.seq[t] = inc, w, 0
+			o.held[t] = map[prefix.ID]bool{}
+		}
+	case 1:
+		x.Holds(t, o.life(t), level)
+		o.hold(t, id)
+	case 2:
+		x.Answered(t, o.life(t), level, nil, 0)
+		o.hold(t, id)
+	case 3:
+		x.Answered(t, stale, level, nil, 16)
+		x.Holds(t, stale, level)
+		x.Feed(t, stale, []Event{{Seq: 1, Block: id, Stored: true}})
+	case 4:
+		x.Drop(t, o.life(t), id)
+		if o.known(t) {
+			delete(o.held[t], id)
+		}
+	case 5:
+		x.Expect(t, level)
+		o.held[t][id] = true
+	default:
+		o.feed(rt, x, t, id)
+	}
+}
+
+// known tells whether the index knows the target's life at all.
+func (o *oracle) known(t ids.Target) bool { return o.w[t] != "" }
+
+func (o *oracle) hold(t ids.Target, id prefix.ID) {
+	if o.known(t) {
+		o.held[t][id] = true
+	}
+}
+
+func (o *oracle) feed(rt *rapid.T, x *Index, t ids.Target, id prefix.ID) {
+	seq := o.seq[t] + uint64(rapid.IntRange(0, 2).Draw(rt, "seq"))
+	stored := rapid.Bool().Draw(rt, "stored")
+	x.Feed(t, o.life(t), []Event{{Seq: seq, Block: id, Stored: stored}})
+	if !o.known(t) || seq <= o.seq[t] {
+		return
+	}
+	if seq != o.seq[t]+1 && o.seq[t] != 0 {
+		o.held[t] = map[prefix.ID]bool{}
+	}
+	o.seq[t] = seq
+	o.held[t][id] = stored
+}
+
+func (o *oracle) check(rt *rapid.T, x *Index, targets []ids.Target) {
+	out := make([]Overlap, len(targets))
+	for id := prefix.ID(1); id <= 12; id++ {
+		x.Lookup([]prefix.Level{{ID: id, Tokens: 16}}, out)
+		for i, t := range targets {
+			if out[i].Tokens > 0 && !o.held[t][id] {
+				rt.Fatalf("%s is believed to hold %d", t, id)
+			}
+		}
+	}
+}
+
+// Epochs wrap after 65,536 new lives; an entry of an old one must not come back.
+func TestEpochWraps(t *testing.T) {
+	x := New(64, nil)
+	x.SetLife("t", 1, "w")
+	x.Holds("t", LifeOf(1, "w"), []prefix.Level{{ID: 5, Tokens: 16}})
+	for i := range 1 << 16 {
+		x.SetLife("t", ids.Incarnation(i+2), "w")
+	}
+	out := make([]Overlap, 1)
+	x.Lookup([]prefix.Level{{ID: 5, Tokens: 16}}, out)
+	if out[0].Tokens != 0 {
+		t.Fatal("a belief came back to life")
+	}
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,98 @@
+package membership
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/platform"
+)
+
+// TestStories runs the stories in testdata. Each line is a moment and what
+// happens in it; "states" prints what the table thinks.
+func TestStories(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		table := New("vm0", DefaultTuning)
+		now := time.Unix(1_000_000, 0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "wait" {
+				var s string
+				d.ScanArgs(t, "for", &s)
+				span, err := time.ParseDuration(s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(span)
+				return ""
+			}
+			return story(t, table, d, now)
+		})
+	})
+}
+
+func story(t *testing.T, table *Table, d *datadriven.TestData, now time.Time) string {
+	num := func(key string) uint64 {
+		var n uint64
+		d.MaybeScanArgs(t, key, &n)
+		return n
+	}
+	var id, weights string
+	d.MaybeScanArgs(t, "id", &id)
+	d.MaybeScanArgs(t, "weights", &weights)
+	target := ids.Target(id)
+	switch d.Cmd {
+	case "platform":
+		table.Platform(records(d.Input), now)
+	case "probe":
+		table.Probed(target, Report{
+			Incarnation: ids.Incarnation(num("inc")), Seq: num("seq"), Leaving: d.HasArg("leaving"), Silent: d.HasArg("silent"),
+			Weights: ids.WeightsVersion(weights),
+		}, now)
+	case "fail":
+		table.Failed(target, now)
+	case "ok":
+		table.Succeeded(target)
+	case "try":
+		return fmt.Sprintln("trial:", table.Trying(target, now))
+	case "refuses":
+		table.Leaves(target, ids.Incarnation(num("inc")))
+	case "beat":
+		table.Heartbeat(ids.VM(id), ids.Incarnation(num("inc")), num("count"), 0, d.HasArg("leaving"), now)
+	case "forget":
+		return fmt.Sprintln(table.Forget(now))
+	case "states":
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return states(table, now)
+}
+
+func records(input string) []platform.Record {
+	var out []platform.Record
+	for _, line := range strings.Fields(input) {
+		f := strings.Split(line, ":")
+		r := platform.Record{ID: f[0], Role: platform.Role(f[1]), State: platform.State(f[2]), Weights: "w1"}
+		_, _ = fmt.Sscan(f[3], &r.Incarnation)
+		out = append(out, r)
+	}
+	return out
+}
+
+func states(table *Table, now time.Time) string {
+	var b strings.Builder
+	for _, x := range table.Targets(now) {
+		fmt.Fprintf(&b, "%s %s life %d/%s", x.ID, x.StateName, x.Incarnation, x.Weights)
+		if x.BreakerOpen {
+			b.WriteString(" breaker open")
+		}
+		b.WriteString("\n")
+	}
+	for _, x := range table.Peers(now) {
+		fmt.Fprintf(&b, "%s %s\n", x.ID, x.StateName)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/relay/fuzz_test.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+const attempt = "att-1"
+
+// wire is what a good target sends: n numbered chunks, the last with a finish
+// reason, then the end.
+func wire(n int) []string {
+	var out []string
+	for i := 1; i <= n; i++ {
+		finish := "null"
+		if i == n {
+			finish = `"stop"`
+		}
+		out = append(out, fmt.Sprintf("id: %d\ndata: {\"id\":\"%s\",\"n\":%d,\"finish_reason\":%s}\n\n", i, attempt, i, finish))
+	}
+	return append(out, fmt.Sprintf("id: %d\ndata: [DONE]\n\n", n+1))
+}
+
+// damage does to the events what targets and networks do.
+func damage(rt *rapid.T, events []string) string {
+	for range rapid.IntRange(0, 3).Draw(rt, "damages") {
+		i := rapid.IntRange(0, len(events)-1).Draw(rt, "at")
+		j := rapid.IntRange(0, len(events)-1).Draw(rt, "other")
+		switch rapid.IntRange(0, 4).Draw(rt, "damage") {
+		case 0: // lost
+			events = append(events[:i:i], events[i+1:]...)
+		case 1: // twice
+			events = append(events[:i+1:i+1], events[i:]...)
+		case 2: // out of order
+			events[i], events[j] = events[j], events[i]
+		case 3: // of another answer
+			events[i] = strings.ReplaceAll(events[i], attempt, "att-2")
+		default: // an error instead
+			events[i] = "event: error\ndata: {}\n\n"
+		}
+		if len(events) == 0 {
+			return ""
+		}
+	}
+	text := strings.Join(events, "")
+	if rapid.Bool().Draw(rt, "cut") {
+		text = text[:rapid.IntRange(0, len(text)).Draw(rt, "cut at")]
+	}
+	return text
+}
+
+// readAll relays one connection and returns the numbers passed on.
+func readAll(v *Verifier, text string) (passed []string, err error) {
+	r := NewReader(strings.NewReader(text))
+	for {
+		ev, err := r.Next()
+		if err != nil {
+			return passed, err
+		}
+		verdict, err := v.Accept(ev)
+		if err != nil {
+			return passed, err
+		}
+		if verdict == Forward {
+			passed = append(passed, string(ev.Data))
+		}
+		if verdict == Done {
+			return passed, nil
+		}
+	}
+}
+
+// TestWholeOrBroken draws damage, and resumes behind it: what is passed on is at
+// every moment a prefix of the true answer, and it counts as complete only if it
+// is all of it.
+func TestWholeOrBroken(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "events")
+		v := NewVerifier(attempt)
+		var got []string
+		for range rapid.IntRange(1, 3).Draw(rt, "connections") {
+			if v.Complete() {
+				break
+			}
+			passed, err := readAll(v, damage(rt, wire(n)[v.Last():]))
+			got = append(got, passed...)
+			if (err == nil) != v.Complete() {
+				rt.Fatalf("error %v, complete %v", err, v.Complete())
+			}
+		}
+		for i, data := range got {
+			if !strings.Contains(data, fmt.Sprintf(`"n":%d,`, i+1)) || !strings.Contains(data, attempt) {
+				rt.Fatalf("event %d passed on is %s", i+1, data)
+			}
+		}
+		if v.Complete() && len(got) != n {
+			rt.Fatalf("complete with %d of %d events", len(got), n)
+		}
+	})
+}
+
+// A target that numbers nothing is checked by finish reason and end alone.
+func TestUnnumbered(t *testing.T) {
+	text := "data: {\"id\":\"att-1\",\"finish_reason\":null}\n\ndata: {\"id\":\"att-1\",\"finish_reason\":\"stop\"}\n\ndata: [DONE]\n\n"
+	v := NewVerifier(attempt)
+	if got, err := readAll(v, text); err != nil || len(got) != 2 {
+		t.Fatalf("%v, %v", got, err)
+	}
+	v = NewVerifier(attempt)
+	if _, err := readAll(v, strings.Replace(text, `"stop"`, "null", 1)); err == nil {
+		t.Fatal("an end without a finish reason was taken for complete")
+	}
+}
+
+func TestReaderLimits(t *testing.T) {
+	long := "data: " + strings.Repeat("x", maxEventBytes+10) + "\n\n"
+	if _, err := NewReader(strings.NewReader(long)).Next(); err == nil {
+		t.Fatal("an event over the limit was read")
+	}
+	line := "data: " + strings.Repeat("y", 3*readBuffer) + "\n\n"
+	ev, err := NewReader(strings.NewReader(line)).Next()
+	if err != nil || len(ev.Data) != 3*readBuffer {
+		t.Fatalf("%d bytes, %v", len(ev.Data), err)
+	}
+	if _, err := NewReader(strings.NewReader("data: half")).Next(); err != io.ErrUnexpectedEOF {
+		t.Fatalf("cut within a line: %v", err)
+	}
+}
+
+func BenchmarkRelay(b *testing.B) {
+	text := strings.Join(wire(1000), "")
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		v := NewVerifier(attempt)
+		if _, err := readAll(v, text); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(1000*b.N)/b.Elapsed().Seconds(), "events/s")
+}
