--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 
@@ -17,6 +18,7 @@
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/yardstick"
 )
 
 func main() {
@@ -26,7 +28,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -167,3 +169,26 @@
 		Result: res, TTFT: lab.QuantilesOf(res.TTFT), Booked: res.Booked, NotRun: res.NotRun, Wrong: res.Wrong,
 	})
 }
+
+func yardstickCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "yardstick",
+		Usage: "measure routing policies in virtual time; the same seed gives the same figures",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringSliceFlag{Name: "workload", Usage: "only these workloads"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var results []*yardstick.Result
+			for _, w := range yardstick.Workloads(c.Uint64("seed")) {
+				if only := c.StringSlice("workload"); len(only) > 0 && !slices.Contains(only, w.Name) {
+					continue
+				}
+				for _, p := range append(yardstick.Baselines(), yardstick.Product()) {
+					results = append(results, yardstick.Run(w, p))
+				}
+			}
+			return yardstick.Print(os.Stdout, results)
+		},
+	}
+}
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -24,7 +24,7 @@
 
 // Pick implements Picker.
 func (p BandPicker) Pick(r *Request, v *View, _ []Input, costs []float32) int {
-	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 { return affinity(r, &v.Targets[i]) })
+	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 { return Affinity(r, &v.Targets[i]) })
 }
 
 // Pick implements Picker.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -203,9 +203,9 @@
 // expectedCached is a belief weighed by the trust in it, in tokens.
 func expectedCached(in *Input) int32 { return int32(float32(in.Cached) * in.Trust) }
 
-// affinity is the rendezvous weight of a target for a request: equal on all VMs,
+// Affinity is the rendezvous weight of a target for a request: equal on all VMs,
 // so that VMs which know nothing of each other send a prefix to the same place.
-func affinity(r *Request, t *Target) uint64 {
+func Affinity(r *Request, t *Target) uint64 {
 	return xxh3.HashSeed(hashBytes(t.Hash), AffinityKey(r))
 }
 
--- /dev/null
+++ b/internal/yardstick/policies.go
@@ -0,0 +1,56 @@
+package yardstick
+
+import (
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// rendezvous is a baseline: the highest rendezvous weight of the prompt's prefix
+// whose queue is within a bound of the mean. It needs no knowledge of caches.
+type rendezvous struct{ bound float32 }
+
+var _ routing.Picker = rendezvous{}
+
+// Pick implements routing.Picker; costs are queue waits.
+func (p rendezvous) Pick(r *routing.Request, v *routing.View, _ []routing.Input, costs []float32) int {
+	sum, n := float32(0), float32(0)
+	for _, c := range costs {
+		if c < maxCost {
+			sum += c
+			n++
+		}
+	}
+	if n == 0 {
+		return -1
+	}
+	limit := p.bound*sum/n + boundSlack
+	best, weight := -1, uint64(0)
+	for i, c := range costs {
+		if w := routing.Affinity(r, &v.Targets[i]); c <= limit && (best < 0 || w > weight) {
+			best, weight = i, w
+		}
+	}
+	return best
+}
+
+const (
+	maxCost    = 1e30
+	boundSlack = 0.25 // seconds, so that an idle fleet keeps its affinity
+)
+
+// Baselines are the policies that the product is measured against.
+func Baselines() []Policy {
+	queue := []routing.Scorer{routing.QueueScorer{}}
+	return []Policy{
+		{Name: "round-robin", Router: routing.NewRoundRobin},
+		{Name: "least-load", Router: func() *routing.Router {
+			return &routing.Router{Filters: routing.AllFilters, Scorers: queue, Picker: routing.RandomBandPicker{Seconds: 0.001}}
+		}},
+		{Name: "rendezvous", Router: func() *routing.Router {
+			return &routing.Router{Filters: routing.AllFilters, Scorers: queue, Picker: rendezvous{bound: 1.25}}
+		}},
+		{Name: "oracle", Router: routing.NewCost, Exact: true},
+	}
+}
+
+// Product is the product's policy.
+func Product() Policy { return Policy{Name: "cost", Router: routing.NewCost} }
--- /dev/null
+++ b/internal/yardstick/report.go
@@ -0,0 +1,47 @@
+package yardstick
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Print writes results as a table; ratios are against the oracle's row of the
+// same workload, if there is one.
+func Print(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "workload\tpolicy\trequests\trefused\tfailed\tattempts/req\thit rate\t/oracle\twasted ktok\trecomputed ktok\t/oracle\tTTFT p50\tp95\tp99 ms\tp99/oracle\tfairness\t")
+	for _, r := range results {
+		o := oracleOf(results, r)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t%.2f\t%.3f\t\n",
+			r.Workload, r.Policy, r.Requests, r.Refused, r.Failed, float64(r.Attempts)/float64(max(r.Requests-r.Refused, 1)),
+			r.HitRate(), r.HitRate()/o.HitRate(), r.Wasted/1000, r.Recomputed/1000, float64(r.Recomputed)/float64(max(o.Recomputed, 1)),
+			r.Quantile(50), r.Quantile(95), r.Quantile(99), r.Quantile(99)/o.Quantile(99), r.Fairness())
+	}
+	return t.Flush()
+}
+
+func oracleOf(results []*Result, r *Result) *Result {
+	for _, o := range results {
+		if o.Workload == r.Workload && o.Policy == "oracle" {
+			return o
+		}
+	}
+	return r
+}
+
+// Fairness is Jain's index of the part of each workspace's requests that was
+// answered: 1 when all fare alike.
+func (r *Result) Fairness() float64 {
+	sum, squares, n := 0.0, 0.0, 0.0
+	for ws, asked := range r.Asked {
+		part := float64(r.ByWorkspace[ws]) / float64(max(asked, 1))
+		sum += part
+		squares += part * part
+		n++
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (n * squares)
+}
