Let avoidable work cost more where everybody queues

Cause: on barreras the cost policy fell into a state that it did not leave: each miss lengthens the queues, long queues send requests away from their prefix, and that misses again. The weight of recomputation (0.8) was fixed, while under load a second of engine time is taken from everybody behind.

Change: the weight grows by 4 for each second of mean wait over the eligible targets (RecomputeScorer.PerSecondWait).

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -177,6 +177,8 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.StringSliceFlag{Name: "workload", Usage: "only these workloads"},
+			&cli.BoolFlag{Name: "variants", Usage: "also the product's policy without some of its knowledge"},
+			&cli.BoolFlag{Name: "product-only", Usage: "leave the baselines out"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			var results []*yardstick.Result
@@ -184,7 +186,7 @@
 				if only := c.StringSlice("workload"); len(only) > 0 && !slices.Contains(only, w.Name) {
 					continue
 				}
-				for _, p := range append(yardstick.Baselines(), yardstick.Product()) {
+				for _, p := range policies(c.Bool("product-only"), c.Bool("variants")) {
 					results = append(results, yardstick.Run(w, p))
 				}
 			}
@@ -192,3 +194,14 @@
 		},
 	}
 }
+
+func policies(productOnly, variants bool) []yardstick.Policy {
+	out := []yardstick.Policy{yardstick.Product()}
+	if !productOnly {
+		out = append(yardstick.Baselines(), out...)
+	}
+	if variants {
+		out = append(out, yardstick.Variants()...)
+	}
+	return out
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -256,6 +256,7 @@
 	if r.text.Len() == 0 || r.attempts == 1 {
 		r.d.Fleet.Cache.Answered(call.Target, life, r.p.Levels, r.prior, u.Details.CachedTokens)
 	}
+	r.d.Fleet.Load.Answered(call.Target, u.PromptTokens, u.Details.CachedTokens)
 	r.d.Stats.PromptTokens.Add(int64(u.PromptTokens))
 	r.d.Stats.CachedTokens.Add(int64(u.Details.CachedTokens))
 	r.d.Stats.OutputTokens.Add(int64(u.CompletionTokens))
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -20,6 +20,8 @@
 	pending  float64 // tokens of prefill without a first token yet
 	inFlight int
 	sent     []sent // newest last
+	missed   float64
+	answers  int
 }
 
 type sent struct {
@@ -86,6 +88,35 @@
 	}
 }
 
+// missGain smooths the part of prompt tokens that a target had to compute.
+const missGain = 0.1
+
+// Answered learns from an answer what part of prompt tokens the target had to
+// compute. Engines report queues in prompt tokens, most of which are cached.
+func (t *Tracker) Answered(target ids.Target, prompt, cached int32) {
+	if prompt <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.own[target]
+	if o == nil {
+		o = &own{}
+		t.own[target] = o
+	}
+	o.answers++
+	o.missed += max(missGain, 1/float64(o.answers)) * (float64(prompt-cached)/float64(prompt) - o.missed)
+}
+
+// missRatio is the part of reported tokens that will have to be computed; all of
+// them as long as nothing is known.
+func (o *own) missRatio() float64 {
+	if o.answers == 0 {
+		return 1
+	}
+	return o.missed
+}
+
 // Load is an estimate for one target.
 type Load struct {
 	QueueTokens float64
@@ -102,7 +133,7 @@
 	if o == nil {
 		o = &own{}
 	}
-	tokens := float64(queued)
+	tokens := float64(queued) * o.missRatio()
 	if age > memory {
 		tokens = 0 // too old to say anything; own work is all that is known
 		age = memory
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -32,7 +32,7 @@
 	if t.Service != r.Service || r.Service == "" && t.Model != r.Model {
 		return WrongModel
 	}
-	return Eligible
+	return Passed
 }
 
 // Check implements Filter.
@@ -40,7 +40,7 @@
 	if in.State <= Leaving {
 		return NotServing
 	}
-	return Eligible
+	return Passed
 }
 
 // Check implements Filter.
@@ -48,7 +48,7 @@
 	if in.BreakerOpen {
 		return BreakerOpen
 	}
-	return Eligible
+	return Passed
 }
 
 // Check implements Filter.
@@ -56,7 +56,7 @@
 	if in.Tried {
 		return AlreadyTried
 	}
-	return Eligible
+	return Passed
 }
 
 // HashTarget returns the value for Target.Hash.
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -1,8 +1,6 @@
 package routing
 
-import "github.com/zeebo/xxh3"
-
-// BandPicker takes the cheapest target; among those within a band above the
+import "github.com/zeebo/xxh3" // BandPicker takes the cheapest target; among those within a band above the
 // cheapest it takes the one with the highest rendezvous weight for the prompt's
 // prefix, so that VMs with slightly different pictures agree.
 type BandPicker struct {
@@ -85,6 +83,7 @@
 	defaultBandSeconds     = 0.002
 	defaultDistanceSeconds = 0.004
 	defaultSlowStart       = 0.25
+	defaultPerSecondWait   = 4
 )
 
 // AllFilters are the filters of every policy.
@@ -98,7 +97,7 @@
 		Scorers: []Scorer{
 			QueueScorer{},
 			PrefillScorer{},
-			RecomputeScorer{},
+			RecomputeScorer{PerSecondWait: defaultPerSecondWait},
 			DistanceScorer{Seconds: defaultDistanceSeconds},
 			SlowStartScorer{Seconds: defaultSlowStart},
 		},
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -37,7 +37,7 @@
 func (s *Scratch) FilteredByName() map[string]int {
 	out := map[string]int{}
 	for r, n := range s.Filtered {
-		if n > 0 && Reason(r) != Eligible {
+		if n > 0 && Reason(r) != Passed {
 			out[reasonNames[r]] = n
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -82,7 +82,7 @@
 
 // The reasons.
 const (
-	Eligible Reason = iota
+	Passed Reason = iota
 	WrongModel
 	NotServing
 	BreakerOpen
@@ -112,7 +112,14 @@
 
 // Scorer gives one part of a target's cost, in seconds.
 type Scorer interface {
-	Cost(r *Request, t *Target, in *Input, best int32) float32
+	Cost(r *Request, t *Target, in *Input, e *Eligible) float32
+}
+
+// Eligible sums up the targets that passed the filters.
+type Eligible struct {
+	Count    int
+	Best     int32   // deepest expected cached prefix, in tokens
+	MeanWait float32 // mean wait for a turn, in seconds
 }
 
 // Picker chooses among costs; an infinite cost is not eligible. It returns -1
@@ -134,16 +141,16 @@
 // Decide picks a target. len(in) must be len(v.Targets).
 func (p *Router) Decide(r *Request, v *View, in []Input, s *Scratch) Decision {
 	s.reset(len(v.Targets))
-	best := p.filter(r, v, in, s)
+	e := p.filter(r, v, in, s)
 	for i := range v.Targets {
 		if s.costs[i] == infinite {
 			continue
 		}
 		for _, sc := range p.Scorers {
-			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], best)
+			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], &e)
 		}
 	}
-	d := Decision{Index: p.Picker.Pick(r, v, in, s.costs), BestCached: best}
+	d := Decision{Index: p.Picker.Pick(r, v, in, s.costs), BestCached: e.Best}
 	if d.Index >= 0 {
 		d.Cost = s.costs[d.Index]
 		d.Cached = in[d.Index].Cached
@@ -164,20 +171,20 @@
 // Costs returns the costs of the last decision, in the order of its view.
 func (s *Scratch) Costs() []float32 { return s.costs }
 
-// filter marks ineligible targets in s.costs and returns the deepest belief
-// among the rest. Suspect targets stay only when nothing better does.
-func (p *Router) filter(r *Request, v *View, in []Input, s *Scratch) int32 {
+// filter marks ineligible targets in s.costs and sums up the rest. Suspect
+// targets stay only when nothing better does.
+func (p *Router) filter(r *Request, v *View, in []Input, s *Scratch) Eligible {
 	healthy := false
 	for i := range v.Targets {
 		reason := p.check(r, &v.Targets[i], &in[i])
 		s.Filtered[reason]++
-		if reason != Eligible {
+		if reason != Passed {
 			s.costs[i] = infinite
 			continue
 		}
 		healthy = healthy || in[i].State != Suspect
 	}
-	var best int32
+	var e Eligible
 	for i := range in {
 		if s.costs[i] == infinite {
 			continue
@@ -186,18 +193,21 @@
 			s.costs[i] = infinite
 			continue
 		}
-		best = max(best, expectedCached(&in[i]))
+		e.Count++
+		e.Best = max(e.Best, expectedCached(&in[i]))
+		e.MeanWait += queueWait(&in[i])
 	}
-	return best
+	e.MeanWait /= float32(max(e.Count, 1))
+	return e
 }
 
 func (p *Router) check(r *Request, t *Target, in *Input) Reason {
 	for _, f := range p.Filters {
-		if reason := f.Check(r, t, in); reason != Eligible {
+		if reason := f.Check(r, t, in); reason != Passed {
 			return reason
 		}
 	}
-	return Eligible
+	return Passed
 }
 
 // expectedCached is a belief weighed by the trust in it, in tokens.
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -10,7 +10,11 @@
 // RecomputeScorer reads the deepest belief of any eligible target: seconds of
 // engine time spent on tokens that another target holds, weighed by the
 // template. It is what keeps a storm from filling every engine with copies.
-type RecomputeScorer struct{}
+//
+// The weight grows by PerSecondWait for each second of mean wait over all
+// eligible targets: where everybody queues, a second of engine time is taken from
+// everybody behind, so avoidable work has a price that rises with the load.
+type RecomputeScorer struct{ PerSecondWait float32 }
 
 // DistanceScorer reads the failure domain: going elsewhere costs a fixed time.
 type DistanceScorer struct{ Seconds float32 }
@@ -39,20 +43,21 @@
 }
 
 // Cost implements Scorer.
-func (QueueScorer) Cost(_ *Request, _ *Target, in *Input, _ int32) float32 { return queueWait(in) }
+func (QueueScorer) Cost(_ *Request, _ *Target, in *Input, _ *Eligible) float32 { return queueWait(in) }
 
 // Cost implements Scorer.
-func (PrefillScorer) Cost(r *Request, _ *Target, in *Input, _ int32) float32 {
+func (PrefillScorer) Cost(r *Request, _ *Target, in *Input, _ *Eligible) float32 {
 	return prefillTime(r, in)
 }
 
 // Cost implements Scorer.
-func (RecomputeScorer) Cost(r *Request, _ *Target, in *Input, best int32) float32 {
-	return r.RecomputeWeight * float32(max(best-expectedCached(in), 0)) / rate(in)
+func (s RecomputeScorer) Cost(r *Request, _ *Target, in *Input, e *Eligible) float32 {
+	weight := r.RecomputeWeight + s.PerSecondWait*e.MeanWait
+	return weight * float32(max(e.Best-expectedCached(in), 0)) / rate(in)
 }
 
 // Cost implements Scorer.
-func (s DistanceScorer) Cost(r *Request, t *Target, _ *Input, _ int32) float32 {
+func (s DistanceScorer) Cost(r *Request, t *Target, _ *Input, _ *Eligible) float32 {
 	if t.FailureDomain == r.FailureDomain {
 		return 0
 	}
@@ -60,6 +65,6 @@
 }
 
 // Cost implements Scorer.
-func (s SlowStartScorer) Cost(_ *Request, _ *Target, in *Input, _ int32) float32 {
+func (s SlowStartScorer) Cost(_ *Request, _ *Target, in *Input, _ *Eligible) float32 {
 	return s.Seconds * (1 - in.SlowStart)
 }
--- a/internal/yardstick/policies.go
+++ b/internal/yardstick/policies.go
@@ -54,3 +54,12 @@
 
 // Product is the product's policy.
 func Product() Policy { return Policy{Name: "cost", Router: routing.NewCost} }
+
+// Variants are the product's policy with one source of knowledge taken away.
+func Variants() []Policy {
+	return []Policy{
+		{Name: "cost, no feed", Router: routing.NewCost, Knowledge: Knowledge{NoFeed: true}},
+		{Name: "cost, no peers", Router: routing.NewCost, Knowledge: Knowledge{NoPeers: true}},
+		{Name: "cost, no expect", Router: routing.NewCost, Knowledge: Knowledge{NoExpect: true}},
+	}
+}
