Believe in a prefix until told otherwise, and tell peers at dispatch

Beliefs faded with age (trust, lifetime), although a prefix that other VMs use stays cached; peers heard of a prefix only when its answer ended; cold requests of one workspace went to different targets.

--- a/internal/cacheview/fuzz_test.go
+++ b/internal/cacheview/fuzz_test.go
@@ -111,11 +111,11 @@
 }
 
 func (o *oracle) check(rt *rapid.T, x *Index, targets []ids.Target) {
-	out := make([]Overlap, len(targets))
+	out := make([]int32, len(targets))
 	for id := prefix.ID(1); id <= 12; id++ {
 		x.Lookup([]prefix.Level{{ID: id, Tokens: 16}}, out)
 		for i, t := range targets {
-			if out[i].Tokens > 0 && !o.held[t][id] {
+			if out[i] > 0 && !o.held[t][id] {
 				rt.Fatalf("%s is believed to hold %d", t, id)
 			}
 		}
@@ -130,9 +130,9 @@
 	for i := range 1 << 16 {
 		x.SetLife("t", ids.Incarnation(i+2), "w")
 	}
-	out := make([]Overlap, 1)
+	out := make([]int32, 1)
 	x.Lookup([]prefix.Level{{ID: 5, Tokens: 16}}, out)
-	if out[0].Tokens != 0 {
+	if out[0] != 0 {
 		t.Fatal("a belief came back to life")
 	}
 }
--- a/internal/cacheview/index.go
+++ b/internal/cacheview/index.go
@@ -63,7 +63,6 @@
 	current     Life
 	epoch       uint16
 	lastSeq     uint64
-	life        lifetime
 }
 
 // Stats counts what happened to beliefs. Read by Index.Stats.
@@ -114,7 +113,7 @@
 		return n
 	}
 	n := TargetNum(len(x.targets))
-	x.targets = append(x.targets, targetState{name: t, life: newLifetime()})
+	x.targets = append(x.targets, targetState{name: t})
 	x.nums[t] = n
 	return n
 }
@@ -226,27 +225,19 @@
 // an old belief look young once.
 func (x *Index) tick() uint32 { return uint32(x.now().Sub(x.start).Milliseconds()) }
 
-// Overlap is what the index believes of one target about one prompt.
-type Overlap struct {
-	Tokens int32   // deepest believed prefix, in tokens
-	Trust  float32 // chance in 0..1 that it is still cached
-}
-
 // Lookup fills out, indexed by TargetNum, with the deepest believed prefix of
-// the prompt on each target; targets beyond len(out) are left out.
-func (x *Index) Lookup(levels []prefix.Level, out []Overlap) {
+// the prompt on each target, in tokens; targets beyond len(out) are left out.
+//
+// A belief does not fade with age: a prefix that other VMs use stays cached
+// without this VM hearing of it. docs/design/routing.md has the measurement.
+func (x *Index) Lookup(levels []prefix.Level, out []int32) {
 	clear(out)
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	now := x.tick()
 	for _, l := range levels {
 		for _, e := range x.window(l.ID) {
-			if e.id != l.ID || int(e.target) >= len(out) || l.Tokens < out[e.target].Tokens {
-				continue
-			}
-			t := &x.targets[e.target]
-			if t.epoch == e.epoch {
-				out[e.target] = Overlap{Tokens: l.Tokens, Trust: t.life.trust(now - e.tick)}
+			if e.id == l.ID && int(e.target) < len(out) && x.targets[e.target].epoch == e.epoch {
+				out[e.target] = max(out[e.target], l.Tokens)
 			}
 		}
 	}
@@ -272,10 +263,19 @@
 			prior[i] = int32(now - e.tick)
 		}
 		x.put(l.ID, n)
+		x.tell(l.ID, n, prior[i])
 	}
 	return prior
 }
 
+// tell keeps a belief for peers if it is new or was not confirmed for long.
+func (x *Index) tell(id prefix.ID, n TargetNum, age int32) {
+	s := &x.targets[n]
+	if len(x.fresh) < maxFresh && (age == notBelieved || age > freshAfter) {
+		x.fresh = append(x.fresh, Known{ID: id, Target: s.name, Life: s.current})
+	}
+}
+
 // Answered corrects beliefs by an answer: the target in that life reused cached
 // tokens of the prompt, and holds all of it now. prior is what Expect returned.
 func (x *Index) Answered(t ids.Target, life Life, levels []prefix.Level, prior Prior, cached int32) {
@@ -291,23 +291,18 @@
 		if i < len(prior) {
 			age = prior[i]
 		}
-		if len(x.fresh) < maxFresh && (age == notBelieved || age > freshAfter) {
-			x.fresh = append(x.fresh, Known{ID: l.ID, Target: t, Life: life})
-		}
-		x.judge(s, age, l.Tokens <= cached)
+		x.judge(age, l.Tokens <= cached)
 		x.put(l.ID, n)
 	}
 }
 
-// judge learns from a belief of some age that proved right or wrong.
-func (x *Index) judge(s *targetState, age int32, hit bool) {
-	if age == notBelieved {
-		return
-	}
-	s.life.observe(uint32(age), hit)
-	if hit {
+// judge counts a belief that proved right or wrong.
+func (x *Index) judge(age int32, hit bool) {
+	switch {
+	case age == notBelieved:
+	case hit:
 		x.stats.Confirmed++
-	} else {
+	default:
 		x.stats.Refuted++
 	}
 }
@@ -342,8 +337,8 @@
 // freshAfter is how old a belief must be to be told again, in milliseconds.
 const freshAfter = 10_000
 
-// TakeFresh returns the beliefs that this VM's own answers made or renewed since
-// the last call.
+// TakeFresh returns the beliefs that this VM's own dispatches made or renewed
+// since the last call.
 func (x *Index) TakeFresh() []Known {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/cli/queries/vms.go
+++ b/internal/cli/queries/vms.go
@@ -172,12 +172,12 @@
 	for reason, n := range d.Filtered {
 		common.Row(w, "", "", "filtered", n, reason)
 	}
-	common.Row(w, "", "", "", "TARGET", "COST s", "QUEUED tokens", "CACHED tokens", "TRUST", "STATE")
+	common.Row(w, "", "", "", "TARGET", "COST s", "QUEUED tokens", "CACHED tokens", "STATE")
 	for _, x := range d.Candidates {
 		mark := ""
 		if x.Target == ids.Target(d.Chosen) {
 			mark = "chosen"
 		}
-		common.Row(w, "", "", mark, x.Target, x.Cost, int(x.Input.QueueTokens), x.Input.Cached, x.Input.Trust, x.Input.State)
+		common.Row(w, "", "", mark, x.Target, x.Cost, int(x.Input.QueueTokens), x.Input.Cached, x.Input.State)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -188,7 +188,7 @@
 	snap, dec := r.d.Fleet.Decide(&req, r.tried, sc)
 	rec := DecisionRecord{
 		Policy: r.d.Fleet.PolicyName(), Seed: req.Seed, Tokens: req.Tokens, Weight: req.RecomputeWeight,
-		Levels: len(req.Levels), Affinity: routing.AffinityKey(&req), Domain: req.FailureDomain,
+		Levels: len(req.Levels), Affinity: routing.AffinityKey(&req, dec.BestCached), Domain: req.FailureDomain,
 		Filtered: sc.Routing.FilteredByName(), Candidates: routing.TopCandidates(&snap.View, sc.Inputs, &sc.Routing),
 		Predicted: dec.PredictedTTFT,
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,7 @@
 
 	policy  *routing.Router
 	counter atomic.Uint64
+	vms     atomic.Int64
 	snap    atomic.Pointer[Snapshot]
 	dirty   atomic.Bool
 	scratch sync.Pool
@@ -52,6 +53,16 @@
 	return f
 }
 
+// SetVMs tells how many VMs, this one included, decide about the same targets.
+func (f *Fleet) SetVMs(n int) { f.vms.Store(int64(n)) }
+
+// unseenShare is how much of the other VMs' traffic is assumed to go where this
+// VM's goes. docs/design/routing.md gives the measurement.
+const unseenShare = 0.3
+
+// scale is by how much own traffic is multiplied to stand for all.
+func (f *Fleet) scale() float64 { return 1 + unseenShare*float64(max(f.vms.Load()-1, 0)) }
+
 // Refresh makes a new snapshot. A duty calls it every few tens of milliseconds.
 func (f *Fleet) Refresh() *Snapshot {
 	f.dirty.Store(false)
@@ -114,7 +125,7 @@
 type Scratch struct {
 	Routing  routing.Scratch
 	Inputs   []routing.Input
-	overlaps []cacheview.Overlap
+	overlaps []int32
 }
 
 // Acquire returns scratch memory; give it back with Release.
@@ -137,7 +148,7 @@
 	}
 	sc.Inputs = sc.Inputs[:n]
 	if cap(sc.overlaps) <= snap.maxNum {
-		sc.overlaps = make([]cacheview.Overlap, snap.maxNum+1)
+		sc.overlaps = make([]int32, snap.maxNum+1)
 	}
 	sc.overlaps = sc.overlaps[:snap.maxNum+1]
 	f.Cache.Lookup(r.Levels, sc.overlaps)
@@ -160,17 +171,18 @@
 // slotSeconds is the expected wait for each request beyond the batch's places.
 const slotSeconds = 0.25
 
-func (f *Fleet) input(snap *Snapshot, i int, o cacheview.Overlap, now time.Time) routing.Input {
+func (f *Fleet) input(snap *Snapshot, i int, cached int32, now time.Time) routing.Input {
 	st := &snap.statuses[i]
 	rate := st.Report.PrefillRate
 	if rate <= 0 {
 		rate = snap.rate
 	}
-	load := f.Load.Estimate(st.ID, st.Report.QueuedTokens, rate, st.ReportAge+now.Sub(snap.at), now)
+	report := loadview.Report{Queued: st.Report.QueuedTokens, Rate: rate, Age: st.ReportAge + now.Sub(snap.at)}
+	load := f.Load.Estimate(st.ID, report, f.scale(), now)
 	in := routing.Input{
 		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart,
 		QueueTokens: float32(load.QueueTokens), PrefillRate: float32(rate),
-		Cached: o.Tokens, Trust: o.Trust,
+		Cached: cached,
 	}
 	if busy := max(st.Report.Running, load.OwnInFlight) + 1 - st.Report.Slots; st.Report.Slots > 0 && busy > 0 {
 		in.SlotWait = slotSeconds * float32(busy)
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -123,10 +123,20 @@
 	OwnInFlight int
 }
 
-// Estimate combines a report with own work. The report is drained at the
-// target's prefill rate over its age, and what this VM sent since is added; own
-// requests that still wait for their first token are a lower bound.
-func (t *Tracker) Estimate(target ids.Target, queued int, rate float64, age time.Duration, now time.Time) Load {
+// Report is a target's last word on its load.
+type Report struct {
+	Queued int           // prompt tokens
+	Rate   float64       // prefill, tokens/s
+	Age    time.Duration // since the target said so
+}
+
+// Estimate combines a report with work sent since. The report is drained at the
+// target's prefill rate over its age, and what this VM sent since is added, times
+// scale: the balancer spreads callers evenly and all VMs prefer the same targets
+// for a prefix, so what one VM sent, the others will have sent too. Own requests
+// that still wait for their first token are a lower bound.
+func (t *Tracker) Estimate(target ids.Target, r Report, scale float64, now time.Time) Load {
+	queued, rate, age := r.Queued, r.Rate, r.Age
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.own[target]
@@ -139,7 +149,7 @@
 		age = memory
 	}
 	for i := len(o.sent) - 1; i >= 0 && now.Sub(o.sent[i].at) < age; i-- {
-		tokens += o.sent[i].tokens
+		tokens += o.sent[i].tokens * scale
 	}
 	tokens -= rate * age.Seconds()
 	return Load{QueueTokens: max(tokens, o.pending, 0), OwnInFlight: o.inFlight}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -91,16 +91,20 @@
 func (n *Node) AdoptPlatform(_ objectapi.Revision, objects []objectapi.Object) {
 	records, _ := platform.Decode(objects)
 	n.Fleet.Members.Platform(records, time.Now())
-	vms, hashes := 0, map[uint64]ids.Target{}
+	vms, near, hashes := 0, 0, map[uint64]ids.Target{}
 	for _, r := range records {
 		if r.Role == platform.RoleEntry {
 			vms++
+			if r.FailureDomain == n.Domain {
+				near++
+			}
 			continue
 		}
 		hashes[routing.HashTarget(ids.Target(r.ID))] = ids.Target(r.ID)
 	}
 	n.byHash.Store(&hashes)
 	n.Shares.SetVMs(vms)
+	n.Fleet.SetVMs(near)
 	n.Fleet.MarkDirty()
 }
 
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/zeebo/xxh3" // BandPicker takes the cheapest target; among those within a band above the
+import (
+	"github.com/zeebo/xxh3"
+)
+
+// BandPicker takes the cheapest target; among those within a band above the
 // cheapest it takes the one with the highest rendezvous weight for the prompt's
 // prefix, so that VMs with slightly different pictures agree.
 type BandPicker struct {
@@ -21,12 +25,13 @@
 )
 
 // Pick implements Picker.
-func (p BandPicker) Pick(r *Request, v *View, _ []Input, costs []float32) int {
-	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 { return Affinity(r, &v.Targets[i]) })
+func (p BandPicker) Pick(r *Request, v *View, e *Eligible, costs []float32) int {
+	key := AffinityKey(r, e.Best)
+	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 { return Affinity(key, &v.Targets[i]) })
 }
 
 // Pick implements Picker.
-func (p RandomBandPicker) Pick(r *Request, v *View, _ []Input, costs []float32) int {
+func (p RandomBandPicker) Pick(r *Request, v *View, _ *Eligible, costs []float32) int {
 	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 {
 		return xxh3.HashSeed(hashBytes(v.Targets[i].Hash), r.Seed)
 	})
@@ -54,7 +59,7 @@
 }
 
 // Pick implements Picker.
-func (RoundRobinPicker) Pick(r *Request, _ *View, _ []Input, costs []float32) int {
+func (RoundRobinPicker) Pick(r *Request, _ *View, _ *Eligible, costs []float32) int {
 	eligible := 0
 	for _, c := range costs {
 		if c != infinite {
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -44,11 +44,18 @@
 	return out
 }
 
-// AffinityKey returns the rendezvous key of a request: its deepest prefix, or
-// its seed if it has none.
-func AffinityKey(r *Request) uint64 {
-	if len(r.Levels) > 0 {
-		return uint64(r.Levels[len(r.Levels)-1].ID)
+// AffinityKey returns the rendezvous key of a request: the first level that no
+// eligible target is believed to hold, since that is what the choice will make
+// some target compute; the deepest level if all are held; the seed if there is
+// none. best is the deepest expected prefix of any eligible target.
+func AffinityKey(r *Request, best int32) uint64 {
+	for _, l := range r.Levels {
+		if l.Tokens > best {
+			return uint64(l.ID)
+		}
+	}
+	if n := len(r.Levels); n > 0 {
+		return uint64(r.Levels[n-1].ID)
 	}
 	return r.Seed
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -60,10 +60,8 @@
 	SlotWait float32 `json:"slot_wait"`
 	// PrefillRate is the target's measured speed in tokens/s.
 	PrefillRate float32 `json:"prefill_rate"`
-	// Cached is the deepest prefix believed cached, in tokens; Trust the chance
-	// that it still is.
-	Cached int32   `json:"cached"`
-	Trust  float32 `json:"trust"`
+	// Cached is the deepest prefix believed cached, in tokens.
+	Cached int32 `json:"cached"`
 }
 
 // Request is what a decision needs to know of a request.
@@ -125,7 +123,7 @@
 // Picker chooses among costs; an infinite cost is not eligible. It returns -1
 // when there is no choice.
 type Picker interface {
-	Pick(r *Request, v *View, in []Input, costs []float32) int
+	Pick(r *Request, v *View, e *Eligible, costs []float32) int
 }
 
 // Router is a fixed pipeline. It holds no state between decisions.
@@ -150,7 +148,7 @@
 			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], &e)
 		}
 	}
-	d := Decision{Index: p.Picker.Pick(r, v, in, s.costs), BestCached: e.Best}
+	d := Decision{Index: p.Picker.Pick(r, v, &e, s.costs), BestCached: e.Best}
 	if d.Index >= 0 {
 		d.Cost = s.costs[d.Index]
 		d.Cached = in[d.Index].Cached
@@ -194,7 +192,7 @@
 			continue
 		}
 		e.Count++
-		e.Best = max(e.Best, expectedCached(&in[i]))
+		e.Best = max(e.Best, in[i].Cached)
 		e.MeanWait += queueWait(&in[i])
 	}
 	e.MeanWait /= float32(max(e.Count, 1))
@@ -210,13 +208,10 @@
 	return Passed
 }
 
-// expectedCached is a belief weighed by the trust in it, in tokens.
-func expectedCached(in *Input) int32 { return int32(float32(in.Cached) * in.Trust) }
-
-// Affinity is the rendezvous weight of a target for a request: equal on all VMs,
+// Affinity is the rendezvous weight of a target for a key: equal on all VMs,
 // so that VMs which know nothing of each other send a prefix to the same place.
-func Affinity(r *Request, t *Target) uint64 {
-	return xxh3.HashSeed(hashBytes(t.Hash), AffinityKey(r))
+func Affinity(key uint64, t *Target) uint64 {
+	return xxh3.HashSeed(hashBytes(t.Hash), key)
 }
 
 // String returns the state's name in status and time line.
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -39,7 +39,7 @@
 func queueWait(in *Input) float32 { return in.QueueTokens/rate(in) + in.SlotWait }
 
 func prefillTime(r *Request, in *Input) float32 {
-	return float32(max(r.Tokens-expectedCached(in), 0)) / rate(in)
+	return float32(max(r.Tokens-in.Cached, 0)) / rate(in)
 }
 
 // Cost implements Scorer.
@@ -53,7 +53,7 @@
 // Cost implements Scorer.
 func (s RecomputeScorer) Cost(r *Request, _ *Target, in *Input, e *Eligible) float32 {
 	weight := r.RecomputeWeight + s.PerSecondWait*e.MeanWait
-	return weight * float32(max(e.Best-expectedCached(in), 0)) / rate(in)
+	return weight * float32(max(e.Best-in.Cached, 0)) / rate(in)
 }
 
 // Cost implements Scorer.
--- a/internal/yardstick/policies.go
+++ b/internal/yardstick/policies.go
@@ -11,7 +11,7 @@
 var _ routing.Picker = rendezvous{}
 
 // Pick implements routing.Picker; costs are queue waits.
-func (p rendezvous) Pick(r *routing.Request, v *routing.View, _ []routing.Input, costs []float32) int {
+func (p rendezvous) Pick(r *routing.Request, v *routing.View, _ *routing.Eligible, costs []float32) int {
 	sum, n := float32(0), float32(0)
 	for _, c := range costs {
 		if c < maxCost {
@@ -23,9 +23,13 @@
 		return -1
 	}
 	limit := p.bound*sum/n + boundSlack
+	key := routing.AffinityKey(r, 0)
+	if n := len(r.Levels); n > 0 {
+		key = uint64(r.Levels[n-1].ID)
+	}
 	best, weight := -1, uint64(0)
 	for i, c := range costs {
-		if w := routing.Affinity(r, &v.Targets[i]); c <= limit && (best < 0 || w > weight) {
+		if w := routing.Affinity(key, &v.Targets[i]); c <= limit && (best < 0 || w > weight) {
 			best, weight = i, w
 		}
 	}
@@ -55,9 +59,12 @@
 // Product is the product's policy.
 func Product() Policy { return Policy{Name: "cost", Router: routing.NewCost} }
 
-// Variants are the product's policy with one source of knowledge taken away.
+// Variants are the product's policy with one part of its knowledge made exact, or
+// taken away.
 func Variants() []Policy {
 	return []Policy{
+		{Name: "cost, exact cache", Router: routing.NewCost, ExactCache: true},
+		{Name: "cost, exact load", Router: routing.NewCost, ExactLoad: true},
 		{Name: "cost, no feed", Router: routing.NewCost, Knowledge: Knowledge{NoFeed: true}},
 		{Name: "cost, no peers", Router: routing.NewCost, Knowledge: Knowledge{NoPeers: true}},
 		{Name: "cost, no expect", Router: routing.NewCost, Knowledge: Knowledge{NoExpect: true}},
--- a/internal/yardstick/run.go
+++ b/internal/yardstick/run.go
@@ -23,6 +23,8 @@
 	Router func() *routing.Router
 	// Exact gives decisions the true state of all engines: the oracle.
 	Exact bool
+	// ExactCache and ExactLoad give the true state of one of the two only.
+	ExactCache, ExactLoad bool
 	// Variant changes what a decider knows; see the fields of Knowledge.
 	Knowledge Knowledge
 }
@@ -145,8 +147,8 @@
 	reportLag    = 300 * time.Millisecond // at least; as much again at random
 	feedEvery    = 500 * time.Millisecond
 	feedLag      = 300 * time.Millisecond
-	tellEvery    = time.Second
-	tellLag      = 500 * time.Millisecond
+	tellEvery    = 250 * time.Millisecond
+	tellLag      = 100 * time.Millisecond
 )
 
 func (x *world) newDecider(i int, records []platform.Record) *decider {
@@ -159,6 +161,7 @@
 	if x.w.Gate != nil && !x.p.Knowledge.NoGate {
 		d.gate = x.w.Gate(x.now)
 	}
+	d.f.SetVMs(x.w.Deciders)
 	d.f.Members.Platform(records, x.now())
 	d.f.Refresh()
 	x.clk.every(refreshEvery, x.end, func() { d.f.Refresh() })
@@ -282,7 +285,7 @@
 	sc := r.d.f.Acquire()
 	defer r.d.f.Release(sc)
 	snap, dec := r.d.f.Decide(req, r.tried, sc)
-	if x.p.Exact {
+	if x.p.Exact || x.p.ExactCache || x.p.ExactLoad {
 		x.exact(r, sc.Inputs)
 		dec = x.oracle.Decide(req, &snap.View, sc.Inputs, &sc.Routing)
 	}
@@ -295,18 +298,25 @@
 // exact replaces what a decider believes by what is so.
 func (x *world) exact(r *request, in []routing.Input) {
 	for i, e := range x.engines {
-		in[i].State = routing.Live
+		in[i].State, in[i].SlowStart, in[i].BreakerOpen = routing.Live, 1, false
 		if !e.up {
 			in[i].State = routing.Dead
 		}
-		in[i].PrefillRate = float32(e.spec.PrefillRate)
-		in[i].QueueTokens = float32(e.exactWait().Seconds() * e.spec.PrefillRate)
-		in[i].SlotWait, in[i].SlowStart, in[i].BreakerOpen = 0, 1, false
-		if over := len(e.running) + len(e.queue) + 1 - e.spec.Slots; over > 0 {
-			in[i].SlotWait = float32(over) * float32(x.w.Output) * float32(e.spec.TokenEvery.Seconds()) / float32(e.spec.Slots)
+		if x.p.Exact || x.p.ExactLoad {
+			x.exactLoad(e, &in[i])
 		}
-		in[i].Cached = int32(min(e.cache.Holds(r.prompt.blocks)*blockTokens, r.prompt.tokens))
-		in[i].Trust = 1
+		if x.p.Exact || x.p.ExactCache {
+			in[i].Cached = int32(min(e.cache.Holds(r.prompt.blocks)*blockTokens, r.prompt.tokens))
+		}
+	}
+}
+
+func (x *world) exactLoad(e *fakeEngine, in *routing.Input) {
+	in.PrefillRate = float32(e.spec.PrefillRate)
+	in.QueueTokens = float32(e.exactWait().Seconds() * e.spec.PrefillRate)
+	in.SlotWait = 0
+	if over := len(e.running) + len(e.queue) + 1 - e.spec.Slots; over > 0 {
+		in.SlotWait = float32(over) * float32(x.w.Output) * float32(e.spec.TokenEvery.Seconds()) / float32(e.spec.Slots)
 	}
 }
 
