Estimate queues by measured misses and by what peers sent

Change: the age is bounded; the part of reported prompt tokens that misses is learned for all targets together, with gain 0.2 (one VM sees too few answers of each); costly dispatches tell peers their prefill along with the belief, and peers add it to the target's queue. The factor 1+0.3(n-1) on own sends is taken out again: with the peers' word it does harm.

The tails that are left lie in the first ten seconds, when all engines are empty at once.

--- a/internal/cacheview/fuzz_test.go
+++ b/internal/cacheview/fuzz_test.go
@@ -80,7 +80,7 @@
 			delete(o.held[t], id)
 		}
 	case 5:
-		x.Expect(t, level)
+		x.Expect(t, level, 0)
 		o.held[t][id] = true
 	default:
 		o.feed(rt, x, t, id)
--- a/internal/cacheview/index.go
+++ b/internal/cacheview/index.go
@@ -250,8 +250,9 @@
 const notBelieved = -1
 
 // Expect records that a prompt is on its way to a target: whoever comes behind it
-// will find its prefixes cached. The answer confirms or corrects this.
-func (x *Index) Expect(t ids.Target, levels []prefix.Level) Prior {
+// will find its prefixes cached. The answer confirms or corrects this. work is the
+// expected prefill in tokens, for peers.
+func (x *Index) Expect(t ids.Target, levels []prefix.Level, work int32) Prior {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := x.number(t)
@@ -265,9 +266,23 @@
 		x.put(l.ID, n)
 		x.tell(l.ID, n, prior[i])
 	}
+	x.tellWork(n, levels, work)
 	return prior
 }
 
+// worthTelling is the least prefill that peers are told of, in tokens.
+const worthTelling = 256
+
+// tellWork lets peers know of a costly dispatch. It rides on the belief that the
+// dispatch has just made fresh; cheap dispatches make none.
+func (x *Index) tellWork(n TargetNum, levels []prefix.Level, work int32) {
+	if last := len(x.fresh) - 1; work >= worthTelling && last >= 0 && len(levels) > 0 {
+		if f := &x.fresh[last]; f.ID == levels[len(levels)-1].ID && f.Target == x.targets[n].name {
+			f.Work = work
+		}
+	}
+}
+
 // tell keeps a belief for peers if it is new or was not confirmed for long.
 func (x *Index) tell(id prefix.ID, n TargetNum, age int32) {
 	s := &x.targets[n]
@@ -329,6 +344,9 @@
 	ID     prefix.ID
 	Target ids.Target
 	Life   Life
+	// Work is the prefill that the dispatch behind this belief is expected to cost
+	// its target, in tokens; told with one of its beliefs only.
+	Work int32
 }
 
 // maxFresh bounds the beliefs kept for peers between two rounds.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -162,7 +162,7 @@
 		Path: r.p.Path, Body: r.p.targetBody(r.text.String()),
 	}
 	r.d.Fleet.Members.Trying(choice.target.ID, time.Now())
-	r.prior = r.d.Fleet.Cache.Expect(choice.target.ID, r.p.Levels)
+	r.prior = r.d.Fleet.Cache.Expect(choice.target.ID, r.p.Levels, r.p.Tokens-choice.cached)
 	work := r.d.Fleet.Load.Sent(choice.target.ID, r.p.Tokens-choice.cached, time.Now())
 	defer work.End()
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindAttempt, Request: r.p.Request, Attempt: call.Attempt, Peer: string(call.Target), Text: "begin"}, nil)
@@ -256,7 +256,7 @@
 	if r.text.Len() == 0 || r.attempts == 1 {
 		r.d.Fleet.Cache.Answered(call.Target, life, r.p.Levels, r.prior, u.Details.CachedTokens)
 	}
-	r.d.Fleet.Load.Answered(call.Target, u.PromptTokens, u.Details.CachedTokens)
+	r.d.Fleet.Load.Answered(u.PromptTokens, u.Details.CachedTokens)
 	r.d.Stats.PromptTokens.Add(int64(u.PromptTokens))
 	r.d.Stats.CachedTokens.Add(int64(u.Details.CachedTokens))
 	r.d.Stats.OutputTokens.Add(int64(u.CompletionTokens))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,7 +35,6 @@
 
 	policy  *routing.Router
 	counter atomic.Uint64
-	vms     atomic.Int64
 	snap    atomic.Pointer[Snapshot]
 	dirty   atomic.Bool
 	scratch sync.Pool
@@ -53,16 +52,6 @@
 	return f
 }
 
-// SetVMs tells how many VMs, this one included, decide about the same targets.
-func (f *Fleet) SetVMs(n int) { f.vms.Store(int64(n)) }
-
-// unseenShare is how much of the other VMs' traffic is assumed to go where this
-// VM's goes. docs/design/routing.md gives the measurement.
-const unseenShare = 0.3
-
-// scale is by how much own traffic is multiplied to stand for all.
-func (f *Fleet) scale() float64 { return 1 + unseenShare*float64(max(f.vms.Load()-1, 0)) }
-
 // Refresh makes a new snapshot. A duty calls it every few tens of milliseconds.
 func (f *Fleet) Refresh() *Snapshot {
 	f.dirty.Store(false)
@@ -178,7 +167,7 @@
 		rate = snap.rate
 	}
 	report := loadview.Report{Queued: st.Report.QueuedTokens, Rate: rate, Age: st.ReportAge + now.Sub(snap.at)}
-	load := f.Load.Estimate(st.ID, report, f.scale(), now)
+	load := f.Load.Estimate(st.ID, report, now)
 	in := routing.Input{
 		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart,
 		QueueTokens: float32(load.QueueTokens), PrefillRate: float32(rate),
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -13,6 +13,9 @@
 type Tracker struct {
 	mu  sync.Mutex
 	own map[ids.Target]*own
+
+	missed  float64
+	answers int
 }
 
 // own is what this VM has sent to one target.
@@ -20,8 +23,6 @@
 	pending  float64 // tokens of prefill without a first token yet
 	inFlight int
 	sent     []sent // newest last
-	missed   float64
-	answers  int
 }
 
 type sent struct {
@@ -44,22 +45,40 @@
 	ended  bool
 }
 
-// Sent counts a request with so many uncached tokens.
-func (t *Tracker) Sent(target ids.Target, uncached int32, now time.Time) *Work {
+// Heard counts work that a peer sent to a target.
+func (t *Tracker) Heard(target ids.Target, tokens int32, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.of(target).add(sent{at: at, tokens: float64(tokens)})
+}
+
+// of returns the record of a target. The lock is held.
+func (t *Tracker) of(target ids.Target) *own {
 	o := t.own[target]
 	if o == nil {
 		o = &own{}
 		t.own[target] = o
 	}
+	return o
+}
+
+// add remembers a send and forgets old ones.
+func (o *own) add(s sent) {
+	for len(o.sent) > 0 && s.at.Sub(o.sent[0].at) > memory {
+		o.sent = o.sent[1:]
+	}
+	o.sent = append(o.sent, s)
+}
+
+// Sent counts a request with so many uncached tokens.
+func (t *Tracker) Sent(target ids.Target, uncached int32, now time.Time) *Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.of(target)
 	tokens := float64(max(uncached, 0))
 	o.pending += tokens
 	o.inFlight++
-	for len(o.sent) > 0 && now.Sub(o.sent[0].at) > memory {
-		o.sent = o.sent[1:]
-	}
-	o.sent = append(o.sent, sent{at: now, tokens: tokens})
+	o.add(sent{at: now, tokens: tokens})
 	return &Work{t: t, target: target, tokens: tokens}
 }
 
@@ -88,33 +107,29 @@
 	}
 }
 
-// missGain smooths the part of prompt tokens that a target had to compute.
-const missGain = 0.1
+// missGain smooths the part of prompt tokens that targets have to compute.
+const missGain = 0.2
 
-// Answered learns from an answer what part of prompt tokens the target had to
-// compute. Engines report queues in prompt tokens, most of which are cached.
-func (t *Tracker) Answered(target ids.Target, prompt, cached int32) {
+// Answered learns from an answer what part of prompt tokens targets have to
+// compute. Engines report queues in prompt tokens, most of which are cached. The
+// part is kept for all targets together: one VM sees too few answers of each.
+func (t *Tracker) Answered(prompt, cached int32) {
 	if prompt <= 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := t.own[target]
-	if o == nil {
-		o = &own{}
-		t.own[target] = o
-	}
-	o.answers++
-	o.missed += max(missGain, 1/float64(o.answers)) * (float64(prompt-cached)/float64(prompt) - o.missed)
+	t.answers++
+	t.missed += max(missGain, 1/float64(t.answers)) * (float64(prompt-cached)/float64(prompt) - t.missed)
 }
 
 // missRatio is the part of reported tokens that will have to be computed; all of
 // them as long as nothing is known.
-func (o *own) missRatio() float64 {
-	if o.answers == 0 {
+func (t *Tracker) missRatio() float64 {
+	if t.answers == 0 {
 		return 1
 	}
-	return o.missed
+	return t.missed
 }
 
 // Load is an estimate for one target.
@@ -131,11 +146,10 @@
 }
 
 // Estimate combines a report with work sent since. The report is drained at the
-// target's prefill rate over its age, and what this VM sent since is added, times
-// scale: the balancer spreads callers evenly and all VMs prefer the same targets
-// for a prefix, so what one VM sent, the others will have sent too. Own requests
-// that still wait for their first token are a lower bound.
-func (t *Tracker) Estimate(target ids.Target, r Report, scale float64, now time.Time) Load {
+// target's prefill rate over its age, and what this VM sent since, or heard that
+// peers did, is added. Own requests that still wait for their first token are a
+// lower bound.
+func (t *Tracker) Estimate(target ids.Target, r Report, now time.Time) Load {
 	queued, rate, age := r.Queued, r.Rate, r.Age
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,13 +157,13 @@
 	if o == nil {
 		o = &own{}
 	}
-	tokens := float64(queued) * o.missRatio()
+	tokens := float64(queued) * t.missRatio()
 	if age > memory {
 		tokens = 0 // too old to say anything; own work is all that is known
 		age = memory
 	}
 	for i := len(o.sent) - 1; i >= 0 && now.Sub(o.sent[i].at) < age; i-- {
-		tokens += o.sent[i].tokens * scale
+		tokens += o.sent[i].tokens
 	}
 	tokens -= rate * age.Seconds()
 	return Load{QueueTokens: max(tokens, o.pending, 0), OwnInFlight: o.inFlight}
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -57,11 +57,15 @@
 	return out
 }
 
+// longAgo stands for the age of a report that never came. The difference to the
+// zero time would be the longest duration there is, and any sum with it negative.
+const longAgo = time.Hour
+
 func (m *target) status(id ids.Target, tu Tuning, now time.Time) TargetStatus {
 	s := TargetStatus{
 		ID: id, Record: m.record, State: m.state(tu, now),
 		Incarnation: m.incarnation, Weights: m.weights,
-		Report: m.report, ReportAge: now.Sub(m.reportAt),
+		Report: m.report, ReportAge: min(now.Sub(m.reportAt), longAgo),
 		BreakerOpen: m.breakerOpen(tu, now), SlowStart: 1,
 	}
 	s.StateName = s.State.String()
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -36,7 +36,8 @@
 	digestBytes  = 600  // of news a round
 	kickPeers    = 3    // peers told at once of a new configuration
 	callTimeout  = 800 * time.Millisecond
-	beliefEpoch  = 10 * time.Second // a belief is news again after this
+	workLag      = 200 * time.Millisecond // mean age of news of a dispatch
+	beliefEpoch  = 10 * time.Second       // a belief is news again after this
 )
 
 // Node is this VM among its peers. Fields are set before Start.
@@ -91,20 +92,16 @@
 func (n *Node) AdoptPlatform(_ objectapi.Revision, objects []objectapi.Object) {
 	records, _ := platform.Decode(objects)
 	n.Fleet.Members.Platform(records, time.Now())
-	vms, near, hashes := 0, 0, map[uint64]ids.Target{}
+	vms, hashes := 0, map[uint64]ids.Target{}
 	for _, r := range records {
 		if r.Role == platform.RoleEntry {
 			vms++
-			if r.FailureDomain == n.Domain {
-				near++
-			}
 			continue
 		}
 		hashes[routing.HashTarget(ids.Target(r.ID))] = ids.Target(r.ID)
 	}
 	n.byHash.Store(&hashes)
 	n.Shares.SetVMs(vms)
-	n.Fleet.SetVMs(near)
 	n.Fleet.MarkDirty()
 }
 
@@ -131,7 +128,7 @@
 	}
 	epoch := uint64(time.Now().UnixNano() / int64(beliefEpoch))
 	for _, b := range n.Fleet.Cache.TakeFresh() {
-		n.news.AddBelief(&peerpb.Belief{Prefix: uint64(b.ID), Target: routing.HashTarget(b.Target), Life: uint32(b.Life)}, epoch)
+		n.news.AddBelief(&peerpb.Belief{Prefix: uint64(b.ID), Target: routing.HashTarget(b.Target), Life: uint32(b.Life), Work: uint32(b.Work)}, epoch)
 	}
 	d := n.digest()
 	var wg sync.WaitGroup
@@ -298,6 +295,9 @@
 		return
 	}
 	n.Fleet.Cache.Told(id, b.Life, b.Prefix)
+	if b.Work > 0 {
+		n.Fleet.Load.Heard(id, int32(b.Work), now.Add(-workLag))
+	}
 }
 
 // snapshotProto encodes a configuration for peers.
--- a/internal/yardstick/run.go
+++ b/internal/yardstick/run.go
@@ -161,7 +161,6 @@
 	if x.w.Gate != nil && !x.p.Knowledge.NoGate {
 		d.gate = x.w.Gate(x.now)
 	}
-	d.f.SetVMs(x.w.Deciders)
 	d.f.Members.Platform(records, x.now())
 	d.f.Refresh()
 	x.clk.every(refreshEvery, x.end, func() { d.f.Refresh() })
@@ -217,6 +216,9 @@
 				}
 				for _, b := range fresh {
 					other.f.Cache.Told(b.Target, uint32(b.Life), uint64(b.ID))
+					if b.Work > 0 {
+						other.f.Load.Heard(b.Target, b.Work, x.now().Add(-tellLag-tellEvery/2))
+					}
 				}
 			}
 		})
@@ -323,7 +325,7 @@
 func (x *world) dispatch(r *request, e *fakeEngine, dec routing.Decision) {
 	var prior cacheview.Prior
 	if !x.p.Knowledge.NoExpect {
-		prior = r.d.f.Cache.Expect(e.id, r.prompt.levels)
+		prior = r.d.f.Cache.Expect(e.id, r.prompt.levels, int32(r.prompt.tokens)-dec.Cached)
 	}
 	r.d.f.Members.Trying(e.id, x.now())
 	work := r.d.f.Load.Sent(e.id, int32(r.prompt.tokens)-dec.Cached, x.now())
@@ -358,7 +360,7 @@
 func (x *world) ended(r *request, t ids.Target, ok bool, life cacheview.Life, prior cacheview.Prior, cached int) {
 	if ok {
 		r.d.f.Members.Succeeded(t)
-		r.d.f.Load.Answered(t, int32(r.prompt.tokens), int32(cached))
+		r.d.f.Load.Answered(int32(r.prompt.tokens), int32(cached))
 		r.d.f.Cache.Answered(t, life, r.prompt.levels, prior, int32(cached))
 		x.res.Whole++
 		x.res.ByWorkspace[r.prompt.workspace]++
