--- a/cmd/threadwall/main.go
+++ b/cmd/threadwall/main.go
@@ -22,7 +22,7 @@
 		Commands: []*cli.Command{
 			commands.Apply(), queries.Diff(), queries.Get(), commands.Delete(),
 			queries.Status(), queries.Timeline(), queries.Explain(),
-			commands.Ask(), commands.Call(),
+			commands.Order(), commands.Ask(), commands.Call(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,9 +26,11 @@
 	"github.com/threadwall/threadwall/internal/gateway"
 	"github.com/threadwall/threadwall/internal/hlc"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/peers"
 	"github.com/threadwall/threadwall/internal/retry"
@@ -55,6 +57,8 @@
 	Settler  *claims.Settler
 	Limiter  *admission.Limiter
 	Gateway  *gateway.Gateway
+	Lease    *lease.Lease
+	Orders   *orders.Reconciler
 
 	ready    readiness
 	probes   probeState
@@ -134,6 +138,8 @@
 			VM:     s.VM, Domain: s.FailureDomain, Idle: s.IdleTimeout.D(), Stats: &dispatch.Stats{},
 		},
 	}
+	d.Lease = lease.New(d.Store, "orders/"+string(s.FailureDomain), s.VM, lease.DefaultTuning, nil)
+	d.Orders = orders.NewReconciler(d.Store, d.Lease, d, d.Events, s.WeightLoadsPerMinute)
 	d.probes = probeState{last: map[ids.Target]probed{}}
 	d.ready.set(false, "starting")
 }
@@ -213,6 +219,7 @@
 	}
 	d.settleRest(ctx)
 	d.cancel()
+	d.Orders.Wait()
 	d.peerSrv.Stop()
 	_ = d.admin.Close()
 	d.duties.Wait()
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/confsync"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/timeline"
@@ -41,6 +42,7 @@
 		"refresh":        d.refresh,
 		"settle":         d.Settler.Run,
 		"forget":         d.forget,
+		"orders":         d.orders,
 	}
 }
 
@@ -215,3 +217,50 @@
 		}
 	}
 }
+
+// ordersEvery is how often the lease is tried and intents are looked at.
+const ordersEvery = 2 * time.Second
+
+// orders tries for the domain's lease, on the VMs that watch for the domain, and
+// while it is held brings engines to what operators want.
+func (d *Daemon) orders(ctx context.Context) {
+	held := false
+	for sleep(ctx, ordersEvery*9/10+rand.N(ordersEvery/5)) {
+		if !d.Node.IsWatcher(time.Now()) {
+			continue
+		}
+		err := d.Lease.Try(ctx)
+		token, now := d.Lease.Held()
+		if now != held {
+			held = now
+			d.Events.Record(timeline.Event{Kind: timeline.KindLease, Text: leaseText(now)}, token)
+		}
+		if err == nil {
+			err = d.Orders.Round(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
+			d.Log.Debug().Err(err).Str("step", "orders").Str("peer", d.Settings.Store).Msg("orders wait for the object API")
+		}
+	}
+}
+
+func leaseText(held bool) string {
+	if held {
+		return "orders lease acquired"
+	}
+	return "orders lease lost"
+}
+
+// Engines implements orders.Engines: what is known of this domain's engines.
+func (d *Daemon) Engines() []orders.Actual {
+	var out []orders.Actual
+	for _, t := range d.Fleet.Members.Targets(time.Now()) {
+		if t.Record.Role == platform.RoleEngine && t.Record.FailureDomain == d.Settings.FailureDomain {
+			out = append(out, orders.Actual{
+				Target: t.ID, Model: t.Record.Model, Addr: t.Record.Addr, State: t.State, Weights: t.Weights,
+				Drained: t.Report.Leaving,
+			})
+		}
+	}
+	return out
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
 )
 
@@ -391,3 +392,39 @@
 		return true
 	})
 }
+
+// Weights change on all engines of a domain while requests are served: no request
+// fails, and none is told cached tokens of the old weights' blocks.
+func TestRollingWeights(t *testing.T) {
+	w := start(t, 1)
+	var moved []string
+	for _, r := range w.s.Records {
+		if r.Role == platform.RoleEngine && r.FailureDomain == domains[0] {
+			moved = append(moved, r.ID)
+			intent := orders.Intent{Target: ids.Target(r.ID), Want: orders.Want{Weights: "w2"}}
+			value, _ := json.Marshal(intent)
+			if _, err := w.s.Store.Create(t.Context(), orders.Prefix+r.ID, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	asked := 0
+	waitFor(t, func() bool {
+		q := fmt.Sprint("rolling ", asked)
+		asked++
+		if text, err := w.stream(q); err != nil || text != wantText(q, 20) {
+			t.Fatalf("request %d: %v", asked, err)
+		}
+		for _, id := range moved {
+			if w.s.Engines[id].Weights() != "w2" {
+				return false
+			}
+		}
+		return true
+	})
+	for _, id := range moved {
+		if got := w.s.Engines[id].Ordered(); len(got) == 0 || got[0] == 0 {
+			t.Errorf("%s followed orders with fences %v", id, got)
+		}
+	}
+}
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -167,7 +167,7 @@
 	return settings.Settings{
 		VM: ids.VM(fmt.Sprintf("entry-%s-%d", d, i+1)), FailureDomain: d,
 		Listen: FreeAddr(), PeerListen: FreeAddr(), AdminListen: FreeAddr(),
-		Store: s.StoreURL, Policy: policy, ReadyNotice: durations.Duration(time.Millisecond),
+		Store: s.StoreURL, Policy: policy, WeightLoadsPerMinute: 600, ReadyNotice: durations.Duration(time.Millisecond),
 	}
 }
 
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -20,6 +20,7 @@
 	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab/blockcache"
+	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/prefix"
 )
 
@@ -31,6 +32,9 @@
 	TokenEvery  time.Duration // between tokens of one answer
 	Slots       int           // answers generated at once
 	CacheBlocks int
+	// IgnoresFences makes the engine follow orders with old fencing numbers.
+	IgnoresFences bool
+	LoadTime      time.Duration // of new weights
 }
 
 // DefaultEngine is a small engine that lets a demo run quickly.
@@ -59,6 +63,11 @@
 	queued  int
 	running int
 	leaving bool
+	loading bool
+	weights ids.WeightsVersion
+	fence   uint64
+	// Ordered lists the fencing numbers of the orders that were followed.
+	ordered []uint64
 
 	faults Faults
 	// Prompted, Cached and Cancelled count tokens and answers.
@@ -67,7 +76,7 @@
 
 // NewEngine returns an engine with an empty cache.
 func NewEngine(spec EngineSpec, incarnation ids.Incarnation) *Engine {
-	e := &Engine{spec: spec, incarnation: incarnation, slots: make(chan struct{}, spec.Slots), answers: map[ids.Attempt]*generation{}}
+	e := &Engine{spec: spec, incarnation: incarnation, slots: make(chan struct{}, spec.Slots), answers: map[ids.Attempt]*generation{}, weights: spec.Weights}
 	e.cache = blockcache.New(spec.CacheBlocks, e.cacheEvent)
 	return e
 }
@@ -95,6 +104,7 @@
 	mux.HandleFunc("POST "+engine.PathResume, e.serveResume)
 	mux.HandleFunc("GET "+engine.PathLoad, e.serveLoad)
 	mux.HandleFunc("GET "+engine.PathEvents, e.serveEvents)
+	mux.HandleFunc("POST "+orders.PathOrders, e.serveOrder)
 	mux.Handle("POST /lab/faults", &e.faults)
 	return mux
 }
@@ -102,7 +112,7 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	l := engine.Load{
-		Incarnation: e.incarnation, Leaving: e.leaving, Weights: e.spec.Weights, Model: e.spec.Model,
+		Incarnation: e.incarnation, Leaving: e.leaving || e.loading, Weights: e.weights, Model: e.spec.Model,
 		QueuedTokens: e.queued, Running: e.running, Slots: e.spec.Slots, PrefillRate: e.spec.PrefillRate,
 	}
 	e.mu.Unlock()
@@ -115,7 +125,7 @@
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
-	f := engine.Feed{Incarnation: e.incarnation, Weights: e.spec.Weights}
+	f := engine.Feed{Incarnation: e.incarnation, Weights: e.weights}
 	for _, ev := range e.events {
 		f.Last = ev.Seq
 		if ev.Seq > after && len(f.Events) < feedBatch {
@@ -173,15 +183,17 @@
 	h := w.Header()
 	h.Set(engine.HeaderAttempt, string(attempt))
 	h.Set(engine.HeaderIncarnation, strconv.FormatUint(uint64(e.incarnation), 10))
-	h.Set(engine.HeaderWeights, string(e.spec.Weights))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h.Set(engine.HeaderWeights, string(e.weights))
 }
 
 // refuses turns a request away while the engine leaves, or by a fault.
 func (e *Engine) refuses(w http.ResponseWriter) bool {
 	e.mu.Lock()
-	leaving := e.leaving
+	leaving, loading := e.leaving, e.loading
 	e.mu.Unlock()
-	if !leaving && !e.faults.take(FaultRefuse) {
+	if !leaving && !loading && !e.faults.take(FaultRefuse) {
 		return false
 	}
 	w.Header().Set(engine.HeaderOutcome, "not-run")
--- /dev/null
+++ b/internal/lab/orders.go
@@ -0,0 +1,73 @@
+package lab
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lab/blockcache"
+	"github.com/threadwall/threadwall/internal/orders"
+)
+
+// loadPoll is how often a loading engine looks whether its answers have ended.
+const loadPoll = 10 * time.Millisecond
+
+// serveOrder follows an order. New weights are loaded when the answers in hand
+// have ended; the cache is lost.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var m orders.Message
+	if !decode(w, r, &m) {
+		return
+	}
+	e.mu.Lock()
+	if m.Fence < e.fence && !e.spec.IgnoresFences {
+		e.mu.Unlock()
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, m.Fence)
+	e.ordered = append(e.ordered, m.Fence)
+	if m.Serve != "" {
+		e.leaving = m.Serve == orders.ServeDrain
+	}
+	load := m.Weights != "" && m.Weights != e.weights && !e.loading
+	e.loading = e.loading || load
+	e.mu.Unlock()
+	if load {
+		e.loadWeights(m.Weights)
+	}
+	encode(w, m)
+}
+
+func (e *Engine) loadWeights(weights ids.WeightsVersion) {
+	for e.inHand() > 0 {
+		time.Sleep(loadPoll)
+	}
+	time.Sleep(e.spec.LoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.weights, e.loading = weights, false
+	e.events = nil
+	e.cache = blockcache.New(e.spec.CacheBlocks, e.cacheEvent)
+}
+
+func (e *Engine) inHand() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running + e.queued
+}
+
+// Ordered returns the fencing numbers of the orders that were followed.
+func (e *Engine) Ordered() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.ordered)
+}
+
+// Weights returns the weights that the engine serves.
+func (e *Engine) Weights() ids.WeightsVersion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.weights
+}
--- /dev/null
+++ b/internal/lease/fuzz_test.go
@@ -0,0 +1,144 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// action is something done under a token, as the oracle sees it.
+type action struct {
+	fence      uint64
+	began, end time.Time
+}
+
+// model runs VMs that try for a lease and act under it, with a store whose every
+// call's order and fate is drawn. Actions take up to WaitOut.
+type model struct {
+	store   *storetest.Store
+	weather storetest.Weather
+	leases  []*Lease
+	busy    []atomic.Bool
+	actions []action
+}
+
+const vms = 3
+
+func (m *model) try(i int) {
+	if !m.busy[i].CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer m.busy[i].Store(false)
+		_ = m.leases[i].Try(context.Background())
+	}()
+}
+
+// act does something that takes some time, if the lease is held, as orders do:
+// begun only when held at this moment.
+func (m *model) act(i int, takes time.Duration) {
+	token, ok := m.leases[i].Held()
+	if !ok {
+		return
+	}
+	now := time.Now()
+	m.actions = append(m.actions, action{fence: token.Fence, began: now, end: now.Add(takes)})
+}
+
+// TestOneHolder: actions under different fencing numbers never overlap, and
+// fencing numbers grow with time.
+func TestOneHolder(t *testing.T) {
+	storetest.Check(t, func(rt *rapid.T) {
+		m := &model{store: storetest.New(), weather: storetest.DrawWeather(rt), busy: make([]atomic.Bool, vms)}
+		for i := range vms {
+			m.leases = append(m.leases, New(m.store.As(i), "orders", ids.VM(fmt.Sprint("vm", i)), DefaultTuning, nil))
+		}
+		defer m.store.Drain()
+		for range rapid.IntRange(20, 200).Draw(rt, "steps") {
+			m.step(rt)
+			synctest.Wait()
+			m.check(rt)
+		}
+	})
+}
+
+func (m *model) step(rt *rapid.T) {
+	vm := rapid.IntRange(0, vms-1).Draw(rt, "vm")
+	switch rapid.IntRange(0, 9).Draw(rt, "step") {
+	case 0, 1:
+		m.try(vm)
+	case 2, 3:
+		m.act(vm, time.Duration(rapid.SampledFrom([]int{1, 10}).Draw(rt, "takes"))*time.Second)
+	case 4:
+		time.Sleep(time.Duration(rapid.SampledFrom([]int{1, 3, 7, 11, 21}).Draw(rt, "seconds")) * time.Second)
+	case 5:
+		if n := m.store.Late(); n > 0 {
+			m.store.Land(rapid.IntRange(0, n-1).Draw(rt, "lands"))
+		}
+	default:
+		if w := m.store.Waiting(); len(w) > 0 {
+			m.store.Decide(w[rapid.IntRange(0, len(w)-1).Draw(rt, "call")], m.weather.Draw(rt))
+		}
+	}
+}
+
+func (m *model) check(rt *rapid.T) {
+	for i, a := range m.actions {
+		for _, b := range m.actions[:i] {
+			if a.fence == b.fence {
+				continue
+			}
+			if a.fence < b.fence {
+				rt.Fatalf("an action under fence %d began after one under %d", a.fence, b.fence)
+			}
+			if a.began.Before(b.end) {
+				rt.Fatalf("actions under fences %d and %d overlap", b.fence, a.fence)
+			}
+		}
+	}
+}
+
+// A lone VM gets the lease, keeps it by renewing, and loses it when it stops.
+func TestLifeOfALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := storetest.New()
+		l := New(s.Store, "x", "vm0", DefaultTuning, nil)
+		other := New(s.Store, "x", "vm1", DefaultTuning, nil)
+		for range 10 {
+			if err := l.Try(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if _, ok := l.Held(); !ok {
+				t.Fatal("not held")
+			}
+			_ = other.Try(t.Context())
+			time.Sleep(3 * time.Second)
+		}
+		_ = other.Try(t.Context())
+		time.Sleep(DefaultTuning.Duration + DefaultTuning.WaitOut + time.Second)
+		if _, ok := l.Held(); ok {
+			t.Fatal("still held without renewal")
+		}
+		_ = other.Try(t.Context())
+		token, ok := other.Held()
+		if !ok || token.Fence != 2 {
+			t.Fatalf("successor has %+v, %v", token, ok)
+		}
+		if _ = l.Try(t.Context()); l.until != (time.Time{}) {
+			t.Fatal("the former holder took it back at once")
+		}
+	})
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,182 @@
+// Package lease lets one VM at a time act for its failure domain, by an object of
+// the platform's object API with a fencing number.
+//
+// # Protocol
+//
+// The record names a holder, a fencing number and a duration. Nobody's wall clock
+// is compared with anybody else's:
+//
+//   - The holder counts the duration from before it sent the write that acquired
+//     or renewed the lease, on its own monotonic clock, and stops Margin early.
+//   - Another VM takes over only after it has seen the record unchanged for the
+//     duration plus WaitOut on its own clock, by a write conditional on that
+//     record, with the next fencing number.
+//
+// # What remains possible
+//
+// A holder that is paused between looking at the lease and acting acts late.
+// WaitOut bounds the harm: it must be at least the longest action, so an action
+// begun in time ends before a successor begins. An action begun late, after a
+// pause longer than Margin, is refused by targets that check fencing numbers. At
+// targets that ignore them it can still happen; so actions must state what is
+// wanted and not a step, and the successor reads back what it finds.
+//
+// spec/lease.pml models this; its comments name the functions here.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// Prefix is where leases live in the object API.
+const Prefix = "leases/"
+
+// Record is a lease as stored.
+type Record struct {
+	Holder   ids.VM        `json:"holder"`
+	Instance string        `json:"instance"` // one life of the holder
+	Fence    uint64        `json:"fence"`    // grows with every new holder
+	Renewal  uint64        `json:"renewal"`
+	Duration time.Duration `json:"duration_ns"`
+}
+
+// Tuning holds a lease's times.
+type Tuning struct {
+	// Duration is how long a lease lasts without renewal. Default 10s.
+	Duration time.Duration
+	// Margin is how long before its end the holder stops. Default 2s.
+	Margin time.Duration
+	// WaitOut is how long after its end a successor waits. It must be at least the
+	// longest action. Default 10s.
+	WaitOut time.Duration
+}
+
+// DefaultTuning suits orders of up to ten seconds.
+var DefaultTuning = Tuning{Duration: 10 * time.Second, Margin: 2 * time.Second, WaitOut: 10 * time.Second}
+
+// Lease is one VM's side of a lease. Safe for concurrent use.
+type Lease struct {
+	store    objectapi.Store
+	key      string
+	vm       ids.VM
+	instance string
+	tuning   Tuning
+	now      func() time.Time
+
+	mu       sync.Mutex
+	held     Record
+	version  objectapi.Revision
+	until    time.Time // zero: not held
+	seen     objectapi.Revision
+	seenAt   time.Time // when the record was first seen at this version
+	duration time.Duration
+}
+
+// New returns a lease that is not held. now is nil for the monotonic clock.
+func New(store objectapi.Store, name string, vm ids.VM, t Tuning, now func() time.Time) *Lease {
+	if now == nil {
+		now = time.Now
+	}
+	return &Lease{store: store, key: Prefix + name, vm: vm, instance: uuid.NewString(), tuning: t, now: now}
+}
+
+// Token is the right to act until a moment.
+type Token struct {
+	Fence uint64
+	Until time.Time // by the clock of the VM that holds it
+}
+
+// Held returns the token if the lease is held now.
+func (l *Lease) Held() (Token, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.until.IsZero() || !l.now().Before(l.until) {
+		return Token{}, false
+	}
+	return Token{Fence: l.held.Fence, Until: l.until}, true
+}
+
+// Try acquires or renews the lease, or watches it. A duty calls it a few times in
+// each duration. An error is one of the store; the lease then runs out by itself.
+func (l *Lease) Try(ctx context.Context) error {
+	began := l.now()
+	obj, err := l.store.Get(ctx, l.key)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return l.write(ctx, began, Record{Fence: 1}, 0)
+	}
+	if err != nil {
+		return eris.Wrap(err, "read lease")
+	}
+	var rec Record
+	if err := json.Unmarshal(obj.Value, &rec); err != nil {
+		return eris.Wrap(err, "read lease")
+	}
+	if rec.Instance == l.instance {
+		return l.write(ctx, began, Record{Fence: rec.Fence, Renewal: rec.Renewal + 1}, obj.Version)
+	}
+	l.lose()
+	if !l.watch(obj.Version, rec.Duration, began) {
+		return nil
+	}
+	return l.write(ctx, began, Record{Fence: rec.Fence + 1}, obj.Version)
+}
+
+// lose forgets a lease that another holds.
+func (l *Lease) lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = time.Time{}
+}
+
+// watch remembers since when the record stands unchanged, and tells whether it
+// has run out and been waited out.
+func (l *Lease) watch(v objectapi.Revision, d time.Duration, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen != v {
+		l.seen, l.seenAt, l.duration = v, now, d
+		return false
+	}
+	return now.Sub(l.seenAt) > l.duration+l.tuning.WaitOut
+}
+
+// write stores a record of ours. Its time is counted from began, before the read
+// that it builds on: whenever the write took effect, it was later.
+func (l *Lease) write(ctx context.Context, began time.Time, rec Record, version objectapi.Revision) error {
+	rec.Holder, rec.Instance, rec.Duration = l.vm, l.instance, l.tuning.Duration
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return eris.Wrap(err, "encode lease")
+	}
+	mine := func(stored []byte) bool {
+		var s Record
+		return json.Unmarshal(stored, &s) == nil && s.Instance == rec.Instance && s.Fence == rec.Fence && s.Renewal == rec.Renewal
+	}
+	var obj objectapi.Object
+	if version == 0 {
+		obj, err = objectapi.ResolveCreate(ctx, l.store, l.key, value, mine)
+	} else {
+		obj, err = objectapi.ResolveUpdate(ctx, l.store, l.key, value, version, mine)
+	}
+	if errors.Is(err, objectapi.ErrExists) || errors.Is(err, objectapi.ErrConflict) {
+		return nil // somebody was faster
+	}
+	if err != nil {
+		return eris.Wrap(err, "write lease")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held, l.version = rec, obj.Version
+	l.until = began.Add(l.tuning.Duration - l.tuning.Margin)
+	return nil
+}
--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,126 @@
+// Package orders brings engines to the state that operators want: which weights
+// they serve, and whether they drain.
+//
+// An operator records an intent, by conditional update. One VM of each failure
+// domain, under lease, compares intents with what engines say of themselves and
+// sends orders, each with the lease's fencing number. An order states what is
+// wanted and not a step, so a repeated or late one does no more than the last
+// intent known to its sender; the next holder reads back and corrects it.
+//
+// Orders go out in small groups, so that most of a model's engines serve at any
+// time, and within the weight store's rate.
+package orders
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// Prefix is where intents live in the object API.
+const Prefix = "orders/"
+
+// Want is the state that an engine is to have.
+type Want struct {
+	Weights ids.WeightsVersion `json:"weights,omitempty"` // empty: as it is
+	Serve   Serve              `json:"serve,omitempty"`   // empty: as it is
+}
+
+// Serve says whether an engine is to take new work.
+type Serve string
+
+// The wishes. An engine that leaves because the platform told it to must not be
+// brought back by an order about weights, so there is a third: no wish.
+const (
+	ServeOn    Serve = "on"
+	ServeDrain Serve = "drain"
+)
+
+// Intent is an operator's wish for one target, as stored.
+type Intent struct {
+	Target ids.Target `json:"target"`
+	Want   Want       `json:"want"`
+}
+
+// Decode reads intents from their objects; those that can't be read are left out.
+func Decode(objects []objectapi.Object) map[ids.Target]Want {
+	out := map[ids.Target]Want{}
+	for _, o := range objects {
+		var i Intent
+		if json.Unmarshal(o.Value, &i) == nil && Prefix+string(i.Target) == o.Key {
+			out[i.Target] = i.Want
+		}
+	}
+	return out
+}
+
+// Actual is what is known of one engine.
+type Actual struct {
+	Target  ids.Target
+	Model   ids.Model
+	Addr    string
+	State   routing.State
+	Weights ids.WeightsVersion
+	Drained bool // it says that it takes no new work
+}
+
+// Order is one thing to tell an engine.
+type Order struct {
+	Target ids.Target
+	Addr   string
+	Want   Want
+	Loads  bool // it will read from the weight store
+}
+
+// Plan returns the orders to send now. It is a pure function. Of each model at
+// most a quarter of the engines, and at least one, may be out of service at a
+// time, counting those that are down already; drains come first, since an
+// operator who drains is waiting.
+func Plan(wants map[ids.Target]Want, engines []Actual) []Order {
+	total, out := map[ids.Model]int{}, map[ids.Model]int{}
+	for _, e := range engines {
+		total[e.Model]++
+		if e.State < routing.Joining {
+			out[e.Model]++
+		}
+	}
+	engines = slices.Clone(engines)
+	slices.SortFunc(engines, func(a, b Actual) int {
+		return cmp.Or(cmp.Compare(rank(wants[a.Target]), rank(wants[b.Target])), cmp.Compare(a.Target, b.Target))
+	})
+	var plan []Order
+	for _, e := range engines {
+		want, ok := wants[e.Target]
+		if !ok || e.State == routing.Dead || satisfied(want, e) {
+			continue
+		}
+		loads := want.Weights != "" && want.Weights != e.Weights
+		takesOut := e.State >= routing.Joining && (loads || want.Serve == ServeDrain)
+		if takesOut && out[e.Model] >= max(total[e.Model]/maxOutShare, 1) {
+			continue
+		}
+		if takesOut {
+			out[e.Model]++
+		}
+		plan = append(plan, Order{Target: e.Target, Addr: e.Addr, Want: want, Loads: loads})
+	}
+	return plan
+}
+
+// maxOutShare is one in how many engines of a model may be out of service.
+const maxOutShare = 4
+
+func rank(w Want) int {
+	if w.Serve == ServeDrain {
+		return 0
+	}
+	return 1
+}
+
+func satisfied(w Want, e Actual) bool {
+	return (w.Weights == "" || w.Weights == e.Weights) && (w.Serve == "" || (w.Serve == ServeDrain) == e.Drained)
+}
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,72 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// TestPlan draws engines and wishes, follows each plan to its end and checks that
+// never more than a quarter of a model's engines, and one at least, are taken out
+// by orders, and that all wishes come true.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		wants := map[ids.Target]Want{}
+		var engines []Actual
+		for i := range rapid.IntRange(1, 12).Draw(rt, "engines") {
+			e := Actual{Target: ids.Target(fmt.Sprint("e", i)), Model: "m", State: routing.Live, Weights: "w1"}
+			if rapid.IntRange(0, 5).Draw(rt, "dead") == 0 {
+				e.State = routing.Dead
+			}
+			wants[e.Target] = Want{Weights: rapid.SampledFrom([]ids.WeightsVersion{"", "w1", "w2"}).Draw(rt, "weights")}
+			engines = append(engines, e)
+		}
+		for range engines {
+			down := count(engines, routing.Dead)
+			plan := Plan(wants, engines)
+			if limit := max(len(engines)/4, 1); len(plan) > max(limit-down, 0) {
+				rt.Fatalf("%d orders at once with %d of %d down", len(plan), down, len(engines))
+			}
+			follow(engines, plan)
+		}
+		if rest := Plan(wants, engines); len(rest) > 0 {
+			rt.Fatalf("orders without end: %+v", rest)
+		}
+		for _, e := range engines {
+			blocked := count(engines, routing.Dead) >= max(len(engines)/4, 1)
+			if e.State != routing.Dead && !blocked && !satisfied(wants[e.Target], e) {
+				rt.Fatalf("%s has %s, wanted %+v", e.Target, e.Weights, wants[e.Target])
+			}
+		}
+	})
+}
+
+func count(engines []Actual, s routing.State) int {
+	n := 0
+	for _, e := range engines {
+		if e.State == s {
+			n++
+		}
+	}
+	return n
+}
+
+func follow(engines []Actual, plan []Order) {
+	for _, o := range plan {
+		for i := range engines {
+			if engines[i].Target == o.Target && o.Want.Weights != "" {
+				engines[i].Weights = o.Want.Weights
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/orders/reconcile.go
@@ -0,0 +1,141 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// PathOrders is where engines take orders: POST Message.
+const PathOrders = "/orders"
+
+// Message is an order on the wire.
+type Message struct {
+	Fence uint64 `json:"fence"`
+	Want
+}
+
+// MaxOrder bounds one order. The lease's WaitOut must be at least as long.
+const MaxOrder = 10 * time.Second
+
+// Engines tells what is known of the domain's engines.
+type Engines interface {
+	Engines() []Actual
+}
+
+// Reconciler sends orders while its VM holds the domain's lease.
+type Reconciler struct {
+	Store   objectapi.Store
+	Lease   *lease.Lease
+	Engines Engines
+	Events  *timeline.Log
+	// Loads limits reads from the weight store, for the whole domain: only the
+	// lease's holder orders loads. A new holder begins with an empty bucket.
+	Loads *rate.Limiter
+
+	mu   sync.Mutex
+	busy map[ids.Target]bool
+	wg   sync.WaitGroup
+}
+
+// NewReconciler returns a reconciler that orders at most loadsPerMinute loads.
+func NewReconciler(s objectapi.Store, l *lease.Lease, e Engines, log *timeline.Log, loadsPerMinute float64) *Reconciler {
+	limiter := rate.NewLimiter(rate.Limit(loadsPerMinute/60), max(int(loadsPerMinute/60), 1))
+	limiter.AllowN(time.Now(), limiter.Burst())
+	return &Reconciler{Store: s, Lease: l, Engines: e, Events: log, Loads: limiter, busy: map[ids.Target]bool{}}
+}
+
+// Round looks once and sends what is due. Orders run on while it returns.
+func (r *Reconciler) Round(ctx context.Context) error {
+	if _, ok := r.Lease.Held(); !ok {
+		return nil
+	}
+	objects, _, err := r.Store.List(ctx, Prefix)
+	if err != nil {
+		return eris.Wrap(err, "read intents")
+	}
+	for _, o := range Plan(Decode(objects), r.Engines.Engines()) {
+		if !r.reserve(o) {
+			continue
+		}
+		r.wg.Go(func() {
+			defer r.free(o.Target)
+			r.send(ctx, o)
+		})
+	}
+	return nil
+}
+
+// Wait waits for orders that are under way.
+func (r *Reconciler) Wait() { r.wg.Wait() }
+
+// reserve takes an order if its target has none and the weight store's rate
+// allows it.
+func (r *Reconciler) reserve(o Order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[o.Target] || o.Loads && !r.Loads.Allow() {
+		return false
+	}
+	r.busy[o.Target] = true
+	return true
+}
+
+func (r *Reconciler) free(t ids.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, t)
+}
+
+// send sends one order, unless the lease has ended. The order may take longer
+// than the lease lasts: a successor waits for MaxOrder beyond its end.
+func (r *Reconciler) send(ctx context.Context, o Order) {
+	ctx, cancel := context.WithTimeout(ctx, MaxOrder)
+	defer cancel()
+	token, ok := r.Lease.Held()
+	if !ok {
+		return
+	}
+	body, err := json.Marshal(Message{Fence: token.Fence, Want: o.Want})
+	if err == nil {
+		err = post(ctx, "http://"+o.Addr+PathOrders, body)
+	}
+	text := "done"
+	if err != nil {
+		text = err.Error() // the next round reads back what became of it
+	}
+	r.Events.Record(timeline.Event{Kind: timeline.KindOrder, Peer: string(o.Target), Text: text}, Message{Fence: token.Fence, Want: o.Want})
+}
+
+func post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "build order")
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "send order")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return eris.New("refused: the target knows a newer fencing number")
+	default:
+		return eris.Errorf("refused with status %d", resp.StatusCode)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,9 @@
 	MaxInFlight int `json:"max_in_flight,omitempty" validate:"min=0"`
 	// TimelineEvents is how many events are kept in memory. Default 8192.
 	TimelineEvents int `json:"timeline_events,omitempty" validate:"min=0,max=1000000"`
+	// WeightLoadsPerMinute bounds how many engines of the failure domain are ordered
+	// to read from the weight store. Default 6.
+	WeightLoadsPerMinute float64 `json:"weight_loads_per_minute,omitempty" validate:"min=0"`
 	// Policy picks targets: "cost" or "round-robin". Default "cost".
 	Policy string `json:"policy,omitempty" validate:"omitempty,oneof=cost round-robin"`
 	// LogLevel is debug, info, warn or error. Default info.
@@ -143,6 +146,7 @@
 	orDefault(&s.MaxBodyBytes, 4<<20)
 	orDefault(&s.MaxInFlight, 2048)
 	orDefault(&s.TimelineEvents, 8192)
+	orDefault(&s.WeightLoadsPerMinute, 6)
 	orDefault(&s.Policy, "cost")
 	orDefault(&s.LogLevel, "info")
 	return s
