Measure decisions and news at the size of a failure domain

Cause: nothing told what a VM spends on control at 22 VMs and 153 replicas.

Change: 'threadwall-lab capacity' measures decisions, belief updates and news over real streams. The heartbeat rides along once a count, and the news interval grows from 4 peers on.

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -12,10 +12,12 @@
 	"slices"
 	"syscall"
 	"text/tabwriter"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/threadwall/threadwall/internal/capacity"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
 	"github.com/threadwall/threadwall/internal/yardstick"
@@ -28,7 +30,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -205,3 +207,32 @@
 	}
 	return out
 }
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the slopes that docs/CAPACITY.md works with, and print them as JSON",
+		Action: func(context.Context, *cli.Command) error {
+			var out capacityOutput
+			for _, size := range [][2]int{{9, 10_000}, {153, 10_000}, {153, 100_000}, {600, 100_000}} {
+				out.Decide = append(out.Decide, capacity.Decide(size[0], size[1]))
+			}
+			for _, vms := range []int{2, 8, 22} {
+				row, err := capacity.News(capacity.NewsSpec{VMs: vms, Targets: 153, Dispatches: 1.5, Workspaces: 10, Span: 5 * time.Second})
+				if err != nil {
+					return err
+				}
+				out.News = append(out.News, row)
+			}
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", "  ")
+			return enc.Encode(out)
+		},
+	}
+}
+
+// capacityOutput is what the capacity command prints.
+type capacityOutput struct {
+	Decide []capacity.DecideRow `json:"decide"`
+	News   []capacity.NewsRow   `json:"news"`
+}
--- /dev/null
+++ b/internal/capacity/decide.go
@@ -0,0 +1,87 @@
+// Package capacity measures slopes of what a VM holds and does. It calls the
+// product's own code in plain loops; docs/CAPACITY.md works out from the figures
+// what that comes to at the size to design for.
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// DecideFleet returns a fleet of so many replicas with so many beliefs, for
+// measurements of decisions.
+func DecideFleet(replicas, beliefs int) *fleet.Fleet {
+	var records []platform.Record
+	for i := range replicas {
+		records = append(records, platform.Record{
+			ID: fmt.Sprint("engine-", i), Role: platform.RoleEngine, State: platform.StateLive, Incarnation: 1,
+			Model: "m", Weights: "w", FailureDomain: "fd",
+		})
+	}
+	members := membership.New("vm", membership.DefaultTuning)
+	members.Platform(records, time.Now())
+	f := fleet.New(members, cacheview.New(beliefs, nil), loadview.New(), routing.NewCost(), nil)
+	life := cacheview.LifeOf(1, "w")
+	for i := range beliefs {
+		f.Cache.Holds(ids.Target(fmt.Sprint("engine-", i%replicas)), life, []prefix.Level{{ID: prefix.ID(i + 1), Tokens: 64}})
+	}
+	return f
+}
+
+// DecideRequest is a prompt of three levels, the first of them held widely.
+func DecideRequest(i int) routing.Request {
+	return routing.Request{
+		Model: "m", FailureDomain: "fd", Tokens: 9000, RecomputeWeight: 0.2, Seed: uint64(i),
+		Levels: []prefix.Level{{ID: 1, Tokens: 5000}, {ID: prefix.ID(2 + i%100), Tokens: 6000}, {ID: prefix.ID(200 + i%50_000), Tokens: 9000}},
+	}
+}
+
+// DecideRow is the cost of a decision at one size.
+type DecideRow struct {
+	Replicas int     `json:"replicas"`
+	Beliefs  int     `json:"beliefs"`
+	P50      float64 `json:"p50_us"`
+	P99      float64 `json:"p99_us"`
+	UpdateNS float64 `json:"update_ns"` // of one belief
+}
+
+const decisions = 100_000
+
+// Decide measures decisions and belief updates at one size.
+func Decide(replicas, beliefs int) DecideRow {
+	f := DecideFleet(replicas, beliefs)
+	h := hdrhistogram.New(1, 1_000_000_000, 3)
+	sc := f.Acquire()
+	defer f.Release(sc)
+	var requests []routing.Request
+	for i := range 1000 {
+		requests = append(requests, DecideRequest(i*37))
+	}
+	for i := range decisions {
+		r := requests[i%len(requests)]
+		start := time.Now()
+		f.Decide(&r, nil, sc)
+		_ = h.RecordValue(time.Since(start).Nanoseconds())
+	}
+	life := cacheview.LifeOf(1, "w")
+	start := time.Now()
+	for i := range decisions {
+		f.Cache.Holds("engine-1", life, []prefix.Level{{ID: prefix.ID(i * 7), Tokens: 64}})
+	}
+	update := time.Since(start)
+	return DecideRow{
+		Replicas: replicas, Beliefs: beliefs, P50: float64(h.ValueAtQuantile(50)) / 1000, P99: float64(h.ValueAtQuantile(99)) / 1000,
+		UpdateNS: float64(update.Nanoseconds()) / decisions,
+	}
+}
--- /dev/null
+++ b/internal/capacity/news.go
@@ -0,0 +1,181 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/confsync"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/hlc"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/peerpb"
+	"github.com/threadwall/threadwall/internal/peers"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// NewsSpec is one failure domain whose VMs tell each other news over real streams
+// on loopback.
+type NewsSpec struct {
+	VMs, Targets int
+	Dispatches   float64 // fresh ones of a VM a second
+	Workspaces   int     // with demand, on each VM
+	Span         time.Duration
+}
+
+// NewsRow is what a VM spends on it.
+type NewsRow struct {
+	VMs       int     `json:"vms"`
+	BytesIn   float64 `json:"bytes_in_per_s"`
+	BytesOut  float64 `json:"bytes_out_per_s"`
+	Messages  float64 `json:"messages_out_per_s"`
+	CPU       float64 `json:"core_percent"` // of one core
+	HeapBytes float64 `json:"heap_bytes"`
+	Learned   float64 `json:"learned"` // part of the beliefs that peers hold
+}
+
+// warmUp lets connections come up before anything is counted.
+const warmUp = 1500 * time.Millisecond
+
+// News measures a domain. CPU and heap are those of the whole process, shared out.
+func News(spec NewsSpec) (NewsRow, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var nodes []*peers.Node
+	var records []platform.Record
+	var servers []*grpc.Server
+	for i := range spec.Targets {
+		records = append(records, platform.Record{ID: fmt.Sprint("engine-", i), Role: platform.RoleEngine, State: platform.StateLive, Incarnation: 1, Weights: "w", FailureDomain: "fd"})
+	}
+	for i := range spec.VMs {
+		n, srv, addr, err := newsNode(fmt.Sprintf("entry-domain-%02d", i))
+		if err != nil {
+			return NewsRow{}, err
+		}
+		nodes, servers = append(nodes, n), append(servers, srv)
+		records = append(records, platform.Record{ID: string(n.VM), Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: "fd", PeerAddr: addr})
+	}
+	defer func() {
+		cancel()
+		for i, n := range nodes {
+			n.Close()
+			servers[i].Stop()
+		}
+	}()
+	for _, n := range nodes {
+		n.Fleet.Members.Platform(records, time.Now())
+		n.SetTargets(records)
+		n.Fleet.Refresh()
+	}
+	var wg sync.WaitGroup
+	told := make([]int, len(nodes))
+	for i, n := range nodes {
+		wg.Go(func() { told[i] = drive(ctx, n, i, spec) })
+	}
+	time.Sleep(warmUp)
+	before, cpu := counters(nodes), cpuTime()
+	time.Sleep(spec.Span)
+	after, used := counters(nodes), cpuTime()-cpu
+	cancel()
+	wg.Wait()
+	return newsRow(spec, nodes, told, before, after, used), nil
+}
+
+func newsNode(vm string) (*peers.Node, *grpc.Server, string, error) {
+	f := fleet.New(membership.New(ids.VM(vm), membership.DefaultTuning), cacheview.New(128<<10, nil), loadview.New(), routing.NewCost(), nil)
+	n := &peers.Node{
+		VM: ids.VM(vm), Domain: "fd", Incarnation: 1_700_000_000_000, Fleet: f, Shares: admission.NewShares(nil),
+		Events: timeline.NewLog(ids.VM(vm), hlc.New(nil), 16),
+		Config: confsync.New(func(objectapi.Revision, []objectapi.Object) {}), Platform: confsync.New(func(objectapi.Revision, []objectapi.Object) {}),
+	}
+	n.Init()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, "", err
+	}
+	srv := grpc.NewServer()
+	peerpb.RegisterPeerServer(srv, &peers.Server{Node: n})
+	go func() { _ = srv.Serve(n.Counted(l)) }()
+	return n, srv, l.Addr().String(), nil
+}
+
+// drive does what the daemon's gossip duty does, with dispatches and demand at
+// the given rates. It returns how many beliefs it made.
+func drive(ctx context.Context, n *peers.Node, i int, spec NewsSpec) int {
+	const heartbeat, news = time.Second, 250 * time.Millisecond
+	last, made, debt := time.Time{}, 0, 0.0
+	for step := 0; ctx.Err() == nil; step++ {
+		pause := n.NewsEvery(news, heartbeat)
+		for debt += spec.Dispatches * pause.Seconds(); debt >= 1; debt-- {
+			made++
+			id := prefix.ID(uint64(i+1)<<40 + uint64(made))
+			n.Fleet.Cache.Expect(ids.Target(fmt.Sprint("engine-", (made*7+i)%spec.Targets)), []prefix.Level{{ID: id, Tokens: 9000}}, 3000)
+		}
+		for w := range spec.Workspaces {
+			n.Shares.Share(ids.Workspace(fmt.Sprint("workspace-", w)), time.Now())
+		}
+		if time.Since(last) >= heartbeat {
+			n.Beat()
+			last = time.Now()
+		}
+		if n.Gather() || last.Equal(time.Time{}) || time.Since(last) < pause {
+			n.Tell(ctx, false)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return made
+}
+
+type counts struct{ in, out, messages int64 }
+
+func counters(nodes []*peers.Node) counts {
+	var c counts
+	for _, n := range nodes {
+		c.in += n.BytesIn.Load()
+		c.out += n.BytesOut.Load()
+		c.messages += n.Messages.Load()
+	}
+	return c
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func newsRow(spec NewsSpec, nodes []*peers.Node, told []int, before, after counts, cpu time.Duration) NewsRow {
+	per := float64(len(nodes)) * spec.Span.Seconds()
+	runtime.GC()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	made, held := 0, 0
+	for i, n := range nodes {
+		made += told[i] * len(nodes)
+		held += len(n.Fleet.Cache.Beliefs(1 << 20))
+	}
+	return NewsRow{
+		VMs: len(nodes), BytesIn: float64(after.in-before.in) / per, BytesOut: float64(after.out-before.out) / per,
+		Messages: float64(after.messages-before.messages) / per, CPU: 100 * cpu.Seconds() / per,
+		HeapBytes: float64(mem.HeapAlloc) / float64(len(nodes)), Learned: float64(held) / float64(max(made, 1)),
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -208,7 +208,7 @@
 	d.Node.Leaving.Store(true)
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "leaving"}, nil)
 	d.Log.Info().Str("step", "stop").Int("in_flight", d.Limiter.InFlight()).Msg("not ready, leaving")
-	d.Node.Tell(ctx)
+	d.Node.Tell(ctx, true)
 	sleep(ctx, d.Settings.ReadyNotice.D())
 	drain, cancel := context.WithTimeout(ctx, d.Settings.DrainTimeout.D())
 	defer cancel()
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -170,7 +170,7 @@
 		case <-d.Node.Config.Changed():
 		case <-d.Node.Platform.Changed():
 		}
-		d.Node.Tell(ctx)
+		d.Node.Tell(ctx, true)
 		d.Node.Cross(ctx)
 	}
 }
@@ -187,7 +187,7 @@
 			last = time.Now()
 		}
 		if d.Node.Gather() || beat {
-			d.Node.Tell(ctx)
+			d.Node.Tell(ctx, false)
 		}
 		pause := d.Node.NewsEvery(d.Settings.News.D(), heartbeat)
 		if !sleep(ctx, pause*9/10+rand.N(pause/5+1)) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,11 +19,17 @@
 	View     routing.View
 	statuses []membership.TargetStatus
 	nums     []cacheview.TargetNum
+	base     []routing.Input // what does not change until the next snapshot
+	places   []places
+	handles  []loadview.Handle
+	reports  []loadview.Report
 	maxNum   int
 	at       time.Time
-	rate     float64 // tokens/s, assumed of a target that has not told its own
 }
 
+// places are a target's places in its batch, and how many are taken.
+type places struct{ slots, running int }
+
 // Status returns one target's status by its index in View.
 func (s *Snapshot) Status(i int) *membership.TargetStatus { return &s.statuses[i] }
 
@@ -57,8 +63,8 @@
 	f.dirty.Store(false)
 	now := f.now()
 	statuses := f.Members.Targets(now)
-	s := &Snapshot{statuses: statuses, at: now, nums: make([]cacheview.TargetNum, len(statuses))}
-	s.View.Targets = make([]routing.Target, len(statuses))
+	s := newSnapshot(statuses, now)
+	assumed := assumedRate(statuses)
 	for i := range statuses {
 		st := &statuses[i]
 		if st.Incarnation != 0 {
@@ -71,12 +77,37 @@
 			Weights: st.Weights, Service: st.Record.Service, Incarnation: st.Incarnation,
 			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID),
 		}
+		f.fill(s, i, assumed)
 	}
-	s.rate = assumedRate(statuses)
 	f.snap.Store(s)
 	return s
 }
 
+func newSnapshot(statuses []membership.TargetStatus, now time.Time) *Snapshot {
+	n := len(statuses)
+	s := &Snapshot{
+		statuses: statuses, at: now, nums: make([]cacheview.TargetNum, n), base: make([]routing.Input, n),
+		places: make([]places, n), handles: make([]loadview.Handle, n), reports: make([]loadview.Report, n),
+	}
+	s.View.Targets = make([]routing.Target, n)
+	return s
+}
+
+// fill prepares what decisions need of one target.
+func (f *Fleet) fill(s *Snapshot, i int, assumed float64) {
+	st := &s.statuses[i]
+	rate := st.Report.PrefillRate
+	if rate <= 0 {
+		rate = assumed
+	}
+	s.base[i] = routing.Input{
+		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart, PrefillRate: float32(rate),
+	}
+	s.places[i] = places{slots: st.Report.Slots, running: st.Report.Running}
+	s.handles[i] = f.Load.Handle(st.ID)
+	s.reports[i] = loadview.Report{Queued: st.Report.QueuedTokens, Rate: rate, Age: st.ReportAge}
+}
+
 // assumedRate is the mean prefill rate of the targets that told theirs.
 func assumedRate(statuses []membership.TargetStatus) float64 {
 	sum, n := 0.0, 0
@@ -115,6 +146,7 @@
 	Routing  routing.Scratch
 	Inputs   []routing.Input
 	overlaps []int32
+	loads    []loadview.Load
 }
 
 // Acquire returns scratch memory; give it back with Release.
@@ -136,14 +168,23 @@
 		sc.Inputs = make([]routing.Input, n)
 	}
 	sc.Inputs = sc.Inputs[:n]
+	if cap(sc.loads) < n {
+		sc.loads = make([]loadview.Load, n)
+	}
+	sc.loads = sc.loads[:n]
 	if cap(sc.overlaps) <= snap.maxNum {
 		sc.overlaps = make([]int32, snap.maxNum+1)
 	}
 	sc.overlaps = sc.overlaps[:snap.maxNum+1]
 	f.Cache.Lookup(r.Levels, sc.overlaps)
 	now := f.now()
-	for i := range snap.statuses {
-		sc.Inputs[i] = f.input(snap, i, sc.overlaps[snap.nums[i]], now)
+	f.Load.Estimate(snap.handles, snap.reports, now.Sub(snap.at), now, sc.loads)
+	copy(sc.Inputs, snap.base)
+	for i := range sc.Inputs {
+		in := &sc.Inputs[i]
+		in.Cached = sc.overlaps[snap.nums[i]]
+		in.QueueTokens = float32(sc.loads[i].QueueTokens)
+		in.SlotWait = snap.places[i].wait(sc.loads[i].OwnInFlight)
 	}
 	for _, t := range tried {
 		for i := range snap.statuses {
@@ -160,21 +201,11 @@
 // slotSeconds is the expected wait for each request beyond the batch's places.
 const slotSeconds = 0.25
 
-func (f *Fleet) input(snap *Snapshot, i int, cached int32, now time.Time) routing.Input {
-	st := &snap.statuses[i]
-	rate := st.Report.PrefillRate
-	if rate <= 0 {
-		rate = snap.rate
-	}
-	report := loadview.Report{Queued: st.Report.QueuedTokens, Rate: rate, Age: st.ReportAge + now.Sub(snap.at)}
-	load := f.Load.Estimate(st.ID, report, now)
-	in := routing.Input{
-		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart,
-		QueueTokens: float32(load.QueueTokens), PrefillRate: float32(rate),
-		Cached: cached,
-	}
-	if busy := max(st.Report.Running, load.OwnInFlight) + 1 - st.Report.Slots; st.Report.Slots > 0 && busy > 0 {
-		in.SlotWait = slotSeconds * float32(busy)
+// wait is the expected wait for a place in the batch, in seconds.
+func (p places) wait(own int) float32 {
+	over := max(p.running, own) + 1 - p.slots
+	if p.slots == 0 || over <= 0 {
+		return 0
 	}
-	return in
+	return slotSeconds * float32(over)
 }
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -145,26 +145,41 @@
 	Age    time.Duration // since the target said so
 }
 
-// Estimate combines a report with work sent since. The report is drained at the
-// target's prefill rate over its age, and what this VM sent since, or heard that
-// peers did, is added. Own requests that still wait for their first token are a
-// lower bound.
-func (t *Tracker) Estimate(target ids.Target, r Report, now time.Time) Load {
-	queued, rate, age := r.Queued, r.Rate, r.Age
+// Handle is a target's record, for estimates without look-ups.
+type Handle struct{ o *own }
+
+// Handle returns the handle of a target; it stays valid.
+func (t *Tracker) Handle(target ids.Target) Handle {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	o := t.own[target]
-	if o == nil {
-		o = &own{}
+	return Handle{o: t.of(target)}
+}
+
+// Estimate combines reports with work sent since, for all targets at once. A
+// report is drained at the target's prefill rate over its age, and what this VM
+// sent since, or heard that peers did, is added. Own requests that still wait for
+// their first token are a lower bound. Ages count from the moment of the reports'
+// snapshot, since ago.
+func (t *Tracker) Estimate(handles []Handle, reports []Report, since time.Duration, now time.Time, out []Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	miss := t.missRatio()
+	for i, h := range handles {
+		r := reports[i]
+		r.Age += since
+		out[i] = h.o.estimate(r, miss, now)
 	}
-	tokens := float64(queued) * t.missRatio()
-	if age > memory {
+}
+
+func (o *own) estimate(r Report, miss float64, now time.Time) Load {
+	tokens := float64(r.Queued) * miss
+	if r.Age > memory {
 		tokens = 0 // too old to say anything; own work is all that is known
-		age = memory
+		r.Age = memory
 	}
-	for i := len(o.sent) - 1; i >= 0 && now.Sub(o.sent[i].at) < age; i-- {
+	for i := len(o.sent) - 1; i >= 0 && now.Sub(o.sent[i].at) < r.Age; i-- {
 		tokens += o.sent[i].tokens
 	}
-	tokens -= rate * age.Seconds()
+	tokens -= r.Rate * r.Age.Seconds()
 	return Load{QueueTokens: max(tokens, o.pending, 0), OwnInFlight: o.inFlight}
 }
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -48,10 +48,11 @@
 	Shares      *admission.Shares
 	Events      *timeline.Log
 
-	Leaving atomic.Bool
-	outbox  *gossip.Outbox
-	counter atomic.Uint64
-	byHash  atomic.Pointer[map[uint32]ids.Target]
+	Leaving  atomic.Bool
+	outbox   *gossip.Outbox
+	counter  atomic.Uint64
+	toldBeat atomic.Uint64
+	byHash   atomic.Pointer[map[uint32]ids.Target]
 
 	mu      sync.Mutex
 	conns   map[string]*grpc.ClientConn
@@ -90,6 +91,12 @@
 func (n *Node) AdoptPlatform(_ objectapi.Revision, objects []objectapi.Object) {
 	records, _ := platform.Decode(objects)
 	n.Fleet.Members.Platform(records, time.Now())
+	n.SetTargets(records)
+	n.Fleet.MarkDirty()
+}
+
+// SetTargets takes in which targets and entry VMs there are.
+func (n *Node) SetTargets(records []platform.Record) {
 	vms, hashes := 0, map[uint32]ids.Target{}
 	for _, r := range records {
 		if r.Role == platform.RoleEntry {
@@ -100,7 +107,6 @@
 	}
 	n.byHash.Store(&hashes)
 	n.Shares.SetVMs(vms)
-	n.Fleet.MarkDirty()
 }
 
 // targetHash names a target in messages. Two of a few thousand targets share one
@@ -139,9 +145,13 @@
 	return n.outbox.Waiting()
 }
 
-// Tell sends the news at hand to every peer of the domain.
-func (n *Node) Tell(ctx context.Context) {
-	news := &peerpb.News{Hlc: uint64(n.Events.Clock().Now()), Beat: n.beat()}
+// Tell sends the news at hand to every peer of the domain. The heartbeat goes
+// along once for each count, and when the news is urgent.
+func (n *Node) Tell(ctx context.Context, urgent bool) {
+	news := &peerpb.News{Hlc: uint64(n.Events.Clock().Now())}
+	if b := n.beat(); n.toldBeat.Swap(b.Counter) != b.Counter || urgent {
+		news.Beat = b
+	}
 	n.outbox.Fill(news, newsBytes)
 	for _, t := range n.tellersOf(ctx) {
 		t.ring.TryPut(news)
@@ -159,7 +169,7 @@
 }
 
 // peersAtShortest is up to how many peers the shortest interval holds.
-const peersAtShortest = 8
+const peersAtShortest = 4
 
 // Cross exchanges summaries with one VM of another domain, if this VM is one of
 // its domain's relays.
@@ -222,7 +232,9 @@
 // absorb takes in a peer's news.
 func (n *Node) absorb(vm ids.VM, incarnation uint64, m *peerpb.News) {
 	n.Events.Clock().Observe(hlc.Stamp(m.Hlc))
-	n.heard(vm, incarnation, m.Beat, "")
+	if m.Beat != nil {
+		n.heard(vm, incarnation, m.Beat, "")
+	}
 	for _, r := range m.Reports {
 		n.reported(r)
 	}
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"encoding/binary"
-
 	"github.com/zeebo/xxh3"
 
 	"github.com/threadwall/threadwall/internal/ids"
@@ -61,9 +59,3 @@
 
 // HashTarget returns the value for Target.Hash.
 func HashTarget(id ids.Target) uint64 { return xxh3.HashString(string(id)) }
-
-func hashBytes(h uint64) []byte {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], h)
-	return b[:]
-}
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -1,9 +1,5 @@
 package routing
 
-import (
-	"github.com/zeebo/xxh3"
-)
-
 // BandPicker takes the cheapest target; among those within a band above the
 // cheapest it takes the one with the highest rendezvous weight for the prompt's
 // prefix, so that VMs with slightly different pictures agree.
@@ -33,7 +29,7 @@
 // Pick implements Picker.
 func (p RandomBandPicker) Pick(r *Request, v *View, _ *Eligible, costs []float32) int {
 	return pickInBand(costs, p.Ratio, p.Seconds, func(i int) uint64 {
-		return xxh3.HashSeed(hashBytes(v.Targets[i].Hash), r.Seed)
+		return Affinity(r.Seed, &v.Targets[i])
 	})
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -12,8 +12,6 @@
 import (
 	"math"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 )
@@ -91,6 +89,7 @@
 // Scratch is the reusable memory of decisions. Not safe for concurrent use.
 type Scratch struct {
 	costs    []float32
+	eligible Eligible
 	Filtered [reasonCount]int
 }
 
@@ -139,16 +138,17 @@
 // Decide picks a target. len(in) must be len(v.Targets).
 func (p *Router) Decide(r *Request, v *View, in []Input, s *Scratch) Decision {
 	s.reset(len(v.Targets))
-	e := p.filter(r, v, in, s)
+	s.eligible = p.filter(r, v, in, s)
+	e := &s.eligible // not a local one, which would be allocated for the interface calls
 	for i := range v.Targets {
 		if s.costs[i] == infinite {
 			continue
 		}
 		for _, sc := range p.Scorers {
-			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], &e)
+			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], e)
 		}
 	}
-	d := Decision{Index: p.Picker.Pick(r, v, &e, s.costs), BestCached: e.Best}
+	d := Decision{Index: p.Picker.Pick(r, v, e, s.costs), BestCached: e.Best}
 	if d.Index >= 0 {
 		d.Cost = s.costs[d.Index]
 		d.Cached = in[d.Index].Cached
@@ -211,7 +211,11 @@
 // Affinity is the rendezvous weight of a target for a key: equal on all VMs,
 // so that VMs which know nothing of each other send a prefix to the same place.
 func Affinity(key uint64, t *Target) uint64 {
-	return xxh3.HashSeed(hashBytes(t.Hash), key)
+	// The finalizer of splitmix64, a well-mixing bijection of the two hashes' sum.
+	h := t.Hash + key*0x9E3779B97F4A7C15
+	h = (h ^ h>>30) * 0xBF58476D1CE4E5B9
+	h = (h ^ h>>27) * 0x94D049BB133111EB
+	return h ^ h>>31
 }
 
 // String returns the state's name in status and time line.
