--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -30,7 +30,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -114,13 +114,20 @@
 	return &cli.Command{
 		Name:  "up",
 		Usage: "start an example's stand-ins at the addresses of its lab/vms.json and run until interrupted",
-		Flags: []cli.Flag{exampleFlag(), &cli.StringFlag{Name: "store", Value: "127.0.0.1:7000", Usage: "`ADDR` of the object API"}},
+		Flags: []cli.Flag{
+			exampleFlag(), &cli.StringFlag{Name: "store", Value: "127.0.0.1:7000", Usage: "`ADDR` of the object API"},
+			&cli.StringSliceFlag{Name: "only", Usage: "start only these VMs of the example, or \"store\", so that each can be a process of its own"},
+			&cli.StringFlag{Name: "runs", Usage: "services append the key of each call that ran to `FILE`"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ex, err := lab.ReadExample(c.String("example"))
 			if err != nil {
 				return err
 			}
-			s, err := lab.Start(ctx, ex, lab.StartOptions{FixedPorts: true, StoreAddr: c.String("store"), Engine: lab.DefaultEngine})
+			s, err := lab.Start(ctx, ex, lab.StartOptions{
+				FixedPorts: true, StoreAddr: c.String("store"), Engine: lab.DefaultEngine,
+				Only: c.StringSlice("only"), RunsFile: c.String("runs"),
+			})
 			if err != nil {
 				return err
 			}
@@ -236,3 +243,39 @@
 	Decide []capacity.DecideRow `json:"decide"`
 	News   []capacity.NewsRow   `json:"news"`
 }
+
+func verifyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "verify",
+		Usage: "check what callers were told against what services ran; fails if anything was lost, doubled or untrue",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "load", Required: true, Usage: "output `FILE` of the load command"},
+			&cli.StringFlag{Name: "runs", Required: true, Usage: "`FILE` that services appended to"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			data, err := os.ReadFile(c.String("load"))
+			if err != nil {
+				return eris.Wrap(err, "read load")
+			}
+			var out loadOutput
+			if err := json.Unmarshal(data, &out); err != nil {
+				return eris.Wrap(err, "read load")
+			}
+			runs, err := lab.ReadRuns(c.String("runs"))
+			if err != nil {
+				return err
+			}
+			out.Result.Booked, out.Result.NotRun = out.Booked, out.NotRun
+			doubled, untrue := lab.Doubled(runs, out.Result)
+			fmt.Printf("requests %d, whole %d, refused %d, unknown %d, caller retries %d; bookings run %d, doubled %d, untrue answers %d, lost or wrong %d\n",
+				out.Requests, out.Whole, out.Refused, out.Unknown, out.Retries, len(runs), doubled, untrue, out.Lost)
+			for _, w := range out.Wrong {
+				fmt.Println(" ", w)
+			}
+			if doubled+untrue+out.Lost > 0 {
+				return eris.New("a promise was broken")
+			}
+			return nil
+		},
+	}
+}
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/services"
@@ -25,6 +29,8 @@
 	runs    map[string]int
 	leaving bool
 	faults  Faults
+
+	runsFile string // where keys of calls that ran are appended; empty: nowhere
 }
 
 // NewService returns a service that takes delay for each call.
@@ -84,6 +90,7 @@
 	s.mu.Lock()
 	s.runs[key]++
 	n := s.runs[key]
+	s.keep(key)
 	s.mu.Unlock()
 	if s.faults.take(FaultLostAnswer) {
 		panic(http.ErrAbortHandler)
@@ -91,3 +98,32 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"service":%q,"key":%q,"run":%d,"bytes":%d}`+"\n", s.name, key, n, len(body))
 }
+
+// keep appends a key to the runs file, so that a check can count runs over
+// crashes of this process. The lock is held.
+func (s *Service) keep(key string) {
+	if s.runsFile == "" {
+		return
+	}
+	f, err := os.OpenFile(s.runsFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		panic(err) // a check that lost its record would prove nothing
+	}
+	defer func() { _ = f.Close() }()
+	if _, err := f.WriteString(key + "\n"); err != nil {
+		panic(err)
+	}
+}
+
+// ReadRuns counts how often each key ran, from a runs file.
+func ReadRuns(path string) (map[string]int, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read runs")
+	}
+	runs := map[string]int{}
+	for _, key := range strings.Fields(string(data)) {
+		runs[key]++
+	}
+	return runs, nil
+}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,18 @@
 	// Domains limits the failure domains; empty is all.
 	Domains []ids.FailureDomain
 	Engine  EngineSpec
+	// Only names the VMs to start, and "store" for the object API; empty is all.
+	// With it, each part can be a process of its own.
+	Only []string
+	// RunsFile is where services append the key of each call that ran.
+	RunsFile string
+}
+
+// storeName stands for the object API in StartOptions.Only.
+const storeName = "store"
+
+func (o StartOptions) starts(name string) bool {
+	return len(o.Only) == 0 || slices.Contains(o.Only, name)
 }
 
 // Start starts the store, engines and services of an example, lists them at the
@@ -46,14 +59,16 @@
 	if o.FixedPorts {
 		storeAddr = o.StoreAddr
 	}
-	srv, err := Serve(storeAddr, s.Store.Handler())
-	if err != nil {
-		return nil, err
+	if o.starts(storeName) {
+		srv, err := Serve(storeAddr, s.Store.Handler())
+		if err != nil {
+			return nil, err
+		}
+		s.served = append(s.served, srv)
+		s.StoreURL = "http://" + srv.Addr
 	}
-	s.served = append(s.served, srv)
-	s.StoreURL = "http://" + srv.Addr
 	for _, r := range ex.VMs {
-		if len(o.Domains) > 0 && !contains(o.Domains, r.FailureDomain) {
+		if len(o.Domains) > 0 && !slices.Contains(o.Domains, r.FailureDomain) {
 			continue
 		}
 		if err := s.startVM(r, o); err != nil {
@@ -61,6 +76,9 @@
 			return nil, err
 		}
 	}
+	if !o.starts(storeName) {
+		return s, nil
+	}
 	if err := s.publish(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -72,21 +90,17 @@
 	return s, err
 }
 
-func contains(domains []ids.FailureDomain, d ids.FailureDomain) bool {
-	for _, x := range domains {
-		if x == d {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *StandIns) startVM(r platform.Record, o StartOptions) error {
 	inc := ids.Incarnation(time.Now().UnixMilli())
 	addr := "127.0.0.1:0"
 	if o.FixedPorts {
 		addr = r.Addr
 	}
+	if !o.starts(r.ID) {
+		r.Incarnation, r.Weights = 0, o.Engine.Weights // its own process tells its life
+		s.Records = append(s.Records, r)
+		return nil
+	}
 	var srv *Served
 	var err error
 	switch r.Role {
@@ -98,6 +112,7 @@
 		srv, err = Serve(addr, e.Handler())
 	case platform.RoleService:
 		svc := NewService(r.Service, inc, serviceDelay)
+		svc.runsFile = o.RunsFile
 		s.Services[r.ID] = svc
 		srv, err = Serve(addr, svc.Handler())
 	default:
