Measure the router's own cost beside a direct call

Cause: the cost of the VM on the path was not known, and a connection to an engine was never used again: a complete stream was closed before its end.

Change: 'threadwall-lab overhead' asks alternately direct and through a VM at 200 requests/s each, then relays 64 long streams. The end of a complete stream is read, so its connection is kept. The stand-in's sleeps below 0.5 ms are left out: a timer makes them 1 ms, which hid what was to be measured.

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -30,7 +30,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -279,3 +279,24 @@
 		},
 	}
 }
+
+func overheadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "overhead",
+		Usage: "measure the router's own cost beside a direct call to a stand-in, in one run",
+		Flags: []cli.Flag{exampleFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ex, err := lab.ReadExample(c.String("example"))
+			if err != nil {
+				return err
+			}
+			row, err := lab.Overhead(ctx, ex)
+			if err != nil {
+				return err
+			}
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", "  ")
+			return enc.Encode(row)
+		},
+	}
+}
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -6,6 +6,7 @@
 
 	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/relay"
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
@@ -72,6 +73,16 @@
 	c.timer = time.AfterFunc(d, c.cancel)
 }
 
+// finishTime bounds waiting for the end of a connection whose answer is complete.
+const finishTime = 100 * time.Millisecond
+
+// finish reads the end of a complete answer, so that the connection can be used
+// again: one closed before its end is not, and the next request would dial.
+func (c *conn) finish(in *relay.Reader) {
+	c.startIdle(finishTime)
+	_, _ = in.Next()
+}
+
 func (c *conn) close() {
 	c.timer.Stop()
 	c.cancel()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -87,7 +87,9 @@
 			return err
 		}
 		if verdict == relay.Done {
-			return s.flush()
+			err := s.flush()
+			s.conn.finish(in)
+			return err
 		}
 		if !in.Buffered() {
 			if err := s.flush(); err != nil {
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -42,6 +42,10 @@
 	Weights: "w1", PrefillRate: 60_000, TokenEvery: 2 * time.Millisecond, Slots: 32, CacheBlocks: 2_500,
 }
 
+// shortestSleep is what a timer can tell apart; a shorter one may take a
+// millisecond, which would be measured as somebody's cost.
+const shortestSleep = 500 * time.Microsecond
+
 // resumeGrace is how long an answer goes on without a reader before it is
 // cancelled.
 const resumeGrace = 1500 * time.Millisecond
@@ -267,7 +271,9 @@
 	e.mu.Lock()
 	g.cached = min(e.cache.Use(blocks)*prefix.BlockTokens, g.prompt)
 	e.mu.Unlock()
-	time.Sleep(time.Duration(float64(g.prompt-g.cached) / e.spec.PrefillRate * float64(time.Second)))
+	if work := time.Duration(float64(g.prompt-g.cached) / e.spec.PrefillRate * float64(time.Second)); work > shortestSleep {
+		time.Sleep(work)
+	}
 	e.prefill.Unlock()
 	e.load(-g.prompt, 1)
 	defer e.load(0, -1)
--- /dev/null
+++ b/internal/lab/overhead.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// OverheadRow is the router's own cost beside a direct call, in one run.
+type OverheadRow struct {
+	Requests     int     `json:"requests"`
+	Direct       TTFT    `json:"direct_ttft_ms"`
+	Routed       TTFT    `json:"routed_ttft_ms"`
+	AddedP50     float64 `json:"added_p50_ms"`
+	AddedP99     float64 `json:"added_p99_ms"`
+	TokensPerSec float64 `json:"tokens_per_s"`
+	// TokensPerCore counts the processor time of caller, VM and engine together,
+	// all in this process: a lower bound for the VM alone.
+	TokensPerCore float64 `json:"tokens_per_core_s"`
+}
+
+const (
+	overheadRate    = 200 // requests/s of each kind
+	overheadSeconds = 8
+	throughStreams  = 64
+	throughTokens   = 3000
+	overheadTokens  = 8
+)
+
+// Overhead measures times to first token, alternately direct and through a VM,
+// and then the tokens relayed.
+func Overhead(ctx context.Context, ex *Example) (OverheadRow, error) {
+	domains := []ids.FailureDomain{"sala-heredia"}
+	spec := DefaultEngine
+	spec.TokenEvery, spec.Slots = 50*time.Microsecond, 256
+	s, err := Start(ctx, ex, StartOptions{Domains: domains, Engine: spec})
+	if err != nil {
+		return OverheadRow{}, err
+	}
+	defer s.Close()
+	vms, err := StartVMs(ctx, s, domains, 1, "cost")
+	if err != nil {
+		return OverheadRow{}, err
+	}
+	defer vms.Stop(ctx)
+	var engineAddr string
+	for _, r := range s.Records {
+		if s.Engines[r.ID] != nil {
+			engineAddr = r.Addr
+		}
+	}
+	m := &meter{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+	row := m.latency(ctx, "http://"+engineAddr, vms.Entries()[0])
+	row.TokensPerSec, row.TokensPerCore = m.throughput(ctx, vms.Entries()[0])
+	return row, m.failure()
+}
+
+type meter struct {
+	client *http.Client
+	mu     sync.Mutex
+	err    error
+}
+
+func (m *meter) failure() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.err
+}
+
+// latency sends requests at an even rate, every second one through the VM.
+func (m *meter) latency(ctx context.Context, direct, routed string) OverheadRow {
+	hist := [2]*hdrhistogram.Histogram{hdrhistogram.New(histMin, histMax, histDigits), hdrhistogram.New(histMin, histMax, histDigits)}
+	start := time.Now()
+	total := 2 * overheadRate * overheadSeconds
+	var wg sync.WaitGroup
+	for i := range total {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / (2 * overheadRate))))
+		wg.Go(func() {
+			first, _ := m.ask(ctx, []string{direct, routed}[i%2], i, overheadTokens)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			_ = hist[i%2].RecordValue(first.Microseconds())
+		})
+	}
+	wg.Wait()
+	row := OverheadRow{Requests: total, Direct: QuantilesOf(hist[0]), Routed: QuantilesOf(hist[1])}
+	row.AddedP50, row.AddedP99 = row.Routed.P50-row.Direct.P50, row.Routed.P99-row.Direct.P99
+	return row
+}
+
+// throughput reads many long streams at once.
+func (m *meter) throughput(ctx context.Context, routed string) (perSecond, perCore float64) {
+	var wg sync.WaitGroup
+	cpu, start := cpuSeconds(), time.Now()
+	for i := range throughStreams {
+		wg.Go(func() { _, _ = m.ask(ctx, routed, i, throughTokens) })
+	}
+	wg.Wait()
+	tokens := float64(throughStreams * throughTokens)
+	return tokens / time.Since(start).Seconds(), tokens / (cpuSeconds() - cpu)
+}
+
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
+
+// ask sends one short prompt and returns the time to the first byte of its stream.
+func (m *meter) ask(ctx context.Context, base string, i, tokens int) (time.Duration, error) {
+	body, _ := json.Marshal(promptBody{
+		Model: "yard", Stream: true, MaxTokens: tokens, Messages: []promptMessage{{Role: "user", Content: fmt.Sprint("question ", i%50)}},
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+KeyOf("hidroelectrica-norte"))
+	start := time.Now()
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return 0, m.fail(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, m.fail(eris.Errorf("status %d", resp.StatusCode))
+	}
+	var one [1]byte
+	_, _ = resp.Body.Read(one[:])
+	first := time.Since(start)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, m.fail(err)
+	}
+	return first, nil
+}
+
+func (m *meter) fail(err error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.err = err
+	return err
+}
