--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -14,6 +14,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"github.com/threadwall/threadwall/internal/daemon"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
 	"github.com/threadwall/threadwall/internal/orders"
@@ -428,3 +429,72 @@
 		}
 	}
 }
+
+// restart replaces a VM by a new life of it, with the same settings.
+func (w *world) restart(i int) *daemon.Daemon {
+	w.Helper()
+	old := w.vms.Daemons[i]
+	if err := old.Stop(context.Background()); err != nil {
+		w.Fatal(err)
+	}
+	d, err := daemon.New(old.Settings, daemon.Options{LogTo: io.Discard})
+	if err != nil {
+		w.Fatal(err)
+	}
+	if err := d.Start(w.Context()); err != nil {
+		w.Fatal(err)
+	}
+	w.vms.Daemons[i] = d
+	return d
+}
+
+// A restarted VM has its peer's configuration, targets and cache beliefs when it
+// says that it is ready, with the platform down.
+func TestRestartKeepsKnowledge(t *testing.T) {
+	w := start(t, 2)
+	for i := range 6 {
+		if _, err := w.stream(fmt.Sprint("warm ", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	peer := w.vms.Daemons[1]
+	waitFor(t, func() bool { return len(peer.Fleet.Cache.Beliefs(100)) > 0 })
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return d.Status().Ready })
+	if got, want := len(d.Fleet.Cache.Beliefs(100)), len(peer.Fleet.Cache.Beliefs(100)); got < want || want == 0 {
+		t.Errorf("%d beliefs after the restart, the peer has %d", got, want)
+	}
+	if d.Node.Config.Revision() != peer.Node.Config.Revision() {
+		t.Errorf("configuration %d, the peer has %d", d.Node.Config.Revision(), peer.Node.Config.Revision())
+	}
+	if text, err := w.stream("after the restart"); err != nil || text != wantText("after the restart", 20) {
+		t.Errorf("%v", err)
+	}
+}
+
+// All VMs of a domain but one restart at once, with the platform down.
+func TestHerdWithOneSurvivor(t *testing.T) {
+	w := start(t, 4)
+	w.s.Store.Set(lab.Trouble{Down: true})
+	herd := []int{1, 2, 3}
+	done := make(chan *daemon.Daemon)
+	for _, i := range herd {
+		go func() { done <- w.restart(i) }()
+	}
+	for range herd {
+		d := <-done
+		waitFor(t, func() bool { return d.Status().Ready })
+	}
+}
+
+// With no peer and no platform, a VM is not ready and says why.
+func TestNotReadySaysWhy(t *testing.T) {
+	w := start(t, 1)
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return strings.Contains(d.Status().Reason, "neither a peer nor the object API") })
+	if resp, body := w.post(0, "/v1/chat/completions", lab.KeyOf(workspace), "", "{}"); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, %s", resp.StatusCode, body)
+	}
+}
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -53,7 +53,7 @@
 	outcome.CodeKeyExpired:      http.StatusUnprocessableEntity,
 	outcome.CodeInProgress:      http.StatusConflict,
 	outcome.CodeOutcomeUnknown:  http.StatusConflict,
-	outcome.CodeShuttingDown:    http.StatusServiceUnavailable,
+	outcome.CodeNotReady:        http.StatusServiceUnavailable,
 }
 
 func (g *Gateway) mark(c *gin.Context, req ids.Request, o outcome.Outcome) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	ws, ok := cfg.WorkspaceOf(bearer(c.Request))
 	if !ok {
 		if cfg.Revision == 0 {
-			g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeShuttingDown, "authenticate", "", "this VM has no configuration yet").After(time.Second))
+			g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeNotReady, "authenticate", "", "this VM has no configuration yet").After(time.Second))
 			return
 		}
 		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeInvalidKey, "authenticate", "", "the API key is missing or wrong"))
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -67,7 +67,7 @@
 	CodeKeyExpired      Code = "idempotency_key_expired"
 	CodeInProgress      Code = "request_in_progress"
 	CodeOutcomeUnknown  Code = "outcome_unknown"
-	CodeShuttingDown    Code = "shutting_down"
+	CodeNotReady        Code = "not_ready"
 )
 
 // Error is a failed request or attempt. It carries the step and the peer at
