Replay recorded decisions, expire claims, probe near targets only

Change: routing.Record holds what a decision was made from; 'threadwall-lab replay' makes each again and names the first divergence. The holder of the orders lease deletes expired claims.

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -20,6 +20,8 @@
 	"github.com/threadwall/threadwall/internal/capacity"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/yardstick"
 )
 
@@ -30,7 +32,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand(), replayCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -300,3 +302,41 @@
 		},
 	}
 }
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "replay",
+		Usage:     "make recorded decisions again and name the first that comes out otherwise",
+		ArgsUsage: "FILE, as written by: threadwall timeline --kind decision --last 10000 -o json",
+		Action: func(_ context.Context, c *cli.Command) error {
+			data, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return eris.Wrap(err, "read time line")
+			}
+			var events []timeline.Event
+			if err := json.Unmarshal(data, &events); err != nil {
+				return eris.Wrap(err, "read time line")
+			}
+			n, err := replay(events)
+			fmt.Printf("%d decisions replayed\n", n)
+			return err
+		},
+	}
+}
+
+// replay returns how many decisions came out the same, and the first divergence.
+func replay(events []timeline.Event) (int, error) {
+	policies := map[string]*routing.Router{"cost": routing.NewCost()}
+	n := 0
+	for _, e := range events {
+		var rec routing.Record
+		if e.Kind != timeline.KindDecision || json.Unmarshal(e.Detail, &rec) != nil || policies[rec.Policy] == nil {
+			continue
+		}
+		if got := routing.Replay(policies[rec.Policy], &rec); got != rec.Chosen {
+			return n, eris.Errorf("request %s on %s at %s: recorded %s, replayed %s", e.Request, e.VM, e.At, rec.Chosen, got)
+		}
+		n++
+	}
+	return n, nil
+}
--- a/internal/cli/queries/vms.go
+++ b/internal/cli/queries/vms.go
@@ -11,8 +11,7 @@
 
 	"github.com/threadwall/threadwall/internal/cli/common"
 	"github.com/threadwall/threadwall/internal/daemon"
-	"github.com/threadwall/threadwall/internal/dispatch"
-	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timeline"
 )
 
@@ -164,7 +163,7 @@
 }
 
 func printDecision(w io.Writer, detail json.RawMessage) {
-	var d dispatch.DecisionRecord
+	var d routing.Record
 	if json.Unmarshal(detail, &d) != nil {
 		return
 	}
@@ -175,7 +174,7 @@
 	common.Row(w, "", "", "", "TARGET", "COST s", "QUEUED tokens", "CACHED tokens", "STATE")
 	for _, x := range d.Candidates {
 		mark := ""
-		if x.Target == ids.Target(d.Chosen) {
+		if x.Target == d.Chosen {
 			mark = "chosen"
 		}
 		common.Row(w, "", "", mark, x.Target, x.Cost, int(x.Input.QueueTokens), x.Input.Cached, x.Input.State)
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -234,3 +234,12 @@
 func PlainPrompt(m ids.Model) Prompt {
 	return *Template{Prompt: &Prompt{Model: m}}.withDefaults().Prompt
 }
+
+// LongestRetention returns the longest claim retention of any service template.
+func (c *Config) LongestRetention() time.Duration {
+	longest := DefaultClaimRetention
+	for _, s := range c.byService {
+		longest = max(longest, s.ClaimRetention.D())
+	}
+	return longest
+}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/claims"
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/confsync"
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -43,6 +44,7 @@
 		"settle":         d.Settler.Run,
 		"forget":         d.forget,
 		"orders":         d.orders,
+		"sweep-claims":   d.sweepClaims,
 	}
 }
 
@@ -264,3 +266,30 @@
 	}
 	return out
 }
+
+// Rhythm of the claims' expiry, and how many are deleted in one go.
+const (
+	sweepEvery = 10 * time.Minute
+	sweepLimit = 200
+)
+
+// sweepClaims deletes claims that no call can refer to any more. The holder of
+// the domain's lease does it; that several domains do is harmless.
+func (d *Daemon) sweepClaims(ctx context.Context) {
+	for sleep(ctx, sweepEvery*9/10+rand.N(sweepEvery/5)) {
+		if _, held := d.Lease.Held(); !held {
+			continue
+		}
+		cfg := d.Config.Get()
+		for ws := range cfg.Workspaces {
+			n, err := claims.Sweep(ctx, d.Store, claims.Prefix+string(ws)+"/", time.Now(), cfg.LongestRetention(), sweepLimit)
+			if err != nil {
+				d.Log.Info().Err(err).Str("step", "sweep claims").Str("peer", d.Settings.Store).Msg("expired claims are kept for now")
+				break
+			}
+			if n > 0 {
+				d.Events.Record(timeline.Event{Kind: timeline.KindClaim, Text: "expired claims deleted"}, n)
+			}
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -133,22 +133,6 @@
 	return e
 }
 
-// DecisionRecord is the detail of a decision event: enough to explain the choice
-// and to replay it. Candidates beyond the limit are the costlier ones.
-type DecisionRecord struct {
-	Policy     string              `json:"policy"`
-	Seed       uint64              `json:"seed"`
-	Tokens     int32               `json:"tokens"`
-	Weight     float32             `json:"recompute_weight"`
-	Levels     int                 `json:"levels"`
-	Affinity   uint64              `json:"affinity,string"`
-	Domain     ids.FailureDomain   `json:"failure_domain"`
-	Filtered   map[string]int      `json:"filtered,omitempty"`
-	Candidates []routing.Candidate `json:"candidates"`
-	Chosen     ids.Target          `json:"chosen,omitempty"`
-	Predicted  float32             `json:"predicted_ttft_s"`
-}
-
 // attempt is one try: decide, send, relay.
 func (r *run) attempt(ctx context.Context) error {
 	choice, err := r.decide()
@@ -186,15 +170,7 @@
 		RecomputeWeight: float32(*r.p.Template.RecomputeWeight), Seed: r.d.Fleet.Seed(),
 	}
 	snap, dec := r.d.Fleet.Decide(&req, r.tried, sc)
-	rec := DecisionRecord{
-		Policy: r.d.Fleet.PolicyName(), Seed: req.Seed, Tokens: req.Tokens, Weight: req.RecomputeWeight,
-		Levels: len(req.Levels), Affinity: routing.AffinityKey(&req, dec.BestCached), Domain: req.FailureDomain,
-		Filtered: sc.Routing.FilteredByName(), Candidates: routing.TopCandidates(&snap.View, sc.Inputs, &sc.Routing),
-		Predicted: dec.PredictedTTFT,
-	}
-	if dec.Index >= 0 {
-		rec.Chosen = snap.View.Targets[dec.Index].ID
-	}
+	rec := routing.NewRecord(r.d.Fleet.PolicyName(), &req, &snap.View, sc.Inputs, &sc.Routing, dec)
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindDecision, Request: r.p.Request, Peer: string(rec.Chosen)}, rec)
 	if dec.Index < 0 {
 		return choice{}, r.noTarget(sc)
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -19,6 +19,8 @@
 	"github.com/threadwall/threadwall/internal/lab"
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timeline"
 )
 
 const workspace = "redes-cartago"
@@ -498,3 +500,38 @@
 		t.Errorf("status %d, %s", resp.StatusCode, body)
 	}
 }
+
+// Every recorded decision comes out the same when it is made again from its
+// record; a record that was tampered with does not.
+func TestDecisionsReplay(t *testing.T) {
+	w := start(t, 2)
+	for i := range 30 {
+		if _, err := w.stream(fmt.Sprint("replay ", i%7)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := 0
+	for _, d := range w.vms.Daemons {
+		for _, e := range d.Events.Events("") {
+			var rec routing.Record
+			if e.Kind != timeline.KindDecision || json.Unmarshal(e.Detail, &rec) != nil || len(rec.Levels) == 0 {
+				continue
+			}
+			n++
+			if got := routing.Replay(routing.NewCost(), &rec); got != rec.Chosen {
+				t.Errorf("recorded %s, replayed %s", rec.Chosen, got)
+			}
+			for i := range rec.Candidates {
+				if rec.Candidates[i].Target == rec.Chosen {
+					rec.Candidates[i].Input.QueueTokens = 1e9
+				}
+			}
+			if got := routing.Replay(routing.NewCost(), &rec); len(rec.Candidates) > 1 && got == rec.Chosen {
+				t.Error("the choice does not depend on the record")
+			}
+		}
+	}
+	if n < 30 {
+		t.Fatalf("%d decisions were recorded", n)
+	}
+}
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -64,11 +64,13 @@
 const probersPerTarget = 2
 
 // Owns tells whether this VM is one of those that probe a target: of its own
-// domain the two live VMs with the highest rendezvous weight, and of each other
-// domain one, so that the domain knows what it may spill to.
+// domain the two live VMs with the highest rendezvous weight; in a small fleet also
+// one for each target of other domains. In a large one those probes would outweigh
+// all others, and its domains have targets enough of their own: targets elsewhere
+// then stay suspect, the last resort.
 func (n *Node) Owns(id ids.Target, domain ids.FailureDomain) bool {
 	if domain != n.Domain {
-		return n.rank(id) == 0
+		return n.smallFleet() && n.rank(id) == 0
 	}
 	return n.rank(id) < probersPerTarget
 }
@@ -91,3 +93,8 @@
 }
 
 const watchersPerDomain = 2
+
+// smallFleet tells whether all VMs know each other's domains well.
+func (n *Node) smallFleet() bool {
+	return len(n.Fleet.Members.Peers(time.Now())) <= smallFleet
+}
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/prefix"
 )
 
 // Candidate is one eligible target in a recorded decision.
@@ -59,3 +60,49 @@
 	}
 	return r.Seed
 }
+
+// Record is a decision with all that it was made from: enough to explain it and to
+// make it again. Candidates beyond a limit are left out; they were the costlier.
+type Record struct {
+	Policy     string            `json:"policy"`
+	Seed       uint64            `json:"seed,string"`
+	Tokens     int32             `json:"tokens"`
+	Weight     float32           `json:"recompute_weight"`
+	Levels     []prefix.Level    `json:"levels"`
+	Domain     ids.FailureDomain `json:"failure_domain"`
+	Eligible   Eligible          `json:"eligible"`
+	Filtered   map[string]int    `json:"filtered,omitempty"`
+	Candidates []Candidate       `json:"candidates"`
+	Chosen     ids.Target        `json:"chosen,omitempty"`
+	Predicted  float32           `json:"predicted_ttft_s"`
+}
+
+// NewRecord records the last decision made with s.
+func NewRecord(policy string, r *Request, v *View, in []Input, s *Scratch, d Decision) Record {
+	rec := Record{
+		Policy: policy, Seed: r.Seed, Tokens: r.Tokens, Weight: r.RecomputeWeight, Levels: r.Levels, Domain: r.FailureDomain,
+		Eligible: s.eligible, Filtered: s.FilteredByName(), Candidates: TopCandidates(v, in, s), Predicted: d.PredictedTTFT,
+	}
+	if d.Index >= 0 {
+		rec.Chosen = v.Targets[d.Index].ID
+	}
+	return rec
+}
+
+// Replay makes a recorded decision again, with the given policy, among the
+// recorded candidates. It returns the choice, empty if there is none.
+func Replay(p *Router, rec *Record) ids.Target {
+	r := Request{FailureDomain: rec.Domain, Levels: rec.Levels, Tokens: rec.Tokens, RecomputeWeight: rec.Weight, Seed: rec.Seed}
+	v := View{Targets: make([]Target, len(rec.Candidates))}
+	costs := make([]float32, len(rec.Candidates))
+	for i, c := range rec.Candidates {
+		v.Targets[i] = Target{ID: c.Target, FailureDomain: c.Domain, Hash: HashTarget(c.Target)}
+		for _, sc := range p.Scorers {
+			costs[i] += sc.Cost(&r, &v.Targets[i], &c.Input, &rec.Eligible)
+		}
+	}
+	if i := p.Picker.Pick(&r, &v, &rec.Eligible, costs); i >= 0 {
+		return v.Targets[i].ID
+	}
+	return ""
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -114,9 +114,9 @@
 
 // Eligible sums up the targets that passed the filters.
 type Eligible struct {
-	Count    int
-	Best     int32   // deepest expected cached prefix, in tokens
-	MeanWait float32 // mean wait for a turn, in seconds
+	Count    int     `json:"count"`
+	Best     int32   `json:"best"`      // deepest believed prefix, in tokens
+	MeanWait float32 `json:"mean_wait"` // mean wait for a turn, in seconds
 }
 
 // Picker chooses among costs; an infinite cost is not eligible. It returns -1
