Tell a new revision as news, and give tests addresses of their own

Cause: a new configuration took up to 1.5 s to be in force on 22 VMs: the urgent heartbeat that announces it carried the count of the last one, so peers took it for an echo. Found by measuring ('threadwall-lab spread'). Lab addresses were ports that had been free a moment ago, which other connections could take.

Change: an urgent beat counts on. Each lab listener has a loopback IP number of its own. The yardstick measures restarts of all VMs and overload.

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -32,7 +32,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand(), replayCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand(), replayCommand(), spreadCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -190,8 +190,16 @@
 			&cli.StringSliceFlag{Name: "workload", Usage: "only these workloads"},
 			&cli.BoolFlag{Name: "variants", Usage: "also the product's policy without some of its knowledge"},
 			&cli.BoolFlag{Name: "product-only", Usage: "leave the baselines out"},
+			&cli.BoolFlag{Name: "restarts", Usage: "instead, compare the seconds before and after restarts of all VMs"},
+			&cli.BoolFlag{Name: "overload", Usage: "instead, compare overload with and without admission"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool("restarts") {
+				return yardstick.PrintRestarts(os.Stdout, runAll(yardstick.Restarts(c.Uint64("seed"))))
+			}
+			if c.Bool("overload") {
+				return yardstick.Print(os.Stdout, runAll(yardstick.Overload(c.Uint64("seed"))))
+			}
 			var results []*yardstick.Result
 			for _, w := range yardstick.Workloads(c.Uint64("seed")) {
 				if only := c.StringSlice("workload"); len(only) > 0 && !slices.Contains(only, w.Name) {
@@ -206,6 +214,15 @@
 	}
 }
 
+// runAll runs the product's policy on workloads.
+func runAll(workloads []yardstick.Workload) []*yardstick.Result {
+	var out []*yardstick.Result
+	for _, w := range workloads {
+		out = append(out, yardstick.Run(w, yardstick.Product()))
+	}
+	return out
+}
+
 func policies(productOnly, variants bool) []yardstick.Policy {
 	out := []yardstick.Policy{yardstick.Product()}
 	if !productOnly {
@@ -340,3 +357,22 @@
 	}
 	return n, nil
 }
+
+func spreadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "spread",
+		Usage: "measure how long changes of configuration take to be in force on all VMs of a domain",
+		Flags: []cli.Flag{exampleFlag(), &cli.IntFlag{Name: "vms", Value: 22}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ex, err := lab.ReadExample(c.String("example"))
+			if err != nil {
+				return err
+			}
+			row, err := lab.Spread(ctx, ex, c.Int("vms"))
+			if err != nil {
+				return err
+			}
+			return json.NewEncoder(os.Stdout).Encode(row)
+		},
+	}
+}
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -171,14 +173,23 @@
 	}
 }
 
-// FreeAddr returns a loopback address that was free a moment ago.
+// freeAddrs counts the addresses given out by this process.
+var freeAddrs atomic.Uint32
+
+// FreeAddr returns a loopback address that nobody else uses, also after its first
+// listener has closed: each is an IP number of its own, outside those from which
+// connections go out, in a part of the range that depends on the process.
 func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	const perByte = 250
+	pid := os.Getpid()
+	for {
+		n := int(freeAddrs.Add(1))
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 2+pid%perByte, n/perByte%perByte, 1+n%perByte, 20_000+pid/perByte%10_000)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 func (v *VMs) waitReady(ctx context.Context) error {
--- /dev/null
+++ b/internal/lab/spread.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// SpreadRow is how long changes of configuration take to be in force on all VMs.
+type SpreadRow struct {
+	VMs       int        `json:"vms"`
+	SingleMS  []float64  `json:"single_ms"` // sorted
+	BurstSize int        `json:"burst_size"`
+	BurstMS   float64    `json:"burst_ms"` // from the last write
+	Calls     StoreCalls `json:"store_calls"`
+}
+
+const (
+	spreadSingles = 20
+	spreadBurst   = 200
+	spreadTimeout = 20 * time.Second
+)
+
+// Spread measures one failure domain of real daemons in this process.
+func Spread(ctx context.Context, ex *Example, vms int) (SpreadRow, error) {
+	domains := []ids.FailureDomain{"sala-heredia"}
+	s, err := Start(ctx, ex, StartOptions{Domains: domains, Engine: DefaultEngine})
+	if err != nil {
+		return SpreadRow{}, err
+	}
+	defer s.Close()
+	fleet, err := StartVMs(ctx, s, domains, vms, "cost")
+	if err != nil {
+		return SpreadRow{}, err
+	}
+	defer fleet.Stop(ctx)
+	time.Sleep(2 * time.Second) // streams come up
+	before := s.Store.Calls()
+	row := SpreadRow{VMs: vms, BurstSize: spreadBurst}
+	for i := range spreadSingles {
+		took, err := fleet.change(ctx, s, i, 1)
+		if err != nil {
+			return row, err
+		}
+		row.SingleMS = append(row.SingleMS, took)
+		time.Sleep(100 * time.Millisecond)
+	}
+	slices.Sort(row.SingleMS)
+	if row.BurstMS, err = fleet.change(ctx, s, 1000, spreadBurst); err != nil {
+		return row, err
+	}
+	after := s.Store.Calls()
+	row.Calls = StoreCalls{Reads: after.Reads - before.Reads, Writes: after.Writes - before.Writes, Watches: after.Watches - before.Watches}
+	return row, nil
+}
+
+// change writes n objects and waits until the last is in force everywhere.
+func (v *VMs) change(ctx context.Context, s *StandIns, from, n int) (float64, error) {
+	var last objectapi.Revision
+	for i := from; i < from+n; i++ {
+		o := config.Object{Kind: config.KindDocument, Name: fmt.Sprint("spread-", i), Document: &config.Document{Text: "text"}}
+		value, err := json.Marshal(o)
+		if err != nil {
+			return 0, eris.Wrap(err, "encode document")
+		}
+		if last, err = s.Store.Create(ctx, o.Key(), value); err != nil {
+			return 0, eris.Wrap(err, "write document")
+		}
+	}
+	start := time.Now()
+	for _, d := range v.Daemons {
+		for d.Node.Config.Revision() < last {
+			if time.Since(start) > spreadTimeout {
+				return 0, eris.Errorf("%s is at revision %d, not %d", d.Settings.VM, d.Node.Config.Revision(), last)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return float64(time.Since(start).Microseconds()) / 1000, nil
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -146,10 +146,13 @@
 }
 
 // Tell sends the news at hand to every peer of the domain. The heartbeat goes
-// along once for each count, and when the news is urgent.
+// along once for each count; urgent news counts on.
 func (n *Node) Tell(ctx context.Context, urgent bool) {
+	if urgent {
+		n.counter.Add(1) // peers take a beat that they have seen for an echo
+	}
 	news := &peerpb.News{Hlc: uint64(n.Events.Clock().Now())}
-	if b := n.beat(); n.toldBeat.Swap(b.Counter) != b.Counter || urgent {
+	if b := n.beat(); n.toldBeat.Swap(b.Counter) != b.Counter {
 		news.Beat = b
 	}
 	n.outbox.Fill(news, newsBytes)
--- a/internal/yardstick/report.go
+++ b/internal/yardstick/report.go
@@ -45,3 +45,28 @@
 	}
 	return sum * sum / (n * squares)
 }
+
+// Span returns the mean hit rate and time to first token, in milliseconds, of the
+// seconds from one up to another.
+func (r *Result) Span(from, to int) (hit, ttft float64) {
+	n := 0.0
+	for i := from; i < to && i < len(r.WindowHit); i++ {
+		hit += r.WindowHit[i]
+		ttft += r.WindowTTFT[i] * 1000
+		n++
+	}
+	return hit / max(n, 1), ttft / max(n, 1)
+}
+
+// PrintRestarts compares the ten seconds before and after the restart.
+func PrintRestarts(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "workload\thit rate 10 s before\t10 s after\tmean TTFT before\tafter ms\t")
+	at := int(RestartAt.Seconds())
+	for _, r := range results {
+		h0, t0 := r.Span(at-10, at)
+		h1, t1 := r.Span(at, at+10)
+		_, _ = fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.1f\t%.1f\t\n", r.Workload, h0, h1, t0, t1)
+	}
+	return t.Flush()
+}
--- a/internal/yardstick/run.go
+++ b/internal/yardstick/run.go
@@ -83,6 +83,7 @@
 	engines  []*fakeEngine
 	byID     map[ids.Target]*fakeEngine
 	deciders []*decider
+	records  []platform.Record
 	oracle   *routing.Router
 	res      *Result
 	end      time.Time
@@ -132,6 +133,7 @@
 			FailureDomain: x.w.domain(i), Model: x.w.model(i),
 		})
 	}
+	x.records = records
 	for i := range x.w.Deciders {
 		x.deciders = append(x.deciders, x.newDecider(i, records))
 	}
@@ -183,14 +185,18 @@
 }
 
 func (x *world) report(e *fakeEngine) {
-	r := membership.Report{
+	r := x.reportOf(e)
+	for i := range x.deciders {
+		lag := reportLag + time.Duration(x.rnd.Int64N(int64(reportLag)))
+		x.clk.after(lag, func() { x.deciders[i].f.Members.Probed(e.id, r, x.now().Add(-lag)) })
+	}
+}
+
+func (x *world) reportOf(e *fakeEngine) membership.Report {
+	return membership.Report{
 		Incarnation: e.life, Seq: uint64(x.now().UnixMilli()), QueuedTokens: e.queuedTokens(), Running: len(e.running),
 		Slots: e.spec.Slots, PrefillRate: e.spec.PrefillRate, Weights: "w", Silent: !e.up,
 	}
-	for _, d := range x.deciders {
-		lag := reportLag + time.Duration(x.rnd.Int64N(int64(reportLag)))
-		x.clk.after(lag, func() { d.f.Members.Probed(e.id, r, x.now().Add(-lag)) })
-	}
 }
 
 func (x *world) readFeed(e *fakeEngine, d *decider) {
--- a/internal/yardstick/workloads.go
+++ b/internal/yardstick/workloads.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/threadwall/threadwall/internal/admission"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 )
@@ -119,6 +120,30 @@
 	}
 }
 
+// restartDeciders lets all VMs begin a new life at once. From survivors they are
+// given the beliefs of one that stays; without, they know nothing.
+func restartDeciders(survivor bool) func(*world) {
+	return func(x *world) {
+		known := x.deciders[0].f.Cache.Beliefs(1 << 20)
+		for i := range x.deciders {
+			if survivor && i == 0 {
+				continue
+			}
+			d := x.newDecider(i, x.records)
+			for _, e := range x.engines {
+				d.f.Members.Probed(e.id, x.reportOf(e), x.now())
+			}
+			d.f.Refresh()
+			if survivor {
+				for _, b := range known {
+					d.f.Cache.Told(b.Target, uint16(b.Life), uint64(b.ID))
+				}
+			}
+			x.deciders[i] = d
+		}
+	}
+}
+
 // Solano's engine and Barreras's engine.
 var (
 	yardEngine    = EngineSpec{PrefillRate: 12_000, Overhead: 8 * time.Millisecond, Slots: 32, TokenEvery: 20 * time.Millisecond, CacheTokens: 90_000}
@@ -146,3 +171,30 @@
 	crashed.Faults = []Fault{{At: 25 * time.Second, Do: crash(1.0/3, 4*time.Second)}}
 	return []Workload{solano, barreras, domain, crashed}
 }
+
+// RestartAt is when the VMs of the restart workloads begin a new life.
+const RestartAt = 30 * time.Second
+
+// Restarts returns workloads in which all VMs, or all but one, restart at once.
+func Restarts(seed uint64) []Workload {
+	base := Workloads(seed)[0]
+	base.Burst, base.Rate = 0, 40
+	herd, bare := base, base
+	base.Name = "no restart"
+	herd.Name, herd.Faults = "all but one restart", []Fault{{At: RestartAt, Do: restartDeciders(true)}}
+	bare.Name, bare.Faults = "all restart, nobody left", []Fault{{At: RestartAt, Do: restartDeciders(false)}}
+	return []Workload{base, herd, bare}
+}
+
+// Overload returns a workload that asks for more than the engines can compute,
+// with and without admission's overload gate.
+func Overload(seed uint64) []Workload {
+	w := Workloads(seed)[1]
+	w.Name, w.Rate, w.ShiftEvery, w.Items, w.HotItems = "overload, no gate", 55, 0, 400, 0
+	gated := w
+	gated.Name = "overload, gate"
+	gated.Gate = func(now func() time.Time) gate {
+		return admission.New(admission.DefaultTuning, admission.NewShares(now), now)
+	}
+	return []Workload{w, gated}
+}
