Measure the VM's cost as a process of its own; move deadlines less often

Cause: the cost measured in one process mixed caller, VM and engine.

A stream has one idle timer that is reset, and its write deadline moves on every 15 s; collections wait for four times the live heap; profiles at the admin address.

--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -119,6 +119,8 @@
 		Flags: []cli.Flag{
 			exampleFlag(), &cli.StringFlag{Name: "store", Value: "127.0.0.1:7000", Usage: "`ADDR` of the object API"},
 			&cli.StringSliceFlag{Name: "only", Usage: "start only these VMs of the example, or \"store\", so that each can be a process of its own"},
+			&cli.DurationFlag{Name: "token-every", Value: lab.DefaultEngine.TokenEvery, Usage: "time between an engine's tokens"},
+			&cli.IntFlag{Name: "slots", Value: lab.DefaultEngine.Slots, Usage: "answers that an engine generates at once"},
 			&cli.StringFlag{Name: "runs", Usage: "services append the key of each call that ran to `FILE`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -303,8 +305,20 @@
 	return &cli.Command{
 		Name:  "overhead",
 		Usage: "measure the router's own cost beside a direct call to a stand-in, in one run",
-		Flags: []cli.Flag{exampleFlag()},
+		Flags: []cli.Flag{
+			exampleFlag(),
+			&cli.StringFlag{Name: "direct", Usage: "base `URL` of a running engine; without it, everything runs in this process"},
+			&cli.StringFlag{Name: "routed", Usage: "base `URL` of a running VM"},
+			&cli.IntFlag{Name: "pid", Usage: "process `ID` of that VM"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.String("direct") != "" {
+				row, err := lab.OverheadOf(ctx, c.String("direct"), c.String("routed"), c.Int("pid"))
+				if err != nil {
+					return err
+				}
+				return json.NewEncoder(os.Stdout).Encode(row)
+			}
 			ex, err := lab.ReadExample(c.String("example"))
 			if err != nil {
 				return err
--- a/cmd/threadwalld/main.go
+++ b/cmd/threadwalld/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -34,11 +35,16 @@
 	}
 }
 
+// gcPercent lets the heap grow to four times what is live before it is collected:
+// the daemon's live heap is small, and collections show in the tail of latencies.
+const gcPercent = 300
+
 func run(_ context.Context, c *cli.Command) error {
 	s, err := settings.Load(c.String("settings"))
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, daemon.Options{LogTo: os.Stderr}),
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"runtime"
 	"sync"
 	"time"
@@ -53,6 +54,7 @@
 	e.Use(gin.Recovery())
 	publish(d)
 	e.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	e.GET("/debug/pprof/*name", gin.WrapF(profile))
 	e.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, d.Status()) })
 	e.GET("/timeline", func(c *gin.Context) {
 		c.JSON(http.StatusOK, d.Events.Events(ids.Request(c.Query("request"))))
@@ -60,6 +62,16 @@
 	return e
 }
 
+// profile serves the runtime's profiles.
+func profile(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/debug/pprof/profile":
+		pprof.Profile(w, r)
+	default:
+		pprof.Index(w, r)
+	}
+}
+
 // Metrics are this VM's counters, published under "threadwall/VM" by expvar.
 // docs/OPERATING.md explains each.
 type Metrics struct {
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -20,7 +20,8 @@
 type conn struct {
 	answer *engine.Answer
 	cancel context.CancelFunc
-	timer  *time.Timer
+	timer  *time.Timer // until the answer begins
+	idle   *time.Timer // between events
 }
 
 // checkEvery is how often a waiting connection looks at membership.
@@ -65,12 +66,20 @@
 }
 
 // pauseIdle stops the clock while the caller takes events.
-func (c *conn) pauseIdle() { c.timer.Stop() }
+func (c *conn) pauseIdle() {
+	if c.idle != nil {
+		c.idle.Stop()
+	}
+}
 
 // startIdle ends the connection unless an event comes in time.
 func (c *conn) startIdle(d time.Duration) {
+	if c.idle != nil {
+		c.idle.Reset(d)
+		return
+	}
 	c.timer.Stop()
-	c.timer = time.AfterFunc(d, c.cancel)
+	c.idle = time.AfterFunc(d, c.cancel)
 }
 
 // finishTime bounds waiting for the end of a connection whose answer is complete.
@@ -85,6 +94,7 @@
 
 func (c *conn) close() {
 	c.timer.Stop()
+	c.pauseIdle()
 	c.cancel()
 	if c.answer != nil {
 		_ = c.answer.Body.Close()
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -127,11 +127,20 @@
 	started bool
 	number  uint64
 	buf     []byte
+
+	deadlineSet time.Time // when the write deadline was last moved on
 }
 
-// callerTimeout bounds one write to a caller that takes nothing.
+// callerTimeout bounds a write to a caller that takes nothing, less a quarter.
 const callerTimeout = 60 * time.Second
 
+// complete sets the trailer of a stream that came to its end.
+func (s *sink) complete() {
+	if s.number > 0 {
+		s.c.Writer.Header().Set(HeaderOutcome, outcome.Ran.String())
+	}
+}
+
 // Start implements dispatch.Sink.
 func (s *sink) Start(t ids.Target) {
 	s.started = true
@@ -163,13 +172,15 @@
 	if len(s.buf) == 0 {
 		return nil
 	}
-	_ = s.ctl.SetWriteDeadline(time.Now().Add(callerTimeout))
+	if now := time.Now(); now.Sub(s.deadlineSet) > callerTimeout/4 {
+		s.deadlineSet = now
+		_ = s.ctl.SetWriteDeadline(now.Add(callerTimeout))
+	}
 	_, err := s.c.Writer.Write(s.buf)
 	s.buf = s.buf[:0]
 	if err != nil {
 		return err
 	}
-	s.c.Writer.Header().Set(HeaderOutcome, outcome.Ran.String())
 	return s.ctl.Flush()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,6 +181,7 @@
 			s.fail(outcome.Of(err))
 			return
 		}
+		s.complete()
 		g.done(req, outcome.Ran)
 	}
 }
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -25,8 +27,8 @@
 	AddedP50     float64 `json:"added_p50_ms"`
 	AddedP99     float64 `json:"added_p99_ms"`
 	TokensPerSec float64 `json:"tokens_per_s"`
-	// TokensPerCore counts the processor time of caller, VM and engine together,
-	// all in this process: a lower bound for the VM alone.
+	// TokensPerCore counts the processor time of one process: the VM's, or that of
+	// caller, VM and engine together if all are in this one.
 	TokensPerCore float64 `json:"tokens_per_core_s"`
 }
 
@@ -60,9 +62,15 @@
 			engineAddr = r.Addr
 		}
 	}
+	return OverheadOf(ctx, "http://"+engineAddr, vms.Entries()[0], os.Getpid())
+}
+
+// OverheadOf measures a running engine and VM. pid is the process whose processor
+// time counts for the tokens relayed.
+func OverheadOf(ctx context.Context, direct, routed string, pid int) (OverheadRow, error) {
 	m := &meter{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
-	row := m.latency(ctx, "http://"+engineAddr, vms.Entries()[0])
-	row.TokensPerSec, row.TokensPerCore = m.throughput(ctx, vms.Entries()[0])
+	row := m.latency(ctx, direct, routed)
+	row.TokensPerSec, row.TokensPerCore = m.throughput(ctx, routed, pid)
 	return row, m.failure()
 }
 
@@ -100,23 +108,32 @@
 }
 
 // throughput reads many long streams at once.
-func (m *meter) throughput(ctx context.Context, routed string) (perSecond, perCore float64) {
+func (m *meter) throughput(ctx context.Context, routed string, pid int) (perSecond, perCore float64) {
 	var wg sync.WaitGroup
-	cpu, start := cpuSeconds(), time.Now()
+	cpu, start := cpuSeconds(pid), time.Now()
 	for i := range throughStreams {
 		wg.Go(func() { _, _ = m.ask(ctx, routed, i, throughTokens) })
 	}
 	wg.Wait()
 	tokens := float64(throughStreams * throughTokens)
-	return tokens / time.Since(start).Seconds(), tokens / (cpuSeconds() - cpu)
+	return tokens / time.Since(start).Seconds(), tokens / (cpuSeconds(pid) - cpu)
 }
 
-func cpuSeconds() float64 {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+// ticksPerSecond is the unit of /proc/PID/stat.
+const ticksPerSecond = 100
+
+// cpuSeconds reads a process's processor time; zero if it can't be read.
+func cpuSeconds(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
 		return 0
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+	// The fields behind the command's name, which may hold spaces.
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	const utime, stime = 11, 12
+	user, _ := strconv.ParseFloat(fields[utime], 64)
+	system, _ := strconv.ParseFloat(fields[stime], 64)
+	return (user + system) / ticksPerSecond
 }
 
 // ask sends one short prompt and returns the time to the first byte of its stream.
