--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,89 @@
+package gossip
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/peerpb"
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// TestFill: urgent reports always go out, demand is never lost, what is not urgent
+// stays within the budget, and an outbox empties.
+func TestFill(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := New()
+		budget := rapid.IntRange(0, 500).Draw(rt, "budget")
+		urgent, demands := map[uint32]bool{}, map[uint32]uint32{}
+		for i := range rapid.IntRange(0, 40).Draw(rt, "news") {
+			id := uint32(rapid.IntRange(1, 10).Draw(rt, "id"))
+			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				o.Report(&peerpb.TargetReport{Target: id, Leaving: true}, true)
+				urgent[id] = true
+			case 1:
+				o.Report(&peerpb.TargetReport{Target: id, QueuedTokens: uint32(i)}, false)
+			case 2:
+				o.Dispatch(&peerpb.Dispatch{Target: id, Prefixes: []uint64{uint64(i)}})
+			default:
+				d := uint32(rapid.IntRange(0, 50).Draw(rt, "demand"))
+				o.Demand(&peerpb.Demand{Workspace: id, Decirequests: d})
+				demands[id] = d
+			}
+		}
+		told := map[uint32]bool{}
+		for round := 0; o.Waiting(); round++ {
+			if round > 200 {
+				rt.Fatalf("it does not empty within a budget of %d", budget)
+			}
+			n := &peerpb.News{}
+			o.Fill(n, budget)
+			rest := proto.Clone(n).(*peerpb.News)
+			rest.Reports = nil
+			for _, r := range n.Reports {
+				if r.Leaving {
+					delete(urgent, r.Target)
+				} else {
+					rest.Reports = append(rest.Reports, r)
+				}
+			}
+			if size := proto.Size(rest); size > budget {
+				rt.Fatalf("%d bytes within a budget of %d", size, budget)
+			}
+			for _, d := range n.Demands {
+				told[d.Workspace] = true
+			}
+			budget += 20 // what was too large for one round finds room later
+		}
+		if len(urgent) > 0 {
+			rt.Fatalf("urgent reports were lost: %v", urgent)
+		}
+		for id := range demands {
+			if !told[id] {
+				rt.Fatalf("demand of %d was never told", id)
+			}
+		}
+	})
+}
+
+func TestDemandIsToldWhenItChanges(t *testing.T) {
+	o := New()
+	tell := func(rate uint32) int {
+		o.Demand(&peerpb.Demand{Workspace: 1, Decirequests: rate})
+		n := &peerpb.News{}
+		o.Fill(n, 1000)
+		return len(n.Demands)
+	}
+	for i, want := range []struct{ rate, told uint32 }{{100, 1}, {110, 0}, {130, 1}, {100, 0}, {90, 1}, {0, 1}, {0, 0}} {
+		if got := tell(want.rate); got != int(want.told) {
+			t.Errorf("step %d, rate %d: told %d times", i, want.rate, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/objectapi/http_test.go
@@ -0,0 +1,96 @@
+package objectapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+func client(t *testing.T, h http.Handler) *Client {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return NewClient(srv.URL, 5*time.Second, Budget{WritesPerSecond: 1000, ReadsPerSecond: 1000})
+}
+
+func TestClientSpeaksTheAPI(t *testing.T) {
+	c, ctx := client(t, Handler(NewMemory())), t.Context()
+	v, err := c.Create(ctx, "a/b c?&", []byte("one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Create(ctx, "a/b c?&", nil); !errors.Is(err, ErrExists) {
+		t.Errorf("create twice: %v", err)
+	}
+	if _, err := c.Update(ctx, "a/b c?&", nil, v+1); !errors.Is(err, ErrConflict) {
+		t.Errorf("update another version: %v", err)
+	}
+	v2, err := c.Update(ctx, "a/b c?&", []byte("two"), v)
+	if err != nil || v2 <= v {
+		t.Fatal(v2, err)
+	}
+	if o, err := c.Get(ctx, "a/b c?&"); err != nil || string(o.Value) != "two" || o.Version != v2 {
+		t.Errorf("get: %+v, %v", o, err)
+	}
+	if _, err := c.Get(ctx, "none"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("get nothing: %v", err)
+	}
+	events, rev, err := c.Watch(ctx, "a/", v)
+	if err != nil || len(events) != 1 || rev != v2 {
+		t.Errorf("watch: %v, %d, %v", events, rev, err)
+	}
+	if err := c.Delete(ctx, "a/b c?&", v2); err != nil {
+		t.Error(err)
+	}
+	if list, _, err := c.List(ctx, ""); err != nil || len(list) != 0 {
+		t.Errorf("list: %v, %v", list, err)
+	}
+}
+
+// Only what certainly did not take effect may be told as such.
+func TestClientTellsUnclearWrites(t *testing.T) {
+	answer := func(status int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+	}
+	for _, c := range []struct {
+		name string
+		h    http.Handler
+		want error
+	}{
+		{"500", answer(500), ErrAmbiguous},
+		{"502", answer(502), ErrAmbiguous},
+		{"503", answer(503), ErrUnavailable},
+		{"429", answer(429), ErrUnavailable},
+		{"cut off", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), ErrAmbiguous},
+		{"no JSON", answer(200), ErrAmbiguous},
+	} {
+		if _, err := client(t, c.h).Create(t.Context(), "k", nil); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	slow := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	if _, err := client(t, slow).Create(ctx, "k", nil); !errors.Is(err, ErrAmbiguous) {
+		t.Errorf("timeout: %v", err)
+	}
+	away := NewClient("http://127.0.0.1:1", time.Second, Budget{WritesPerSecond: 1, ReadsPerSecond: 1})
+	if _, err := away.Create(t.Context(), "k", nil); !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAmbiguous) {
+		t.Errorf("nobody there: %v", err)
+	}
+}
+
+func TestClientKeepsItsBudget(t *testing.T) {
+	srv := httptest.NewServer(Handler(NewMemory()))
+	defer srv.Close()
+	c := NewClient(srv.URL, time.Second, Budget{WritesPerSecond: 0.001, ReadsPerSecond: 0.001})
+	if _, err := c.Get(t.Context(), "x"); !errors.Is(err, ErrNotFound) {
+		t.Fatal(err)
+	}
+	if _, err := c.Get(t.Context(), "x"); !errors.Is(err, ErrOverBudget) {
+		t.Errorf("beyond the budget: %v", err)
+	}
+}
