--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -98,7 +98,7 @@
 
 // Error implements error.
 func (e *RacedError) Error() string {
-	return e.Key + " was changed by somebody else meanwhile; nothing of theirs was overwritten, look at it and apply again"
+	return e.Key + " was changed by somebody else meanwhile; their change stands, look at it and apply again"
 }
 
 // Run writes a plan's changes in order and stops at the first failure. Done
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -14,9 +14,11 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/daemon"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/routing"
@@ -475,6 +477,26 @@
 	}
 }
 
+// A configuration of several large documents reaches a restarted VM from a peer.
+func TestLargeConfigurationFromPeer(t *testing.T) {
+	w := start(t, 2)
+	var last objectapi.Revision
+	for i := range 8 {
+		o := config.Object{Kind: config.KindDocument, Name: fmt.Sprint("large-", i), Document: &config.Document{Text: strings.Repeat("x", 900_000)}}
+		value, err := json.Marshal(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if last, err = w.s.Store.Create(t.Context(), o.Key(), value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitFor(t, func() bool { return w.vms.Daemons[1].Node.Config.Revision() >= last })
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return d.Status().Ready && d.Node.Config.Revision() >= last })
+}
+
 // All VMs of a domain but one restart at once, with the platform down.
 func TestHerdWithOneSurvivor(t *testing.T) {
 	w := start(t, 4)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -149,8 +148,15 @@
 	return c.MustGet(keyWorkspace).(ids.Workspace), c.MustGet(keyConfig).(*config.Config)
 }
 
+// bodyTimeout bounds reading a body, so that a caller that trickles holds no place
+// for long.
+const bodyTimeout = 30 * time.Second
+
 // body reads a bounded body.
 func (g *Gateway) body(c *gin.Context, limit int64) ([]byte, *outcome.Error) {
+	ctl := http.NewResponseController(c.Writer)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
 	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -270,13 +276,3 @@
 	g.mark(c, requestOf(c), outcome.Ran)
 	c.JSON(http.StatusOK, list)
 }
-
-// Serve runs the gateway on a server until ctx ends; see the daemon for the
-// order of a graceful shutdown.
-func Serve(ctx context.Context, srv *http.Server) error {
-	err := srv.ListenAndServe()
-	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -40,6 +40,10 @@
 	ErrAmbiguous   = errors.New("answer lost, write may have taken effect")
 	ErrOverBudget  = errors.New("call budget used up, request not sent")
 	ErrCompacted   = errors.New("watch start is too old, list again")
+	// ErrOvertaken joins ErrExists or ErrConflict when an answer was lost before:
+	// the object is another's now, but ours may have been there in between. Where
+	// nobody else changes an object that is ours (claims, leases), it was not.
+	ErrOvertaken = errors.New("another's object is in place, ours may have been there before")
 )
 
 // Store is the object API. Implementations: Client (HTTP) and Memory.
@@ -125,6 +129,8 @@
 		switch {
 		case gerr == nil && mine(current.Value):
 			return current, nil
+		case gerr == nil && !untouched(current) && sent:
+			return current, errors.Join(lost, ErrOvertaken)
 		case gerr == nil && !untouched(current):
 			return current, lost
 		case errors.Is(gerr, ErrNotFound) && errors.Is(err, ErrConflict):
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -33,6 +33,7 @@
 	newsBytes       = 400 // of news in a message, about
 	callTimeout     = 800 * time.Millisecond
 	workLag         = 200 * time.Millisecond // mean age of news of a dispatch
+	maxMessageBytes = 256 << 20              // a whole configuration with its documents
 	relaysPerDomain = 2                      // VMs of a domain that speak to other domains
 )
 
@@ -294,7 +295,8 @@
 	if c := n.conns[addr]; c != nil {
 		return peerpb.NewPeerClient(c), nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(n.dial))
+	c, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(n.dial),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to peer %s", addr)
 	}
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -250,7 +250,9 @@
 	case errors.As(err, &refusal) && refusal.Leaving:
 		r.Fleet.Members.Leaves(t, refusal.Incarnation)
 		r.Fleet.MarkDirty()
-	case ctx.Err() == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The caller left; this says nothing about the target.
+	default: // also when the call's time ran out on it
 		r.Fleet.Members.Failed(t, time.Now())
 		r.Fleet.MarkDirty()
 	}
