--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -32,7 +32,7 @@
 		Name:                  "threadwall-lab",
 		Usage:                 "stand-ins for what threadwall serves, and loads that check every answer",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand(), replayCommand(), spreadCommand()},
+		Commands:              []*cli.Command{demoCommand(), upCommand(), loadCommand(), yardstickCommand(), capacityCommand(), verifyCommand(), overheadCommand(), replayCommand(), spreadCommand(), plotsCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "threadwall-lab:", err)
@@ -390,3 +390,17 @@
 		},
 	}
 }
+
+func plotsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "plots",
+		Usage: "measure and draw the plots of docs/plots",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "dir", Value: "docs/plots", Usage: "write SVG files to `DIR`"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if err := os.MkdirAll(c.String("dir"), 0o755); err != nil {
+				return eris.Wrap(err, "make directory")
+			}
+			return capacity.Plots(c.String("dir"))
+		},
+	}
+}
--- a/internal/capacity/news.go
+++ b/internal/capacity/news.go
@@ -48,6 +48,9 @@
 	Learned   float64 `json:"learned"` // part of the beliefs that peers hold
 }
 
+// newsSpan is how long news is counted.
+const newsSpan = 5 * time.Second
+
 // warmUp lets connections come up before anything is counted.
 const warmUp = 1500 * time.Millisecond
 
--- /dev/null
+++ b/internal/capacity/plots.go
@@ -0,0 +1,118 @@
+package capacity
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/threadwall/threadwall/internal/yardstick"
+)
+
+// Sizes of plots.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 9  // points
+	cutSeconds = 10 // longer bars are cut
+)
+
+var barColors = []color.Color{
+	color.Gray{Y: 190},
+	color.Gray{Y: 150},
+	color.RGBA{R: 120, G: 160, B: 200, A: 255},
+	color.RGBA{R: 40, G: 40, B: 40, A: 255},
+	color.RGBA{R: 200, G: 90, B: 40, A: 255},
+}
+
+// PlotPolicies draws one figure of each policy on each workload as bars.
+func PlotPolicies(dir, name, title string, results []*yardstick.Result, figure func(*yardstick.Result) float64) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.Legend.Top = true
+	var workloads, policies []string
+	values := map[string]plotter.Values{}
+	for _, r := range results {
+		if len(workloads) == 0 || workloads[len(workloads)-1] != r.Workload {
+			workloads = append(workloads, r.Workload)
+		}
+		if values[r.Policy] == nil {
+			policies = append(policies, r.Policy)
+		}
+		values[r.Policy] = append(values[r.Policy], figure(r))
+	}
+	for i, policy := range policies {
+		bars, err := plotter.NewBarChart(values[policy], vg.Points(barWidth))
+		if err != nil {
+			return eris.Wrapf(err, "plot %s", name)
+		}
+		bars.Color = barColors[i%len(barColors)]
+		bars.LineStyle.Width = 0
+		bars.Offset = vg.Points(barWidth * (float64(i) - float64(len(policies)-1)/2))
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	p.NominalX(workloads...)
+	return save(p, dir, name)
+}
+
+// Point is one measured size and its cost.
+type Point struct{ X, Y float64 }
+
+// PlotSlope draws how a cost grows.
+func PlotSlope(dir, name, title, x, y string, points []Point) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.X.Min, p.Y.Min = 0, 0
+	var xys plotter.XYs
+	for _, pt := range points {
+		xys = append(xys, plotter.XY{X: pt.X, Y: pt.Y})
+	}
+	line, dots, err := plotter.NewLinePoints(xys)
+	if err != nil {
+		return eris.Wrapf(err, "plot %s", name)
+	}
+	p.Add(plotter.NewGrid(), line, dots)
+	return save(p, dir, name)
+}
+
+func save(p *plot.Plot, dir, name string) error {
+	return eris.Wrapf(p.Save(plotWidth, plotHeight, filepath.Join(dir, name+".svg")), "plot %s", name)
+}
+
+// Plots measures and draws the plots of docs/plots.
+func Plots(dir string) error {
+	var results []*yardstick.Result
+	for _, w := range yardstick.Workloads(1) {
+		for _, p := range append(yardstick.Baselines(), yardstick.Product()) {
+			results = append(results, yardstick.Run(w, p))
+		}
+	}
+	hit := func(r *yardstick.Result) float64 { return r.HitRate() }
+	p99 := func(r *yardstick.Result) float64 { return min(r.Quantile(99)/1000, cutSeconds) }
+	if err := PlotPolicies(dir, "hit-rate", "Prefix hit rate", results, hit); err != nil {
+		return err
+	}
+	if err := PlotPolicies(dir, "ttft-p99", fmt.Sprintf("TTFT p99 in seconds, cut at %d", cutSeconds), results, p99); err != nil {
+		return err
+	}
+	var decide, news []Point
+	for _, replicas := range []int{9, 40, 153, 300, 600} {
+		decide = append(decide, Point{X: float64(replicas), Y: Decide(replicas, 100_000).P50})
+	}
+	for _, vms := range []int{2, 8, 15, 22} {
+		row, err := News(NewsSpec{VMs: vms, Targets: 153, Dispatches: 1.5, Workspaces: 10, Span: newsSpan})
+		if err != nil {
+			return err
+		}
+		news = append(news, Point{X: float64(vms), Y: row.BytesIn})
+	}
+	if err := PlotSlope(dir, "decide", "Decision, 100,000 beliefs", "replicas", "p50 in microseconds", decide); err != nil {
+		return err
+	}
+	return PlotSlope(dir, "news", "News between VMs of a domain", "VMs", "bytes/s in, and as much out", news)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,7 +32,6 @@
 	HeaderWeights     = "X-Weights-Version"  // of the target
 	HeaderOutcome     = "X-Outcome"          // "not-run" when the target refused the call
 	HeaderLeaving     = "X-Leaving"          // "true" when it refused because it is leaving
-	HeaderQueued      = "X-Queued-Tokens"    // prefill work waiting at the target
 	HeaderDeadline    = "X-Deadline-Ms"      // what is left of the request's time
 	AnswerIDPrefix    = "chatcmpl-"          // of an answer's id, before the attempt
 	PathResume        = "/v1/resume"         // POST {attempt, after}
@@ -83,7 +82,6 @@
 type Answer struct {
 	Incarnation ids.Incarnation
 	Weights     ids.WeightsVersion
-	Queued      int // tokens; -1 when not told
 	Body        io.ReadCloser
 }
 
@@ -156,7 +154,6 @@
 	a := &Answer{
 		Incarnation: incarnationOf(resp.Header),
 		Weights:     ids.WeightsVersion(resp.Header.Get(HeaderWeights)),
-		Queued:      queuedOf(resp.Header),
 		Body:        resp.Body,
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -189,14 +186,6 @@
 	return ids.Incarnation(n)
 }
 
-func queuedOf(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(HeaderQueued))
-	if err != nil {
-		return -1
-	}
-	return n
-}
-
 // ReadWhole reads an answer that is not streamed. A body that ends early, or one
 // of another attempt, is an error.
 func ReadWhole(a *Answer, call *Call) ([]byte, error) {
