--- a/cmd/threadwall-lab/main.go
+++ b/cmd/threadwall-lab/main.go
@@ -9,20 +9,14 @@
 	"io"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 	"text/tabwriter"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"github.com/threadwall/threadwall/internal/capacity"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
-	"github.com/threadwall/threadwall/internal/routing"
-	"github.com/threadwall/threadwall/internal/timeline"
-	"github.com/threadwall/threadwall/internal/yardstick"
 )
 
 func main() {
@@ -183,88 +177,6 @@
 	})
 }
 
-func yardstickCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "yardstick",
-		Usage: "measure routing policies in virtual time; the same seed gives the same figures",
-		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seed", Value: 1},
-			&cli.StringSliceFlag{Name: "workload", Usage: "only these workloads"},
-			&cli.BoolFlag{Name: "variants", Usage: "also the product's policy without some of its knowledge"},
-			&cli.BoolFlag{Name: "product-only", Usage: "leave the baselines out"},
-			&cli.BoolFlag{Name: "restarts", Usage: "instead, compare the seconds before and after restarts of all VMs"},
-			&cli.BoolFlag{Name: "overload", Usage: "instead, compare overload with and without admission"},
-		},
-		Action: func(_ context.Context, c *cli.Command) error {
-			if c.Bool("restarts") {
-				return yardstick.PrintRestarts(os.Stdout, runAll(yardstick.Restarts(c.Uint64("seed"))))
-			}
-			if c.Bool("overload") {
-				return yardstick.Print(os.Stdout, runAll(yardstick.Overload(c.Uint64("seed"))))
-			}
-			var results []*yardstick.Result
-			for _, w := range yardstick.Workloads(c.Uint64("seed")) {
-				if only := c.StringSlice("workload"); len(only) > 0 && !slices.Contains(only, w.Name) {
-					continue
-				}
-				for _, p := range policies(c.Bool("product-only"), c.Bool("variants")) {
-					results = append(results, yardstick.Run(w, p))
-				}
-			}
-			return yardstick.Print(os.Stdout, results)
-		},
-	}
-}
-
-// runAll runs the product's policy on workloads.
-func runAll(workloads []yardstick.Workload) []*yardstick.Result {
-	var out []*yardstick.Result
-	for _, w := range workloads {
-		out = append(out, yardstick.Run(w, yardstick.Product()))
-	}
-	return out
-}
-
-func policies(productOnly, variants bool) []yardstick.Policy {
-	out := []yardstick.Policy{yardstick.Product()}
-	if !productOnly {
-		out = append(yardstick.Baselines(), out...)
-	}
-	if variants {
-		out = append(out, yardstick.Variants()...)
-	}
-	return out
-}
-
-func capacityCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "capacity",
-		Usage: "measure the slopes that docs/CAPACITY.md works with, and print them as JSON",
-		Action: func(context.Context, *cli.Command) error {
-			var out capacityOutput
-			for _, size := range [][2]int{{9, 10_000}, {153, 10_000}, {153, 100_000}, {600, 100_000}} {
-				out.Decide = append(out.Decide, capacity.Decide(size[0], size[1]))
-			}
-			for _, vms := range []int{2, 8, 22} {
-				row, err := capacity.News(capacity.NewsSpec{VMs: vms, Targets: 153, Dispatches: 1.5, Workspaces: 10, Span: 5 * time.Second})
-				if err != nil {
-					return err
-				}
-				out.News = append(out.News, row)
-			}
-			enc := json.NewEncoder(os.Stdout)
-			enc.SetIndent("", "  ")
-			return enc.Encode(out)
-		},
-	}
-}
-
-// capacityOutput is what the capacity command prints.
-type capacityOutput struct {
-	Decide []capacity.DecideRow `json:"decide"`
-	News   []capacity.NewsRow   `json:"news"`
-}
-
 func verifyCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "verify",
@@ -300,107 +212,3 @@
 		},
 	}
 }
-
-func overheadCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "overhead",
-		Usage: "measure the router's own cost beside a direct call to a stand-in, in one run",
-		Flags: []cli.Flag{
-			exampleFlag(),
-			&cli.StringFlag{Name: "direct", Usage: "base `URL` of a running engine; without it, everything runs in this process"},
-			&cli.StringFlag{Name: "routed", Usage: "base `URL` of a running VM"},
-			&cli.IntFlag{Name: "pid", Usage: "process `ID` of that VM"},
-		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.String("direct") != "" {
-				row, err := lab.OverheadOf(ctx, c.String("direct"), c.String("routed"), c.Int("pid"))
-				if err != nil {
-					return err
-				}
-				return json.NewEncoder(os.Stdout).Encode(row)
-			}
-			ex, err := lab.ReadExample(c.String("example"))
-			if err != nil {
-				return err
-			}
-			row, err := lab.Overhead(ctx, ex)
-			if err != nil {
-				return err
-			}
-			enc := json.NewEncoder(os.Stdout)
-			enc.SetIndent("", "  ")
-			return enc.Encode(row)
-		},
-	}
-}
-
-func replayCommand() *cli.Command {
-	return &cli.Command{
-		Name:      "replay",
-		Usage:     "make recorded decisions again and name the first that comes out otherwise",
-		ArgsUsage: "FILE, as written by: threadwall timeline --kind decision --last 10000 -o json",
-		Action: func(_ context.Context, c *cli.Command) error {
-			data, err := os.ReadFile(c.Args().First())
-			if err != nil {
-				return eris.Wrap(err, "read time line")
-			}
-			var events []timeline.Event
-			if err := json.Unmarshal(data, &events); err != nil {
-				return eris.Wrap(err, "read time line")
-			}
-			n, err := replay(events)
-			fmt.Printf("%d decisions replayed\n", n)
-			return err
-		},
-	}
-}
-
-// replay returns how many decisions came out the same, and the first divergence.
-func replay(events []timeline.Event) (int, error) {
-	policies := map[string]*routing.Router{"cost": routing.NewCost()}
-	n := 0
-	for _, e := range events {
-		var rec routing.Record
-		if e.Kind != timeline.KindDecision || json.Unmarshal(e.Detail, &rec) != nil || policies[rec.Policy] == nil {
-			continue
-		}
-		if got := routing.Replay(policies[rec.Policy], &rec); got != rec.Chosen {
-			return n, eris.Errorf("request %s on %s at %s: recorded %s, replayed %s", e.Request, e.VM, e.At, rec.Chosen, got)
-		}
-		n++
-	}
-	return n, nil
-}
-
-func spreadCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "spread",
-		Usage: "measure how long changes of configuration take to be in force on all VMs of a domain",
-		Flags: []cli.Flag{exampleFlag(), &cli.IntFlag{Name: "vms", Value: 22}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ex, err := lab.ReadExample(c.String("example"))
-			if err != nil {
-				return err
-			}
-			row, err := lab.Spread(ctx, ex, c.Int("vms"))
-			if err != nil {
-				return err
-			}
-			return json.NewEncoder(os.Stdout).Encode(row)
-		},
-	}
-}
-
-func plotsCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "plots",
-		Usage: "measure and draw the plots of docs/plots",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "dir", Value: "docs/plots", Usage: "write SVG files to `DIR`"}},
-		Action: func(_ context.Context, c *cli.Command) error {
-			if err := os.MkdirAll(c.String("dir"), 0o755); err != nil {
-				return eris.Wrap(err, "make directory")
-			}
-			return capacity.Plots(c.String("dir"))
-		},
-	}
-}
--- a/internal/capacity/plots.go
+++ b/internal/capacity/plots.go
@@ -19,6 +19,8 @@
 	plotHeight = 9 * vg.Centimeter
 	barWidth   = 9  // points
 	cutSeconds = 10 // longer bars are cut
+	halfGroup  = 0.5
+	legendRoom = 1.35
 )
 
 var barColors = []color.Color{
@@ -33,7 +35,7 @@
 func PlotPolicies(dir, name, title string, results []*yardstick.Result, figure func(*yardstick.Result) float64) error {
 	p := plot.New()
 	p.Title.Text = title
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	var workloads, policies []string
 	values := map[string]plotter.Values{}
 	for _, r := range results {
@@ -57,6 +59,8 @@
 		p.Legend.Add(policy, bars)
 	}
 	p.NominalX(workloads...)
+	p.X.Min, p.X.Max = -halfGroup, float64(len(workloads)-1)+halfGroup
+	p.Y.Max *= legendRoom
 	return save(p, dir, name)
 }
 
--- a/internal/claims/settler.go
+++ b/internal/claims/settler.go
@@ -9,6 +9,7 @@
 
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/ring"
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // settlement is one claim's end that is still to be written.
@@ -64,7 +65,7 @@
 				continue
 			}
 			s.put(x)
-			if !sleep(ctx, backoff/2+rand.N(backoff)) {
+			if !timing.Sleep(ctx, backoff/2+rand.N(backoff)) {
 				return
 			}
 			backoff = min(backoff*2, settleBackoffMax)
@@ -72,17 +73,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // settle makes one try. A nil error means that the end is written, or that it
 // can't matter any more.
 func (s *Settler) settle(ctx context.Context, x settlement) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/threadwall/threadwall/internal/services"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // beliefCapacity is how many cache beliefs a VM holds: 2 MB of table, room for
@@ -209,7 +210,7 @@
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "leaving"}, nil)
 	d.Log.Info().Str("step", "stop").Int("in_flight", d.Limiter.InFlight()).Msg("not ready, leaving")
 	d.Node.Tell(ctx, true)
-	sleep(ctx, d.Settings.ReadyNotice.D())
+	timing.Sleep(ctx, d.Settings.ReadyNotice.D())
 	drain, cancel := context.WithTimeout(ctx, d.Settings.DrainTimeout.D())
 	defer cancel()
 	err := d.callers.Shutdown(drain)
@@ -234,18 +235,7 @@
 func (d *Daemon) settleRest(ctx context.Context) {
 	end := time.Now().Add(settleWait)
 	for d.Settler.Pending() > 0 && time.Now().Before(end) && ctx.Err() == nil {
-		sleep(ctx, 20*time.Millisecond)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
+		timing.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -15,6 +15,7 @@
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // Rhythms of duties that no setting governs.
@@ -79,7 +80,7 @@
 			_ = d.Node.FetchState(call, d.Settings.Peers[rand.IntN(len(d.Settings.Peers))])
 			cancel()
 		}
-		if !sleep(ctx, bootstrapRetry/2+rand.N(bootstrapRetry)) {
+		if !timing.Sleep(ctx, bootstrapRetry/2+rand.N(bootstrapRetry)) {
 			return
 		}
 	}
@@ -123,7 +124,7 @@
 	for ctx.Err() == nil {
 		if !d.Node.IsWatcher(time.Now()) {
 			after = 0
-			sleep(ctx, watchIdle)
+			timing.Sleep(ctx, watchIdle)
 			continue
 		}
 		next, err := d.watchOnce(ctx, space, prefix, after)
@@ -132,7 +133,7 @@
 			backoff = watchBackoff
 			continue
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
+		timing.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(backoff*2, watchMaxWait)
 	}
 }
@@ -192,7 +193,7 @@
 			d.Node.Tell(ctx, false)
 		}
 		pause := d.Node.NewsEvery(d.Settings.News.D(), heartbeat)
-		if !sleep(ctx, pause*9/10+rand.N(pause/5+1)) {
+		if !timing.Sleep(ctx, pause*9/10+rand.N(pause/5+1)) {
 			return
 		}
 	}
@@ -200,20 +201,20 @@
 
 // cross exchanges summaries with other failure domains.
 func (d *Daemon) cross(ctx context.Context) {
-	for sleep(ctx, d.Settings.Heartbeat.D()) {
+	for timing.Sleep(ctx, d.Settings.Heartbeat.D()) {
 		d.Node.Cross(ctx)
 	}
 }
 
 // refresh renews the snapshot that decisions read.
 func (d *Daemon) refresh(ctx context.Context) {
-	for sleep(ctx, refreshEvery) {
+	for timing.Sleep(ctx, refreshEvery) {
 		d.Fleet.Refresh()
 	}
 }
 
 func (d *Daemon) forget(ctx context.Context) {
-	for sleep(ctx, forgetEvery) {
+	for timing.Sleep(ctx, forgetEvery) {
 		if n := d.Fleet.Members.Forget(time.Now()); n > 0 {
 			d.Events.Record(timeline.Event{Kind: timeline.KindMember, Text: "members that are gone were forgotten"}, nil)
 		}
@@ -227,7 +228,7 @@
 // while it is held brings engines to what operators want.
 func (d *Daemon) orders(ctx context.Context) {
 	held := false
-	for sleep(ctx, ordersEvery*9/10+rand.N(ordersEvery/5)) {
+	for timing.Sleep(ctx, ordersEvery*9/10+rand.N(ordersEvery/5)) {
 		if !d.Node.IsWatcher(time.Now()) {
 			continue
 		}
@@ -276,7 +277,7 @@
 // sweepClaims deletes claims that no call can refer to any more. The holder of
 // the domain's lease does it; that several domains do is harmless.
 func (d *Daemon) sweepClaims(ctx context.Context) {
-	for sleep(ctx, sweepEvery*9/10+rand.N(sweepEvery/5)) {
+	for timing.Sleep(ctx, sweepEvery*9/10+rand.N(sweepEvery/5)) {
 		if _, held := d.Lease.Held(); !held {
 			continue
 		}
--- a/internal/daemon/probing.go
+++ b/internal/daemon/probing.go
@@ -11,6 +11,7 @@
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // probeTimeout bounds one probe.
@@ -39,7 +40,7 @@
 func (d *Daemon) probe(ctx context.Context) {
 	for {
 		d.probeRound(ctx)
-		if !sleep(ctx, d.Settings.Probe.D()) {
+		if !timing.Sleep(ctx, d.Settings.Probe.D()) {
 			return
 		}
 	}
@@ -117,7 +118,7 @@
 		return
 	}
 	cursors := map[ids.Target]cursor{}
-	for sleep(ctx, feedEvery) {
+	for timing.Sleep(ctx, feedEvery) {
 		for _, t := range d.Fleet.Members.Targets(time.Now()) {
 			if t.Record.Role == platform.RoleEngine && d.Node.First(t.ID, t.Record.FailureDomain) {
 				cursors[t.ID] = d.feedOne(ctx, t, cursors[t.ID])
--- /dev/null
+++ b/internal/e2e/vms_test.go
@@ -0,0 +1,266 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/daemon"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/orders"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timeline"
+)
+
+// A graceful shutdown says "not ready" first, and cuts no request in flight.
+func TestGracefulShutdown(t *testing.T) {
+	w := start(t, 1)
+	c := w.client()
+	p := params("in flight?")
+	p.MaxTokens = openai.Int(400)
+	st := c.Chat.Completions.NewStreaming(t.Context(), p)
+	if !st.Next() {
+		t.Fatal(st.Err())
+	}
+	text := st.Current().Choices[0].Delta.Content
+	stopped := make(chan error)
+	go func() { stopped <- w.vms.Daemons[0].Stop(context.Background()) }()
+	for st.Next() {
+		if ch := st.Current().Choices; len(ch) > 0 {
+			text += ch[0].Delta.Content
+		}
+	}
+	if st.Err() != nil || text != wantText("in flight?", 400) {
+		t.Fatalf("cut by the shutdown: %v", st.Err())
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+	w.vms.Daemons = w.vms.Daemons[1:]
+}
+
+// A target that leaves gets no new work, also while the platform is unreachable.
+func TestLeavingTarget(t *testing.T) {
+	w := start(t, 2)
+	w.s.Store.Set(lab.Trouble{Down: true})
+	var leaver string
+	for _, r := range w.s.Records {
+		if r.Role == platform.RoleEngine {
+			leaver = r.ID
+			break
+		}
+	}
+	w.s.Engines[leaver].SetLeaving(true)
+	waitFor(t, func() bool {
+		for _, d := range w.vms.Daemons {
+			for _, x := range d.Status().Targets {
+				if string(x.ID) == leaver && x.StateName != "leaving" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	before := w.s.Engines[leaver].Served.Load()
+	for i := range 40 {
+		q := fmt.Sprint("leaving ", i)
+		if text, err := w.stream(q); err != nil || text != wantText(q, 20) {
+			t.Fatal(err)
+		}
+	}
+	if got := w.s.Engines[leaver].Served.Load(); got != before {
+		t.Fatalf("the leaving target got %d requests", got-before)
+	}
+}
+
+// A change of configuration is in force on every VM, though not every VM watches.
+func TestConfigurationSpreads(t *testing.T) {
+	w := start(t, 3)
+	o, err := w.s.Store.Get(t.Context(), "config/workspace/"+workspace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := bytes.Replace(o.Value, []byte(`"weight":2`), []byte(`"weight":9`), 1)
+	rev, err := w.s.Store.Update(t.Context(), o.Key, changed, o.Version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool {
+		for _, d := range w.vms.Daemons {
+			if d.Node.Config.Revision() < rev || d.Config.Get().Workspaces[workspace].Limits.Weight != 9 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Weights change on all engines of a domain while requests are served: no request
+// fails, and none is told cached tokens of the old weights' blocks.
+func TestRollingWeights(t *testing.T) {
+	w := start(t, 1)
+	var moved []string
+	for _, r := range w.s.Records {
+		if r.Role == platform.RoleEngine && r.FailureDomain == domains[0] {
+			moved = append(moved, r.ID)
+			intent := orders.Intent{Target: ids.Target(r.ID), Want: orders.Want{Weights: "w2"}}
+			value, _ := json.Marshal(intent)
+			if _, err := w.s.Store.Create(t.Context(), orders.Prefix+r.ID, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	asked := 0
+	waitFor(t, func() bool {
+		q := fmt.Sprint("rolling ", asked)
+		asked++
+		if text, err := w.stream(q); err != nil || text != wantText(q, 20) {
+			t.Fatalf("request %d: %v", asked, err)
+		}
+		for _, id := range moved {
+			if w.s.Engines[id].Weights() != "w2" {
+				return false
+			}
+		}
+		return true
+	})
+	for _, id := range moved {
+		if got := w.s.Engines[id].Ordered(); len(got) == 0 || got[0] == 0 {
+			t.Errorf("%s followed orders with fences %v", id, got)
+		}
+	}
+}
+
+// restart replaces a VM by a new life of it, with the same settings.
+func (w *world) restart(i int) *daemon.Daemon {
+	w.Helper()
+	old := w.vms.Daemons[i]
+	if err := old.Stop(context.Background()); err != nil {
+		w.Fatal(err)
+	}
+	d, err := daemon.New(old.Settings, daemon.Options{LogTo: io.Discard})
+	if err != nil {
+		w.Fatal(err)
+	}
+	if err := d.Start(w.Context()); err != nil {
+		w.Fatal(err)
+	}
+	w.vms.Daemons[i] = d
+	return d
+}
+
+// A restarted VM has its peer's configuration, targets and cache beliefs when it
+// says that it is ready, with the platform down.
+func TestRestartKeepsKnowledge(t *testing.T) {
+	w := start(t, 2)
+	for i := range 6 {
+		if _, err := w.stream(fmt.Sprint("warm ", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	peer := w.vms.Daemons[1]
+	waitFor(t, func() bool { return len(peer.Fleet.Cache.Beliefs(100)) > 0 })
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return d.Status().Ready })
+	if got, want := len(d.Fleet.Cache.Beliefs(100)), len(peer.Fleet.Cache.Beliefs(100)); got < want || want == 0 {
+		t.Errorf("%d beliefs after the restart, the peer has %d", got, want)
+	}
+	if d.Node.Config.Revision() != peer.Node.Config.Revision() {
+		t.Errorf("configuration %d, the peer has %d", d.Node.Config.Revision(), peer.Node.Config.Revision())
+	}
+	if text, err := w.stream("after the restart"); err != nil || text != wantText("after the restart", 20) {
+		t.Errorf("%v", err)
+	}
+}
+
+// A configuration of several large documents reaches a restarted VM from a peer.
+func TestLargeConfigurationFromPeer(t *testing.T) {
+	w := start(t, 2)
+	var last objectapi.Revision
+	for i := range 8 {
+		o := config.Object{Kind: config.KindDocument, Name: fmt.Sprint("large-", i), Document: &config.Document{Text: strings.Repeat("x", 900_000)}}
+		value, err := json.Marshal(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if last, err = w.s.Store.Create(t.Context(), o.Key(), value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitFor(t, func() bool { return w.vms.Daemons[1].Node.Config.Revision() >= last })
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return d.Status().Ready && d.Node.Config.Revision() >= last })
+}
+
+// All VMs of a domain but one restart at once, with the platform down.
+func TestHerdWithOneSurvivor(t *testing.T) {
+	w := start(t, 4)
+	w.s.Store.Set(lab.Trouble{Down: true})
+	herd := []int{1, 2, 3}
+	done := make(chan *daemon.Daemon)
+	for _, i := range herd {
+		go func() { done <- w.restart(i) }()
+	}
+	for range herd {
+		d := <-done
+		waitFor(t, func() bool { return d.Status().Ready })
+	}
+}
+
+// With no peer and no platform, a VM is not ready and says why.
+func TestNotReadySaysWhy(t *testing.T) {
+	w := start(t, 1)
+	w.s.Store.Set(lab.Trouble{Down: true})
+	d := w.restart(0)
+	waitFor(t, func() bool { return strings.Contains(d.Status().Reason, "neither a peer nor the object API") })
+	if resp, body := w.post(0, "/v1/chat/completions", lab.KeyOf(workspace), "", "{}"); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, %s", resp.StatusCode, body)
+	}
+}
+
+// Every recorded decision comes out the same when it is made again from its
+// record; a record that was tampered with does not.
+func TestDecisionsReplay(t *testing.T) {
+	w := start(t, 2)
+	for i := range 30 {
+		if _, err := w.stream(fmt.Sprint("replay ", i%7)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := 0
+	for _, d := range w.vms.Daemons {
+		for _, e := range d.Events.Events("") {
+			var rec routing.Record
+			if e.Kind != timeline.KindDecision || json.Unmarshal(e.Detail, &rec) != nil || len(rec.Levels) == 0 {
+				continue
+			}
+			n++
+			if got := routing.Replay(routing.NewCost(), &rec); got != rec.Chosen {
+				t.Errorf("recorded %s, replayed %s", rec.Chosen, got)
+			}
+			for i := range rec.Candidates {
+				if rec.Candidates[i].Target == rec.Chosen {
+					rec.Candidates[i].Input.QueueTokens = 1e9
+				}
+			}
+			if got := routing.Replay(routing.NewCost(), &rec); len(rec.Candidates) > 1 && got == rec.Chosen {
+				t.Error("the choice does not depend on the record")
+			}
+		}
+	}
+	if n < 30 {
+		t.Fatalf("%d decisions were recorded", n)
+	}
+}
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -14,6 +14,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // MaxValueBytes is the largest value that the platform takes.
@@ -68,18 +70,6 @@
 // resolvePause is the wait before the second read-back; it doubles.
 const resolvePause = 20 * time.Millisecond
 
-// pause waits before the next try, and tells whether there may be one.
-func pause(ctx context.Context, try int) bool {
-	t := time.NewTimer(resolvePause << try)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // resolveTries bounds read-backs after a lost answer.
 const resolveTries = 3
 
@@ -139,7 +129,7 @@
 			// Somebody else's object is in the way and can't be read.
 			return Object{}, errors.Join(ErrUnavailable, gerr)
 		}
-		if !pause(ctx, try) {
+		if !timing.Sleep(ctx, resolvePause<<try) {
 			break
 		}
 	}
--- a/internal/peers/teller.go
+++ b/internal/peers/teller.go
@@ -8,6 +8,7 @@
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/ring"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // teller keeps a stream to one peer open. A peer that does not read blocks its
@@ -70,10 +71,7 @@
 		if t.stream(ctx) != nil {
 			t.n.Failures.Add(1)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(tellPause):
-		}
+		timing.Sleep(ctx, tellPause)
 	}
 }
 
--- /dev/null
+++ b/internal/timing/timing.go
@@ -0,0 +1,19 @@
+// Package timing waits for time or the end of a context.
+package timing
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d, and returns false if ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
