Finish bookings without their callers, continue forgotten answers, serve only when ready

A caller that lost its connection while its booking ran left the key unknown for good, though the VM lived: the call was cancelled with the connection. An engine that had forgotten an answer (404 on resume) ended the stream, though the template allows another to continue. A VM whose configuration was older than one that peers had heard of said 'not ready' and served all the same.

Change: a claimed call goes on without its caller, up to its deadline. A failed resume is no word about the caller's request. The gateway refuses with 'not_ready' until the VM has been ready once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -243,6 +243,7 @@
 type readiness struct {
 	mu     sync.Mutex
 	ok     bool
+	once   bool // it has been ready
 	reason string
 }
 
@@ -251,7 +252,7 @@
 func (r *readiness) set(ok bool, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ok, r.reason = ok, reason
+	r.ok, r.reason, r.once = ok, reason, r.once || ok
 }
 
 // Ready implements gateway.Readiness.
@@ -260,3 +261,10 @@
 	defer r.mu.Unlock()
 	return r.ok, r.reason
 }
+
+// Serves implements gateway.Readiness.
+func (r *readiness) Serves() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.once
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -22,6 +22,7 @@
 	conn     *conn
 	verifier *relay.Verifier
 	work     *loadview.Work
+	begun    bool // an event of this attempt was passed on
 }
 
 // send runs one attempt to its end.
@@ -104,9 +105,12 @@
 // request's: the caller sees one answer whichever attempt it came from.
 func (s *stream) pass(ev relay.Event, v relay.Verdict) error {
 	r := s.r
+	if !s.begun {
+		s.begun = true
+		s.work.FirstToken()
+	}
 	if !r.started {
 		r.started = true
-		s.work.FirstToken()
 		r.sink.Start(s.call.Target)
 	}
 	if v == relay.Forward {
@@ -161,7 +165,7 @@
 		return s.r.d.Engine.Resume(ctx, call, after)
 	})
 	if err != nil {
-		return err
+		return resumeError(err, s.call)
 	}
 	if cn.answer.Incarnation != life {
 		cn.close()
@@ -170,3 +174,13 @@
 	s.conn = cn
 	return s.relay()
 }
+
+// resumeError types a failed resume. That a target has forgotten the answer is no
+// word about the caller's request, which another target may still continue.
+func resumeError(err error, call *engine.Call) error {
+	var refused *engine.CallerError
+	if errors.As(err, &refused) {
+		return outcome.New(outcome.Unknown, outcome.CodeUpstream, "resume", string(call.Target), "the target does not know the answer any more")
+	}
+	return err
+}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -150,6 +150,57 @@
 	}
 }
 
+// A target that breaks and has forgotten the answer when asked to resume (it
+// restarted, say) is followed by another, since the template allows it.
+func TestForgottenAnswerIsContinued(t *testing.T) {
+	w := start(t, 1)
+	w.arm(lab.FaultForget, -1)
+	for _, e := range w.s.Engines {
+		e.Faults().Arm(lab.FaultSpec{Fault: lab.FaultTruncate, Count: 1})
+	}
+	first := true
+	for i := range 8 {
+		q := fmt.Sprint("forgotten ", i)
+		text, err := w.stream(q)
+		if err == nil && text != wantText(q, 20) {
+			t.Errorf("looks complete with %q", text)
+		}
+		if err == nil && w.vms.Daemons[0].Metrics().Retries > 0 {
+			first = false
+		}
+	}
+	if first {
+		t.Error("no stream was continued")
+	}
+}
+
+// A caller whose connection breaks while its booking runs gets the answer when it
+// asks again; the booking runs once.
+func TestBookingOutlivesItsCaller(t *testing.T) {
+	w := start(t, 1)
+	for _, svc := range w.s.Services {
+		svc.Faults().Arm(lab.FaultSpec{Fault: lab.FaultStall, Count: 1})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, w.vms.Entries()[0]+"/v1/services/booking/bookings", strings.NewReader("{}"))
+	req.Header.Set("Authorization", "Bearer "+lab.KeyOf(workspace))
+	req.Header.Set("Idempotency-Key", "gone")
+	go func() {
+		waitFor(t, func() bool { objects, _, _ := w.s.Store.List(t.Context(), "claims/"); return len(objects) == 1 })
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(req); err == nil {
+		t.Fatal("the first caller was answered")
+	}
+	waitFor(t, func() bool {
+		resp, _ := w.post(1, "/v1/services/booking/bookings", lab.KeyOf(workspace), "gone", "{}")
+		return resp.StatusCode == http.StatusOK
+	})
+	if w.runs("gone") != 1 {
+		t.Errorf("%d runs", w.runs("gone"))
+	}
+}
+
 // A target that breaks every time, also when resumed, must yield an error and
 // never a stream that looks complete.
 func TestBrokenStreamIsNeverComplete(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,10 @@
 // Readiness tells whether this VM may take work, and why not.
 type Readiness interface {
 	Ready() (ok bool, reason string)
+	// Serves tells whether the VM has been ready once. Before that its
+	// configuration may be older than one that it served in its former life; while
+	// it shuts down it still serves what comes.
+	Serves() bool
 }
 
 // Gateway serves callers.
@@ -114,13 +118,13 @@
 	req := ids.NewRequest()
 	g.Requests.Add(1)
 	c.Set(keyRequest, req)
+	if !g.Readiness.Serves() {
+		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeNotReady, "admit", "", "this VM is not ready yet").After(time.Second))
+		return
+	}
 	cfg := g.Config.Get()
 	ws, ok := cfg.WorkspaceOf(bearer(c.Request))
 	if !ok {
-		if cfg.Revision == 0 {
-			g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeNotReady, "authenticate", "", "this VM has no configuration yet").After(time.Second))
-			return
-		}
 		g.fail(c, req, outcome.New(outcome.NotRun, outcome.CodeInvalidKey, "authenticate", "", "the API key is missing or wrong"))
 		return
 	}
--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -145,7 +145,7 @@
 	e.mu.Lock()
 	g := e.answers[body.Attempt]
 	e.mu.Unlock()
-	if g == nil {
+	if g == nil || e.faults.take(FaultForget) {
 		http.Error(w, `{"error":{"message":"no such answer"}}`, http.StatusNotFound)
 		return
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -22,6 +22,7 @@
 	FaultCross      Fault = "cross"       // send an event of another answer
 	FaultStall      Fault = "stall"       // say nothing for a while
 	FaultRefuse     Fault = "refuse"      // refuse with a true "not run"
+	FaultForget     Fault = "forget"      // not know an answer that is to be resumed
 	FaultLostAnswer Fault = "lost-answer" // run the call, lose the answer
 	FaultFail       Fault = "fail"        // answer 500 without having run
 	FaultLateEvents Fault = "lose-events" // leave entries out of the cache feed
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -86,6 +86,9 @@
 		return // the caller broke off within the body: nothing ran
 	}
 	time.Sleep(s.delay)
+	if s.faults.take(FaultStall) {
+		time.Sleep(stallTime / 3)
+	}
 	key := r.Header.Get(services.HeaderIdempotencyKey)
 	s.mu.Lock()
 	s.runs[key]++
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -120,6 +120,10 @@
 		return nil, err
 	}
 	r.record(c, held.Attempt, "claim", "held")
+	// From here on the call goes on without its caller, who may have lost the
+	// connection and will ask again: the answer must be there to be given.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
 	a, err := r.sendHeld(ctx, c, held)
 	r.settle(ctx, c, held, a, err)
 	return a, err
