--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -21,6 +21,7 @@
 // Rhythms of duties that no setting governs.
 const (
 	refreshEvery   = 50 * time.Millisecond
+	urgentGap      = 10 * time.Millisecond
 	watchIdle      = 500 * time.Millisecond // a VM that is no watcher looks again
 	watchBackoff   = 500 * time.Millisecond
 	watchMaxWait   = 10 * time.Second
@@ -179,7 +180,7 @@
 }
 
 // gossip tells peers of the domain this VM's news: at each heartbeat, and between
-// heartbeats when there is any. Jitter keeps VMs that started together out of step.
+// heartbeats when there is any, at once if it is urgent. Jitter keeps VMs that started together out of step.
 func (d *Daemon) gossip(ctx context.Context) {
 	var last time.Time
 	heartbeat := d.Settings.Heartbeat.D()
@@ -193,8 +194,12 @@
 			d.Node.Tell(ctx, false)
 		}
 		pause := d.Node.NewsEvery(d.Settings.News.D(), heartbeat)
-		if !timing.Sleep(ctx, pause*9/10+rand.N(pause/5+1)) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-d.Node.Urgent():
+			timing.Sleep(ctx, urgentGap) // others of the same cause come along
+		case <-time.After(pause*9/10 + rand.N(pause/5+1)):
 		}
 	}
 }
--- a/internal/lab/spread.go
+++ b/internal/lab/spread.go
@@ -12,6 +12,7 @@
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/routing"
 )
 
 // SpreadRow is how long changes of configuration take to be in force on all VMs.
@@ -21,6 +22,9 @@
 	BurstSize int        `json:"burst_size"`
 	BurstMS   float64    `json:"burst_ms"` // from the last write
 	Calls     StoreCalls `json:"store_calls"`
+	// LeavingMS is how long until every VM knows of an engine that says that it
+	// leaves, with the object API down. Sorted.
+	LeavingMS []float64 `json:"leaving_ms"`
 }
 
 const (
@@ -59,9 +63,33 @@
 	}
 	after := s.Store.Calls()
 	row.Calls = StoreCalls{Reads: after.Reads - before.Reads, Writes: after.Writes - before.Writes, Watches: after.Watches - before.Watches}
+	s.Store.Set(Trouble{Down: true})
+	for id, e := range s.Engines {
+		took, err := fleet.leaving(ids.Target(id), e)
+		if err != nil {
+			return row, err
+		}
+		row.LeavingMS = append(row.LeavingMS, took)
+	}
+	slices.Sort(row.LeavingMS)
 	return row, nil
 }
 
+// leaving makes an engine leave and waits until every VM knows.
+func (v *VMs) leaving(id ids.Target, e *Engine) (float64, error) {
+	start := time.Now()
+	e.SetLeaving(true)
+	for _, d := range v.Daemons {
+		for d.Fleet.Members.State(id, time.Now()) != routing.Leaving {
+			if time.Since(start) > spreadTimeout {
+				return 0, eris.Errorf("%s does not know that %s leaves", d.Settings.VM, id)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return float64(time.Since(start).Microseconds()) / 1000, nil
+}
+
 // change writes n objects and waits until the last is in force everywhere.
 func (v *VMs) change(ctx context.Context, s *StandIns, from, n int) (float64, error) {
 	var last objectapi.Revision
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -51,6 +51,7 @@
 
 	Leaving  atomic.Bool
 	outbox   *gossip.Outbox
+	urgent   chan struct{}
 	counter  atomic.Uint64
 	toldBeat atomic.Uint64
 	byHash   atomic.Pointer[map[uint32]ids.Target]
@@ -81,6 +82,7 @@
 // Init completes a node.
 func (n *Node) Init() {
 	n.outbox = gossip.New()
+	n.urgent = make(chan struct{}, 1)
 	n.conns = map[string]*grpc.ClientConn{}
 	n.tellers = map[ids.VM]*teller{}
 	n.byHash.Store(&map[uint32]ids.Target{})
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -43,9 +43,19 @@
 		return false
 	}
 	n.outbox.Report(reportProto(id, r), urgent)
+	if urgent {
+		select {
+		case n.urgent <- struct{}{}:
+		default:
+		}
+	}
 	return true
 }
 
+// Urgent receives a token when there is news that must not wait for the next
+// interval.
+func (n *Node) Urgent() <-chan struct{} { return n.urgent }
+
 const (
 	loadChangeTokens = 500              // a smaller change of the queue is not worth telling
 	loadChangeRatio  = 0.25             // nor one of a smaller part
