Take out an unused field

Cause: seeds are asked by the bootstrap duty since news goes over streams; the node's copy was read by nobody.

Change: the field is gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 	d.Limiter = admission.New(tuning, shares, nil)
 	d.Node = &peers.Node{
 		VM: s.VM, Domain: s.FailureDomain, Incarnation: ids.Incarnation(time.Now().UnixMilli()),
-		Seeds: s.Peers, Fleet: d.Fleet, Shares: shares, Events: d.Events,
+		Fleet: d.Fleet, Shares: shares, Events: d.Events,
 		Config: confsync.New(d.Config.Adopt),
 	}
 	d.Node.Platform = confsync.New(d.Node.AdoptPlatform)
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -42,7 +42,6 @@
 	VM          ids.VM
 	Domain      ids.FailureDomain
 	Incarnation ids.Incarnation
-	Seeds       []string
 	Fleet       *fleet.Fleet
 	Config      *confsync.Store
 	Platform    *confsync.Store
