--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
+	"github.com/threadwall/threadwall/internal/settings"
 )
 
 const workspace = "redes-cartago"
@@ -29,6 +30,12 @@
 var domains = []ids.FailureDomain{"sala-heredia", "sala-cartago"}
 
 func start(t *testing.T, each int) *world {
+	t.Helper()
+	return startOn(t, each, nil)
+}
+
+// startOn starts VMs on a network of the test's own.
+func startOn(t *testing.T, each int, network func(*lab.StandIns) func(settings.Settings) (string, string)) *world {
 	t.Helper()
 	ex, err := lab.ReadExample("../../examples/solano")
 	if err != nil {
@@ -40,6 +47,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
+	if network != nil {
+		s.Network = network(s)
+	}
 	vms, err := lab.StartVMs(t.Context(), s, domains, each, "cost")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/e2e/vms_test.go
+++ b/internal/e2e/vms_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
 
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/daemon"
@@ -19,6 +20,7 @@
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/internal/timeline"
 )
 
@@ -264,3 +266,71 @@
 		t.Fatalf("%d decisions were recorded", n)
 	}
 }
+
+// link returns a link to an address that ends with the test.
+func link(t *testing.T, to string) *lab.Link {
+	t.Helper()
+	k, err := lab.NewLink(to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	return k
+}
+
+// One of two failure domains is cut off from the other's VMs and from the
+// platform. Both go on serving; the cut-off one refuses bookings with a true "not
+// run"; when the cut heals, it takes over the configuration of the others.
+func TestDomainCutOff(t *testing.T) {
+	var links []*lab.Link
+	w := startOn(t, 1, func(s *lab.StandIns) func(settings.Settings) (string, string) {
+		storeLink := link(t, strings.TrimPrefix(s.StoreURL, "http://"))
+		links = append(links, storeLink)
+		return func(set settings.Settings) (string, string) {
+			peers := link(t, set.PeerListen)
+			links = append(links, peers)
+			if set.FailureDomain == domains[0] {
+				return "http://" + storeLink.Addr, peers.Addr
+			}
+			return s.StoreURL, peers.Addr
+		}
+	})
+	for _, k := range links {
+		k.Cut(true)
+	}
+	for i := range w.vms.Daemons {
+		c := openai.NewClient(option.WithBaseURL(w.vms.Entries()[i]+"/v1"), option.WithAPIKey(lab.KeyOf(workspace)), option.WithMaxRetries(0))
+		got, err := c.Chat.Completions.New(t.Context(), params("cut off?"))
+		if err != nil || got.Choices[0].Message.Content != wantText("cut off?", 20) {
+			t.Fatalf("VM %d: %v", i, err)
+		}
+	}
+	book := func(vm int, key string) (int, string) {
+		resp, _ := w.post(vm, "/v1/services/booking/bookings", lab.KeyOf(workspace), key, "{}")
+		return resp.StatusCode, resp.Header.Get("X-Threadwall-Outcome")
+	}
+	if status, told := book(0, "cut"); status != 503 || told != "not-run" || w.runs("cut") != 0 {
+		t.Errorf("booking in the cut-off domain: %d %s, %d runs", status, told, w.runs("cut"))
+	}
+	if status, told := book(1, "cut"); status != 200 || told != "ran" {
+		t.Errorf("the same booking in the other domain: %d %s", status, told)
+	}
+	o := config.Object{Kind: config.KindDocument, Name: "during-the-cut", Document: &config.Document{Text: "text"}}
+	value, _ := json.Marshal(o)
+	rev, err := w.s.Store.Create(t.Context(), o.Key(), value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool { return w.vms.Daemons[1].Node.Config.Revision() >= rev })
+	if got := w.vms.Daemons[0].Node.Config.Revision(); got >= rev {
+		t.Fatalf("the cut-off domain has revision %d", got)
+	}
+	for _, k := range links {
+		k.Cut(false)
+	}
+	waitFor(t, func() bool { return w.vms.Daemons[0].Node.Config.Revision() >= rev })
+	waitFor(t, func() bool { status, _ := book(0, "cut"); return status == 200 })
+	if w.runs("cut") != 1 {
+		t.Errorf("the booking ran %d times", w.runs("cut"))
+	}
+}
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -143,10 +143,14 @@
 		}
 		all = append(all, local...)
 	}
-	for _, set := range all {
+	for i, set := range all {
+		peerAddr := set.PeerListen
+		if s.Network != nil {
+			all[i].Store, peerAddr = s.Network(set)
+		}
 		err := s.Put(ctx, platform.Record{
 			ID: string(set.VM), Role: platform.RoleEntry, FailureDomain: set.FailureDomain, Addr: set.Listen,
-			PeerAddr: set.PeerListen, AdminAddr: set.AdminListen, State: platform.StateLive,
+			PeerAddr: peerAddr, AdminAddr: set.AdminListen, State: platform.StateLive,
 		})
 		if err != nil {
 			return v, err
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -12,6 +12,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/settings"
 )
 
 // StandIns are the outside systems of one example, in this process.
@@ -21,6 +22,9 @@
 	Engines  map[string]*Engine
 	Services map[string]*Service
 	Records  []platform.Record
+	// Network, if set, tells how a VM reaches the object API and how peers reach
+	// it, given its settings.
+	Network func(settings.Settings) (storeURL, peerAddr string)
 
 	served []*Served
 }
@@ -96,6 +100,9 @@
 	if o.FixedPorts {
 		addr = r.Addr
 	}
+	if r.Role == platform.RoleEntry && !o.FixedPorts {
+		return nil // whoever starts VMs at other addresses lists them
+	}
 	if !o.starts(r.ID) {
 		r.Incarnation, r.Weights = 0, o.Engine.Weights // its own process tells its life
 		s.Records = append(s.Records, r)
