Say not-run only if no attempt of the request may have run

Cause: the outcome of a refusal was that of the last attempt. A prompt or a repeatable call that may have run on one target, and was refused by the next, was told 'not-run', which was untrue.

Change: one attempt of another end makes the request's outcome unknown; a request whose attempts were all refused is 'not-run' also when targets run out.

Measured: TestNotRunIsTrueOverAllAttempts: on the former code 3 requests ran and all 3 were told 'not-run'; none now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -74,6 +74,7 @@
 	tried    []ids.Target
 	attempts int
 	started  bool // something was delivered
+	mayRan   bool // an attempt ended in another way than not-run
 	text     deliveredText
 	prior    cacheview.Prior // of the current attempt's target
 }
@@ -124,6 +125,10 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e = outcome.Wrap(err, e.Outcome, outcome.CodeDeadline, e.Step, e.Peer, "the request's time is over")
 	}
+	if e.Outcome == outcome.NotRun && r.mayRan {
+		// The last attempt did not run; an earlier one may have.
+		e = outcome.Wrap(err, outcome.Unknown, e.Code, e.Step, e.Peer, e.Message).After(e.RetryAfter)
+	}
 	if e.Outcome == outcome.NotRun && e.RetryAfter == 0 {
 		e.RetryAfter = retryNoTarget
 	}
@@ -152,6 +157,7 @@
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindAttempt, Request: r.p.Request, Attempt: call.Attempt, Peer: string(call.Target), Text: "begin"}, nil)
 	r.d.Stats.Attempts.Add(1)
 	err = r.send(ctx, call, choice, work)
+	r.mayRan = r.mayRan || err != nil && outcome.Of(err).Outcome != outcome.NotRun
 	r.learn(ctx, call, err)
 	return err
 }
@@ -191,11 +197,7 @@
 	if sc.Routing.Filtered[routing.WrongModel] == len(sc.Inputs) {
 		return outcome.New(outcome.NotRun, outcome.CodeUnknownModel, "route", "", "no target serves model "+string(r.p.Model))
 	}
-	o := outcome.NotRun
-	if r.attempts > 0 {
-		o = outcome.Unknown
-	}
-	return outcome.New(o, outcome.CodeNoTarget, "route", "", "no target can take the request now").After(retryNoTarget)
+	return outcome.New(outcome.NotRun, outcome.CodeNoTarget, "route", "", "no target can take the request now").After(retryNoTarget)
 }
 
 // learn feeds the end of an attempt back into membership and the time line.
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -211,6 +211,48 @@
 	}
 }
 
+// A refusal after an attempt that may have run must not say "not run", whatever
+// the last target said.
+func TestNotRunIsTrueOverAllAttempts(t *testing.T) {
+	w := start(t, 1)
+	for _, r := range w.s.Records {
+		fault := lab.FaultRefuse
+		if r.ID == "yard-1" {
+			fault = lab.FaultLostAnswer
+		}
+		if e := w.s.Engines[r.ID]; e != nil {
+			e.Faults().Arm(lab.FaultSpec{Fault: fault, Count: -1})
+		}
+	}
+	ran, untrue := int64(0), 0
+	for i := range 40 {
+		before := w.served()
+		resp, body := w.post(0, "/v1/chat/completions", lab.KeyOf(workspace), "",
+			fmt.Sprintf(`{"model":"yard","max_tokens":3,"messages":[{"role":"user","content":"q %d"}]}`, i))
+		if resp.StatusCode == http.StatusOK {
+			t.Fatalf("answered: %s", body)
+		}
+		if w.served() > before {
+			ran++
+			if resp.Header.Get("X-Threadwall-Outcome") == "not-run" {
+				untrue++
+			}
+		}
+	}
+	if ran == 0 || untrue > 0 {
+		t.Errorf("%d requests ran, %d of them were told not-run", ran, untrue)
+	}
+}
+
+// served returns how many answers the engines generated to their end.
+func (w *world) served() int64 {
+	var n int64
+	for _, e := range w.s.Engines {
+		n += e.Served.Load()
+	}
+	return n
+}
+
 // A target that breaks every time, also when resumed, must yield an error and
 // never a stream that looks complete.
 func TestBrokenStreamIsNeverComplete(t *testing.T) {
--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -109,7 +109,7 @@
 	body := fmt.Sprintf(`{"id":%q,"object":%q,"created":1,"model":"lab","choices":[%s],%s}`,
 		engine.AnswerIDPrefix+string(g.attempt), object, choice, g.usageJSON())
 	w.Header().Set("Content-Type", "application/json")
-	if e.faults.take(FaultTruncate) {
+	if e.faults.take(FaultTruncate) || e.faults.take(FaultLostAnswer) {
 		_, _ = w.Write([]byte(body[:len(body)/2]))
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -89,11 +89,20 @@
 // repeatable tries targets until one answers.
 func (r *Runner) repeatable(ctx context.Context, c *Call) (*claims.Answer, error) {
 	var tried []ids.Target
+	mayRan := false
 	for {
 		a, target, err := r.try(ctx, c, ids.NewAttempt(), tried)
 		tried = append(tried, target)
-		if err == nil || len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || !r.Budget.Withdraw() {
-			return a, err
+		if err == nil {
+			return a, nil
+		}
+		e := outcome.Of(err)
+		if mayRan = mayRan || e.Outcome != outcome.NotRun; mayRan && e.Outcome == outcome.NotRun {
+			// The last attempt did not run; an earlier one may have.
+			e = outcome.Wrap(err, outcome.Unknown, e.Code, e.Step, e.Peer, e.Message).After(e.RetryAfter)
+		}
+		if len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || !r.Budget.Withdraw() {
+			return nil, e
 		}
 	}
 }
