--- /dev/null
+++ b/internal/apply/apply_test.go
@@ -0,0 +1,87 @@
+package apply
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/threadwall/threadwall/internal/config"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// TestApply runs testdata/apply: files are applied to one store, one after the
+// other; what is said of bad ones is shown, and that they change nothing.
+func TestApply(t *testing.T) {
+	store := objectapi.NewMemory()
+	datadriven.RunTest(t, "testdata/apply", func(t *testing.T, d *datadriven.TestData) string {
+		dir := t.TempDir()
+		file := filepath.Join(dir, "objects.json")
+		if err := os.WriteFile(file, []byte(d.Input), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		objects, err := ReadPath(file)
+		var plan *Plan
+		if err == nil {
+			plan, err = Make(t.Context(), store, objects)
+		}
+		if err != nil {
+			return strings.ReplaceAll(fmt.Sprintln("error:", err), dir+"/", "")
+		}
+		done, err := plan.Run(t.Context(), store)
+		out := ""
+		for _, c := range done {
+			out += fmt.Sprintf("%s/%s %s\n", c.Kind, c.Name, c.Action)
+		}
+		if err != nil {
+			out += fmt.Sprintln("error:", err)
+		}
+		return out
+	})
+}
+
+// Two operators plan on the same state; the second to write is told, and the
+// first one's change stands. A document that a template needs can't be deleted.
+func TestOperatorsRace(t *testing.T) {
+	store := objectapi.NewMemory()
+	document := func(text string) []config.Object {
+		return []config.Object{{Kind: config.KindDocument, Name: "d", Document: &config.Document{Text: text}}}
+	}
+	base, err := Make(t.Context(), store, document("base"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := base.Run(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	first, _ := Make(t.Context(), store, document("first"))
+	second, _ := Make(t.Context(), store, document("second"))
+	if _, err := first.Run(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	_, err = second.Run(t.Context(), store)
+	var raced *RacedError
+	if !errors.As(err, &raced) {
+		t.Fatalf("the second operator was told %v", err)
+	}
+	if o, _ := store.Get(t.Context(), config.Key(config.KindDocument, "d")); !strings.Contains(string(o.Value), "first") {
+		t.Errorf("stored is %s", o.Value)
+	}
+	template := []config.Object{{Kind: config.KindTemplate, Name: "t", Template: &config.Template{
+		Prompt: &config.Prompt{Model: "m", Levels: []config.Level{{Name: "l", Document: "d"}}},
+	}}}
+	plan, err := Make(t.Context(), store, template)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := plan.Run(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	if err := Delete(t.Context(), store, config.KindDocument, "d"); err == nil {
+		t.Error("a document that a template needs was deleted")
+	}
+}
