--- a/internal/claims/settler.go
+++ b/internal/claims/settler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -26,8 +27,9 @@
 // store. What it holds when the VM dies is lost; the claims then stay claimed,
 // and their duplicates are answered "unknown".
 type Settler struct {
-	store objectapi.Store
-	ring  *ring.Ring[settlement]
+	store  objectapi.Store
+	ring   *ring.Ring[settlement]
+	inHand atomic.Int64 // taken off the ring, and not yet written or put back
 }
 
 // settlerQueue is how many settlements may wait for the store.
@@ -44,8 +46,9 @@
 	return &Settler{store: store, ring: ring.New[settlement](settlerQueue)}
 }
 
-// Pending returns how many claims wait to be settled.
-func (s *Settler) Pending() int { return s.ring.Len() }
+// Pending returns how many claims wait to be settled, the one that is being
+// written included: a shutdown that waits for none must not cut it off.
+func (s *Settler) Pending() int { return s.ring.Len() + int(s.inHand.Load()) }
 
 // Dropped returns how many settlements overflow has cost.
 func (s *Settler) Dropped() uint64 { return s.ring.Dropped() }
@@ -60,11 +63,16 @@
 		case <-ctx.Done():
 			return
 		case x := <-s.ring.Out():
-			if s.settle(ctx, x) == nil {
+			s.inHand.Add(1)
+			err := s.settle(ctx, x)
+			if err != nil {
+				s.put(x)
+			}
+			s.inHand.Add(-1)
+			if err == nil {
 				backoff = settleBackoffMin
 				continue
 			}
-			s.put(x)
 			if !timing.Sleep(ctx, backoff/2+rand.N(backoff)) {
 				return
 			}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -51,8 +51,9 @@
 	return snapshotProto(s.Node.space(r.KeySpace).Since(objectapi.Revision(r.Have))), nil
 }
 
-// maxStateBeliefs bounds the beliefs that a starting VM is given.
-const maxStateBeliefs = 50_000
+// maxStateBeliefs bounds the beliefs that a starting VM is given: as many as a
+// VM's table holds, 8 bytes each.
+const maxStateBeliefs = 128 << 10
 
 // FetchState implements peerpb.PeerServer.
 func (s *Server) FetchState(_ context.Context, r *peerpb.StateRequest) (*peerpb.StateSnapshot, error) {
