--- a/cmd/threadwalld/main.go
+++ b/cmd/threadwalld/main.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Edge != nil {
+		return runEdge(s)
+	}
 	debug.SetGCPercent(gcPercent)
 	app := fx.New(
 		fx.NopLogger,
--- a/internal/cacheview/index.go
+++ b/internal/cacheview/index.go
@@ -390,3 +390,18 @@
 	}
 	return out
 }
+
+// Has tells whether a target is believed to hold one prefix.
+func (x *Index) Has(t ids.Target, id prefix.ID) bool {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	n, ok := x.nums[t]
+	return ok && x.find(id, n) != nil
+}
+
+// Void drops all beliefs about a target.
+func (x *Index) Void(t ids.Target) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.newEpoch(&x.targets[x.number(t)])
+}
--- /dev/null
+++ b/internal/edge/admin.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"expvar"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/forward"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/membership"
+)
+
+// Status is the admin interface's answer about this VM.
+type Status struct {
+	VM            ids.VM                    `json:"vm"`
+	FailureDomain ids.FailureDomain         `json:"failure_domain"`
+	Ready         bool                      `json:"ready"`
+	Reason        string                    `json:"reason,omitempty"`
+	Catalog       uint64                    `json:"catalog"`
+	ProofAge      string                    `json:"proof_age"`
+	Fence         uint64                    `json:"fence,omitempty"` // while this VM gives orders
+	InFlight      int64                     `json:"in_flight"`
+	Targets       []membership.TargetStatus `json:"targets"`
+}
+
+// Status returns this VM's state at this moment.
+func (d *Daemon) Status() Status {
+	now := time.Now()
+	ready, reason := d.ready.Ready()
+	s := Status{
+		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason,
+		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
+	}
+	if c := d.Catalog.Get(); c != nil {
+		s.Catalog = c.Version
+	}
+	if token, ok := d.Lease.Held(); ok {
+		s.Fence = token.Fence
+	}
+	return s
+}
+
+// Metrics are this VM's counters, published as "threadwall" by expvar.
+// docs/OPERATIONS.md explains each.
+type Metrics struct {
+	Requests    int64              `json:"requests"`
+	Refused     int64              `json:"refused"`
+	Failed      int64              `json:"failed"`
+	Broken      int64              `json:"streams_broken"`
+	InFlight    int64              `json:"in_flight"`
+	Attempts    int64              `json:"attempts"`
+	Retries     int64              `json:"retries"`
+	BudgetEmpty int64              `json:"retry_budget_empty"`
+	Events      int64              `json:"stream_events"`
+	Fetches     int64              `json:"kv_fetches"`
+	Saves       int64              `json:"kv_saves"`
+	Dials       int64              `json:"target_dials"`
+	Reuses      int64              `json:"target_conn_reuses"`
+	Strays      int64              `json:"stray_answers"`
+	ProofAgeMs  int64              `json:"proof_age_ms"`
+	Latency     *forward.Histogram `json:"latency"`
+	HeapBytes   int64              `json:"heap_bytes"`
+	Goroutines  int                `json:"goroutines"`
+}
+
+// Metrics returns the counters at this moment.
+func (d *Daemon) Metrics() Metrics {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	f, s := d.Forward, &d.Forward.Stats
+	return Metrics{
+		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
+		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(),
+		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
+		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
+		ProofAgeMs: d.Catalog.ProofAge(time.Now()).Milliseconds(), Latency: &f.Latency,
+		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
+	}
+}
+
+// published is the daemon whose metrics expvar shows; a later one in the same
+// process (tests) replaces an earlier one.
+var published atomic.Pointer[Daemon]
+
+func publish(d *Daemon) {
+	if published.Swap(d) != nil || expvar.Get("threadwall") != nil {
+		return
+	}
+	expvar.Publish("threadwall", expvar.Func(func() any { return published.Load().Metrics() }))
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,270 @@
+// Package edge is the daemon of a VM that serves opaque requests for a platform:
+// it follows the platform's store, forwards calls (package forward) and, while it
+// holds the lease, brings engines to the weights that operators name (package
+// rollout).
+//
+// # What a VM knows and from whom
+//
+// Each VM follows the store by itself: configuration, replicas, weights, and the
+// list of entry VMs. It needs no other VM to serve, so a failure domain that is
+// cut off goes on with what it has, and a VM that starts needs the store alone.
+// Watches that wait are one call however long, so the calls grow with the number
+// of VMs and with the number of changes, not with their product.
+//
+// # Readiness
+//
+// A VM is ready when it has a configuration, the replicas and the weights, and can
+// prove that its configuration is the newest. Until then it refuses calls as not
+// run.
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/follow"
+	"github.com/threadwall/threadwall/internal/forward"
+	"github.com/threadwall/threadwall/internal/hlc"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvfeed"
+	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/orders"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/retry"
+	"github.com/threadwall/threadwall/internal/rollout"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/settings"
+	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/upstream"
+)
+
+// Adapter is how a platform is spoken to.
+type Adapter struct {
+	Store   objectapi.Store
+	Dialect forward.Dialect
+	Engines rollout.Engines
+	Feeds   kvfeed.Reader
+
+	DecodeConfig  func(value []byte) (catalog.Declaration, error)
+	DecodeReplica func(o objectapi.Object) (platform.Record, error)
+	DecodeWeights func(value []byte) (follow.NamedWeights, error)
+
+	// Where things lie in the store.
+	PrefixConfig, KeyConfig, PrefixReplicas, PrefixWeights string
+}
+
+// Options are what the process is run with.
+type Options struct {
+	Adapter Adapter
+	LogTo   io.Writer
+}
+
+// Daemon is one VM's daemon.
+type Daemon struct {
+	Settings settings.Settings
+	Log      *eventlog.Log
+	Catalog  *catalog.Current
+	Fleet    *fleet.Fleet
+	Replicas *follow.Replicas
+	Weights  *follow.Weights
+	Forward  *forward.Forwarder
+	Lease    *lease.Lease
+	Orders   *orders.Reconciler
+	Rollout  *rollout.Rollout
+
+	adapter Adapter
+	feeds   *kvfeed.Feeds
+	budgets *retry.Services
+	ready   readiness
+	servers []*http.Server
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
+	failed  func()
+	started time.Time
+}
+
+// Module wires a daemon for fx. Settings and options must be supplied.
+var Module = fx.Module("threadwalld-edge",
+	fx.Provide(New),
+	fx.Invoke(func(lc fx.Lifecycle, d *Daemon, sd fx.Shutdowner) {
+		d.failed = func() { _ = sd.Shutdown(fx.ExitCode(1)) }
+		lc.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
+	}),
+)
+
+// Sizes and bounds.
+const (
+	// beliefCapacity is how many cache beliefs a VM holds, at 16 bytes each.
+	beliefCapacity = 64 << 10
+	// fetchRate is how fast engines move KV cache to each other, in tokens/s, until it
+	// is measured: 18 KB a token over some hundred Gbit/s, and a millisecond or two to
+	// begin with.
+	fetchRate = 1_500_000
+	// bodyShare is the part of the memory that callers' bodies may take.
+	bodyShare = 0.25
+	// keyMargin is taken off the age that a proof may have, for the way from here to
+	// the replica.
+	keyMargin = 300 * time.Millisecond
+	// weightsMargin is taken off the time in which older weights may be used.
+	weightsMargin = time.Second
+	// returnGrace is how long after the store's return entries that had lapsed
+	// meanwhile may come back.
+	returnGrace = 2 * time.Second
+	// neverSilent keeps membership from counting silence: no target is probed here.
+	neverSilent = 10_000 * time.Hour
+)
+
+// New builds a daemon. Nothing runs before Start.
+func New(s settings.Settings, o Options) (*Daemon, error) {
+	if s.Edge == nil {
+		return nil, eris.New("the settings have no section edge")
+	}
+	tuning := membership.DefaultTuning
+	tuning.Grace = neverSilent
+	policy := routing.NewFetching()
+	if s.Policy == "round-robin" {
+		policy = routing.NewRoundRobin()
+	}
+	d := &Daemon{
+		Settings: s, adapter: o.Adapter, Catalog: &catalog.Current{},
+		Log: eventlog.New(o.LogTo, map[string]string{"vm": string(s.VM)}),
+		Fleet: fleet.New(membership.New(s.VM, tuning), cacheview.New(beliefCapacity, nil),
+			loadview.New(), policy, nil),
+		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse),
+	}
+	d.build()
+	return d, nil
+}
+
+// budgetUse is the part of the retry budget that is used: arrivals that this VM
+// takes for failed dials may have reached their replica.
+const budgetUse = 0.8
+
+func (d *Daemon) build() {
+	s, edge := d.Settings, d.Settings.Edge
+	client := upstream.NewClient(s.DialTimeout.D())
+	d.Replicas = &follow.Replicas{
+		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: client.Drop, ReturnGrace: returnGrace, Log: d.Log,
+	}
+	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Within: edge.WeightsWithin.D() - weightsMargin, Log: d.Log}
+	planner := &forward.Planner{Cache: d.Fleet.Cache, FetchRate: fetchRate}
+	d.Forward = &forward.Forwarder{
+		VM: s.VM, Domain: s.FailureDomain, Catalog: d.Catalog, Fleet: d.Fleet, Upstream: client,
+		Dialect: d.adapter.Dialect, Budgets: d.budgets, KV: planner, Weights: d.Weights, Readiness: &d.ready, Log: d.Log,
+		LearnWeights: func(id ids.Target, w ids.WeightsVersion) { d.Replicas.SetWeights(id, w, "answer") },
+		Tuning: forward.Tuning{
+			KeyTTL:      max(edge.KeyTTL.D()-keyMargin, 0),
+			MaxBodies:   int64(float64(edge.MemoryMB<<20) * bodyShare),
+			MaxInFlight: int64(s.MaxInFlight),
+		},
+	}
+	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Log: d.Log}
+	d.Lease = lease.New(d.adapter.Store, "orders", s.VM, leaseTuning(edge.OrderTurn.D()), nil)
+	d.Rollout = &rollout.Rollout{
+		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Log: d.Log, Ordering: d.ordering,
+	}
+	d.Orders = &orders.Reconciler{
+		Wishes: d.Rollout, Sender: d.Rollout, Lease: d.Lease, Engines: d.Rollout,
+		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents),
+	}
+	d.ready.set(false, "starting")
+}
+
+// Start listens and starts all duties.
+func (d *Daemon) Start(context.Context) error {
+	d.started = time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, l := range []struct {
+		addr   string
+		server *http.Server
+	}{
+		{d.Settings.Listen, d.callerServer()},
+		{d.Settings.Edge.ReadyListen, &http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: headerTimeout}},
+		{d.Settings.AdminListen, &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout}},
+	} {
+		listener, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			cancel()
+			return eris.Wrapf(err, "listen on %s", l.addr)
+		}
+		d.servers = append(d.servers, l.server)
+		d.run(l.addr, func() error { return l.server.Serve(listener) })
+	}
+	for name, duty := range d.dutyTable() {
+		d.run(name, func() error { duty(ctx); return nil })
+	}
+	d.Log.Belief("start").Str("listen", d.Settings.Listen).Str("failure_domain", string(d.Settings.FailureDomain)).
+		Str("policy", d.Fleet.PolicyName()).Send()
+	return nil
+}
+
+// run starts a duty. One that fails ends the daemon: a VM that lacks a duty must
+// not look healthy.
+func (d *Daemon) run(name string, f func() error) {
+	d.duties.Go(func() {
+		err := f()
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		d.Log.Belief("duty-failed").Str("duty", name).Str("error", err.Error()).Send()
+		if d.failed != nil {
+			d.failed()
+		}
+	})
+}
+
+// Times of a shutdown.
+const (
+	// readyNotice is how long the balancer needs to notice that a VM takes no new
+	// connections: two misses, asked once a second.
+	readyNotice = 2300 * time.Millisecond
+	// killMargin is left between the end of the drain and the kill.
+	killMargin = 500 * time.Millisecond
+	// releaseTimeout bounds giving the lease up.
+	releaseTimeout = 300 * time.Millisecond
+)
+
+// Stop shuts down gracefully: not ready, answers close their connections; when the
+// balancer has noticed, no new connections; the calls at hand are finished.
+func (d *Daemon) Stop(ctx context.Context) error {
+	began := time.Now()
+	d.Forward.Draining.Store(true)
+	d.ready.set(false, "shutting down")
+	d.Log.Belief("stop").Int64("in_flight", d.Forward.InFlight()).Send()
+	release, cancel := context.WithTimeout(ctx, releaseTimeout)
+	if err := d.Lease.Release(release); err != nil {
+		d.Log.Belief("lease-not-released").Str("error", err.Error()).Send()
+	}
+	cancel()
+	timer := time.NewTimer(min(readyNotice, d.Settings.Edge.Grace.D()/2))
+	<-timer.C
+	drain, cancel := context.WithDeadline(ctx, began.Add(d.Settings.Edge.Grace.D()-killMargin))
+	defer cancel()
+	err := d.servers[0].Shutdown(drain)
+	if err != nil {
+		d.Log.Belief("drain-ended").Int64("in_flight", d.Forward.InFlight()).Str("error", err.Error()).Send()
+	}
+	d.cancel()
+	for _, s := range d.servers {
+		_ = s.Close() // the process ends
+	}
+	d.Log.Belief("stopped").Int64("after_ms", time.Since(began).Milliseconds()).Send()
+	d.Log.Close()
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,9 @@
 // Status returns one target's status by its index in View.
 func (s *Snapshot) Status(i int) *membership.TargetStatus { return &s.statuses[i] }
 
+// Age returns how long ago the snapshot was made.
+func (s *Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.at) }
+
 // Fleet makes snapshots and decisions. Safe for concurrent use.
 type Fleet struct {
 	Members *membership.Table
@@ -75,7 +79,7 @@
 		s.View.Targets[i] = routing.Target{
 			ID: st.ID, FailureDomain: st.Record.FailureDomain, Model: st.Record.Model,
 			Weights: st.Weights, Service: st.Record.Service, Incarnation: st.Incarnation,
-			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID),
+			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID), WeightsNumber: numberOf(st.Weights),
 		}
 		f.fill(s, i, assumed)
 	}
@@ -83,6 +87,15 @@
 	return s
 }
 
+// numberOf reads a weights version that is a number; zero if it is none.
+func numberOf(w ids.WeightsVersion) uint64 {
+	n, err := strconv.ParseUint(string(w), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func newSnapshot(statuses []membership.TargetStatus, now time.Time) *Snapshot {
 	n := len(statuses)
 	s := &Snapshot{
@@ -102,8 +115,13 @@
 	}
 	s.base[i] = routing.Input{
 		State: st.State, BreakerOpen: st.BreakerOpen, SlowStart: st.SlowStart, PrefillRate: float32(rate),
+		FailRate: st.FailRate,
 	}
 	s.places[i] = places{slots: st.Report.Slots, running: st.Report.Running}
+	if st.Report.Slots == 0 {
+		s.places[i].slots = st.Record.Slots
+	}
+	s.base[i].Slots = int32(s.places[i].slots)
 	s.handles[i] = f.Load.Handle(st.ID)
 	s.reports[i] = loadview.Report{Queued: st.Report.QueuedTokens, Rate: rate, Age: st.ReportAge}
 }
@@ -185,6 +203,7 @@
 		in.Cached = sc.overlaps[snap.nums[i]]
 		in.QueueTokens = float32(sc.loads[i].QueueTokens)
 		in.SlotWait = snap.places[i].wait(sc.loads[i].OwnInFlight)
+		in.InFlight = int32(sc.loads[i].OwnInFlight)
 	}
 	for _, t := range tried {
 		for i := range snap.statuses {
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,112 @@
+// Package follow keeps a VM up with the platform's store: it lists a key space,
+// then watches it, through outages.
+//
+// Every failed call, and every watch that can't be continued, leads to a new
+// list: a watch that broke may have missed a change. What is learned goes to a
+// Handler; the time at which a call was sent goes along, since only what was
+// confirmed before that is known to be included in its answer.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+// Handler takes in what a Follower learns. Calls come one after the other.
+type Handler interface {
+	// Listed gives all objects. regained tells that calls had failed before.
+	Listed(objects []objectapi.Object, sent time.Time, regained bool)
+	// Changed gives changes since the last call, in order.
+	Changed(events []objectapi.Object, sent time.Time)
+	// Unchanged says that nothing had changed when a call was sent.
+	Unchanged(sent time.Time)
+}
+
+// Pauses between failed calls. They grow by doubling, with jitter, so that a store
+// that comes back isn't met by all VMs at once.
+const (
+	firstPause = 100 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
+)
+
+// Follower follows one key space.
+type Follower struct {
+	Store   objectapi.Store
+	Prefix  string
+	Handler Handler
+	Log     *eventlog.Log
+
+	after objectapi.Revision // zero: list first
+	lost  bool
+	since time.Time // of the loss
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			pause = firstPause
+			f.regained()
+			continue
+		}
+		f.after = 0
+		if errors.Is(err, objectapi.ErrCompacted) {
+			continue // the store is well, only its history is gone
+		}
+		f.failed(err)
+		timing.Sleep(ctx, pause/2+rand.N(pause))
+		pause = min(pause*2, maxPause)
+	}
+}
+
+// once makes one call.
+func (f *Follower) once(ctx context.Context) error {
+	sent := time.Now()
+	if f.after == 0 {
+		objects, rev, err := f.Store.List(ctx, f.Prefix)
+		if err != nil {
+			return err
+		}
+		f.after = max(rev, 1)
+		f.Handler.Listed(objects, sent, f.lost)
+		return nil
+	}
+	events, rev, err := f.Store.Watch(ctx, f.Prefix, f.after)
+	if err != nil {
+		return err
+	}
+	f.after = max(rev, f.after)
+	if len(events) > 0 {
+		f.Handler.Changed(events, sent)
+	} else {
+		f.Handler.Unchanged(sent)
+	}
+	return nil
+}
+
+func (f *Follower) failed(err error) {
+	if f.lost {
+		return
+	}
+	f.lost, f.since = true, time.Now()
+	f.Log.Belief("dependency-lost").Str("dependency", "store "+f.Prefix).Str("error", err.Error()).Send()
+}
+
+func (f *Follower) regained() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.Log.Belief("dependency-regained").Str("dependency", "store "+f.Prefix).Int64("after_ms", time.Since(f.since).Milliseconds()).Send()
+}
--- /dev/null
+++ b/internal/follow/weights.go
@@ -0,0 +1,124 @@
+package follow
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// NamedWeights is one version of a model's weights as operators name it.
+type NamedWeights struct {
+	Model   ids.Model
+	Version uint64
+}
+
+// Weights keeps which weights operators want of each model, and since when.
+type Weights struct {
+	Decode func(value []byte) (NamedWeights, error)
+	// Within is how long after a version was named older ones may still be used.
+	Within time.Duration
+	Log    *eventlog.Log
+
+	mu      sync.RWMutex
+	models  map[ids.Model][]named
+	started bool
+}
+
+var _ Handler = (*Weights)(nil)
+
+// named is one version and when this VM heard of it.
+type named struct {
+	version uint64
+	at      time.Time
+}
+
+// firstSightAge is how old a version is taken to be that was there when this VM
+// started, as a part of Within: it may have been named just before, or long ago.
+const firstSightAge = 0.7
+
+// Listed implements Handler.
+func (w *Weights) Listed(objects []objectapi.Object, _ time.Time, _ bool) {
+	w.take(objects)
+	w.mu.Lock()
+	w.started = true
+	w.mu.Unlock()
+}
+
+// Changed implements Handler.
+func (w *Weights) Changed(events []objectapi.Object, _ time.Time) { w.take(events) }
+
+// Unchanged implements Handler.
+func (w *Weights) Unchanged(time.Time) {}
+
+func (w *Weights) take(objects []objectapi.Object) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.models == nil {
+		w.models = map[ids.Model][]named{}
+	}
+	if !w.started {
+		now = now.Add(-time.Duration(float64(w.Within) * firstSightAge))
+	}
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		n, err := w.Decode(o.Value)
+		if err != nil {
+			w.Log.Belief("weights-rejected").Str("key", o.Key).Str("error", err.Error()).Send()
+			continue
+		}
+		w.add(n, now, o.Version)
+	}
+}
+
+// keepVersions is how many versions of a model are remembered.
+const keepVersions = 64
+
+func (w *Weights) add(n NamedWeights, now time.Time, rev objectapi.Revision) {
+	all := w.models[n.Model]
+	if len(all) > 0 && all[len(all)-1].version >= n.Version {
+		return
+	}
+	all = append(all, named{n.Version, now})
+	w.models[n.Model] = all[max(0, len(all)-keepVersions):]
+	w.Log.Belief("weights-named").Str("model", string(n.Model)).Uint64("version", n.Version).Uint64("revision", uint64(rev)).Send()
+}
+
+// VersionText is the form of a version in the rest of threadwall.
+func VersionText(v uint64) ids.WeightsVersion {
+	return ids.WeightsVersion(strconv.FormatUint(v, 10))
+}
+
+// Newest returns the newest version of a model; empty if none was named.
+func (w *Weights) Newest(m ids.Model) ids.WeightsVersion {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	all := w.models[m]
+	if len(all) == 0 {
+		return ""
+	}
+	return VersionText(all[len(all)-1].version)
+}
+
+// Wanted returns the newest version of a model, and the least version that may
+// still be used.
+func (w *Weights) Wanted(m ids.Model, now time.Time) (newest ids.WeightsVersion, least uint64) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	all := w.models[m]
+	for _, n := range all {
+		if now.Sub(n.at) > w.Within {
+			least = n.version
+		}
+	}
+	if len(all) > 0 {
+		newest = VersionText(all[len(all)-1].version)
+	}
+	return newest, least
+}
--- /dev/null
+++ b/internal/forward/decide.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// WantedWeights tells which weights of a model operators want.
+type WantedWeights interface {
+	// Wanted returns the newest version, and the least that may still be used.
+	// Empty: none was named.
+	Wanted(m ids.Model, now time.Time) (newest ids.WeightsVersion, least uint64)
+}
+
+// choice is a decided replica and what goes along with the call.
+type choice struct {
+	target routing.Target
+	levels []prefix.Level // shared parts
+	work   int32          // tokens that the replica is expected to compute
+	salt   string
+	fetch  string
+	save   string
+}
+
+// retryNoTarget is when a caller should come back when no replica can serve: about
+// the time in which a replica's return is noticed.
+const retryNoTarget = 200 * time.Millisecond
+
+// decide picks a replica of the call's service.
+func (r *run) decide() (choice, *outcome.Error) {
+	f := r.f
+	req := routing.Request{Service: r.service, FailureDomain: f.Domain, Seed: f.Fleet.Seed()}
+	var parts []kvcache.Part
+	p := r.call.Prompt
+	if p != nil && r.route.Prompts {
+		wall := r.catalog.Wall(r.workspace)
+		parts = kvcache.Shared(p.Parts)
+		req.Levels = kvcache.Levels(wall, p.Model, parts)
+		req.Tokens = p.Tokens
+		req.FetchRate = f.KV.FetchRate
+		req.Weights, req.LeastWeights = f.Weights.Wanted(p.Model, time.Now())
+	}
+	sc := f.Fleet.Acquire()
+	defer f.Fleet.Release(sc)
+	snap, d := f.Fleet.Decide(&req, r.tried, sc)
+	if d.Index < 0 {
+		r.logNoTarget(sc)
+		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(retryNoTarget)
+	}
+	c := choice{target: snap.View.Targets[d.Index], levels: req.Levels, work: max(req.Tokens-d.Cached, 0)}
+	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
+		wall := r.catalog.Wall(r.workspace)
+		c.salt = kvcache.Salt(c.target.Weights, wall)
+		f.KV.plan(&c, &req, snap, sc, r.kvStore(), wall, p.Model, parts)
+	}
+	r.logDecision(snap, &d, sc, &c)
+	return c, nil
+}
+
+func (r *run) kvStore() *catalog.KVStore { return r.catalog.KVStore() }
+
+func (r *run) logDecision(snap *fleet.Snapshot, d *routing.Decision, sc *fleet.Scratch, c *choice) {
+	in := &sc.Inputs[d.Index]
+	r.f.Log.Request("decide", string(r.call.ID)).Str("service", r.service).Str("target", string(c.target.ID)).
+		Str("weights", string(c.target.Weights)).Int("attempt", r.sends+1).
+		Float32("cost_s", d.Cost).Int32("cached", d.Cached).Int32("best_cached", d.BestCached).
+		Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
+		Int64("view_age_ms", snap.Age(time.Now()).Milliseconds()).Int("eligible", sc.Routing.Filtered[routing.Passed]).
+		Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
+}
+
+func (r *run) logNoTarget(sc *fleet.Scratch) {
+	line := r.f.Log.Request("no-target", string(r.call.ID)).Str("service", r.service)
+	for reason, n := range sc.Routing.FilteredByName() {
+		line = line.Int(reason, n)
+	}
+	line.Send()
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,140 @@
+// Package forward is the request path for opaque calls: their bodies pass through
+// unchanged, and what has to be known of them stands in their headers.
+//
+// # Promises
+//
+//   - A call that may not be repeated is sent again only after an attempt that
+//     provably did not run (outcome.NotRun).
+//   - A refusal that says "not run" is given only if no attempt of the call may
+//     have run.
+//   - An answer reaches the caller only if it is the call's own and whole; a stream
+//     that breaks ends with a cut connection, never as if complete.
+//   - Events of a stream go out in order, each whole and once, also when another
+//     replica goes on behind the last one.
+//   - A call with an API key is sent only while this VM can prove that its
+//     catalog was the newest a short while ago.
+//
+// # Stages
+//
+// admit (handler.go) reads the call, the catalog and the key; decide.go picks a
+// replica and what KV cache it should fetch; run.go sends, judges the outcome and
+// tries again where that is allowed; whole.go and stream.go pass answers on.
+//
+// How callers and replicas name things in their headers is a Dialect's matter.
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/retry"
+	"github.com/threadwall/threadwall/internal/upstream"
+)
+
+// Call is what a caller says of its request.
+type Call struct {
+	ID        ids.Request
+	Key       string        // API key; empty: none
+	Deadline  time.Duration // how long the caller waits, from the call's arrival; zero: not said
+	Prompt    *Prompt       // nil: none described
+	LastEvent string        // the caller has a stream up to this event
+}
+
+// Prompt describes a prompt without showing it.
+type Prompt struct {
+	Model  ids.Model
+	Tokens int32 // of the prompt
+	Parts  []kvcache.Part
+}
+
+// Send is what goes along with one attempt, beside the caller's own headers.
+type Send struct {
+	Call      *Call
+	Replica   ids.Target
+	Workspace ids.Workspace // empty: the route is public
+	Left      time.Duration // until nobody waits any more
+	Priority  int           // 0 to 9, 0 is first
+	LastEvent string        // go on behind this event; empty: from the start
+	Weights   ids.WeightsVersion
+	Salt      string // empty: none
+	Fetch     string // ip:port to fetch KV cache from; empty: none
+	Save      string // ip:port to save KV cache to; empty: none
+}
+
+// Reply is what the head of an answer says of itself.
+type Reply struct {
+	Request ids.Request        // the request that it answers; empty: it does not say
+	Signed  bool               // it bears the replica's signature
+	NotRun  bool               // the replica did not run the request
+	Misfit  bool               // the replica has other weights, or another identity, than asked for
+	Replica ids.Target         // who answered; empty: it does not say
+	Weights ids.WeightsVersion // the weights that it has; empty: it does not say
+}
+
+// Dialect translates between headers and this package's types. It decides nothing.
+type Dialect interface {
+	ReadCall(h http.Header) (Call, error)
+	// WriteSend removes from h what only the router may say, and adds s.
+	WriteSend(h http.Header, s *Send)
+	ReadReply(status int, h http.Header) Reply
+}
+
+// Stats are counters of the request path.
+type Stats struct {
+	Requests, Refused, Failed, Broken, Attempts, Retries, Resumes, BudgetEmpty atomic.Int64
+	Fetches, Saves, Events                                                     atomic.Int64
+}
+
+// Readiness tells whether this VM takes work.
+type Readiness interface {
+	Ready() (ok bool, reason string)
+}
+
+// Forwarder serves opaque calls. Its fields are set before it serves.
+type Forwarder struct {
+	VM        ids.VM
+	Domain    ids.FailureDomain
+	Catalog   *catalog.Current
+	Fleet     *fleet.Fleet
+	Upstream  *upstream.Client
+	Dialect   Dialect
+	Budgets   *retry.Services
+	KV        *Planner
+	Weights   WantedWeights
+	Readiness Readiness
+	Log       *eventlog.Log
+	// LearnWeights is told what weights a replica says it has.
+	LearnWeights func(id ids.Target, w ids.WeightsVersion)
+	Tuning       Tuning
+	Stats        Stats
+	Latency      Histogram
+
+	// Draining is set when the VM shuts down: answers then ask callers to come
+	// back on another connection.
+	Draining atomic.Bool
+
+	inFlight  atomic.Int64
+	bodyBytes atomic.Int64
+}
+
+// Tuning holds the bounds of the request path. Settings fill it.
+type Tuning struct {
+	// KeyTTL is how old the proof of the catalog may be when a call with an API key
+	// is sent. Zero: any age.
+	KeyTTL time.Duration
+	// MaxBodies bounds the callers' bodies in memory, in bytes.
+	MaxBodies int64
+	// MaxInFlight bounds calls in flight.
+	MaxInFlight int64
+}
+
+var _ http.Handler = (*Forwarder)(nil)
+
+// InFlight returns how many calls are being served.
+func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
--- /dev/null
+++ b/internal/forward/handler.go
@@ -0,0 +1,195 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// run is the state of one call.
+type run struct {
+	f        *Forwarder
+	w        http.ResponseWriter
+	req      *http.Request
+	received time.Time
+	ends     time.Time // nobody waits for an answer after this
+
+	call      Call
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	workspace *catalog.Workspace // nil: the route is public
+	service   string
+	body      []byte
+
+	tried    []ids.Target
+	sends    int  // sends so far, whatever became of them
+	attempts int  // sends that may have run
+	mayRan   bool // an attempt ended in another way than not-run
+	begun    bool // something of the answer was passed on
+	stream   streamState
+}
+
+// retryWhenReady is when a caller should come back to a VM that lacks something it
+// needs; other VMs may have it.
+const retryWhenReady = 100 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r := &run{f: f, w: w, req: req, received: time.Now()}
+	f.Stats.Requests.Add(1)
+	defer f.inFlight.Add(-1)
+	if f.inFlight.Add(1) > f.Tuning.MaxInFlight {
+		r.refuse(outcome.New(outcome.NotRun, outcome.CodeOverloaded, "admit", "", "this VM is full").After(retryWhenReady))
+		return
+	}
+	release, refusal := r.admit()
+	defer release()
+	if refusal != nil {
+		r.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), r.ends)
+	defer cancel()
+	r.serve(ctx)
+}
+
+// admit reads the call and decides whether it may be sent at all. release must be
+// called when the call ends.
+func (r *run) admit() (release func(), refusal *outcome.Error) {
+	release = func() {}
+	call, err := r.f.Dialect.ReadCall(r.req.Header)
+	r.call = call
+	if err != nil {
+		return release, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", err.Error())
+	}
+	if r.f.Catalog.Get() == nil {
+		return release, outcome.New(outcome.NotRun, outcome.CodeNotReady, "admit", "", "this VM has no configuration yet").After(retryWhenReady)
+	}
+	release, refusal = r.readBody(r.f.Catalog.Get().Limits.BodyBytes)
+	if refusal != nil {
+		return release, refusal
+	}
+	// The configuration is taken after the body, which a slow caller may send for
+	// longer than a new version needs to come into force.
+	r.catalog = r.f.Catalog.Get()
+	return release, r.authorize()
+}
+
+// authorize finds the route and the workspace.
+func (r *run) authorize() *outcome.Error {
+	sure := r.sure()
+	r.route = r.catalog.Match(r.req.Host, r.req.URL.EscapedPath())
+	if r.route == nil {
+		return r.unless(sure, outcome.New(outcome.NotRun, outcome.CodeUnknownService, "route", "", "there is nothing at this host and path"))
+	}
+	if r.catalog.Keyed() && !r.route.Public {
+		r.workspace = r.catalog.WorkspaceOf(r.call.Key)
+		if r.workspace == nil {
+			return r.unless(sure, outcome.New(outcome.NotRun, outcome.CodeInvalidKey, "authenticate", "", "the API key is missing or wrong"))
+		}
+		if !sure {
+			return r.unsure()
+		}
+	}
+	r.service = r.route.Pick(r.f.Fleet.Seed() * weightStride)
+	r.ends = r.end()
+	return nil
+}
+
+// weightStride spreads consecutive calls over a route's weights.
+const weightStride = 0x9E3779B1
+
+// sure tells whether the catalog was proven to be the newest a short while ago.
+func (r *run) sure() bool {
+	ttl := r.f.Tuning.KeyTTL
+	return ttl == 0 || r.f.Catalog.ProofAge(time.Now()) < ttl
+}
+
+// unless returns a refusal that rests on the catalog, or, when that may be old,
+// one that says so: a new key or route may not have reached this VM.
+func (r *run) unless(sure bool, refusal *outcome.Error) *outcome.Error {
+	if sure {
+		return refusal
+	}
+	return r.unsure()
+}
+
+func (r *run) unsure() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeStoreDown, "authenticate", "store",
+		"this VM can't prove that its configuration is the newest").After(retryWhenReady)
+}
+
+// defaultWait bounds a call whose caller and route don't.
+const defaultWait = time.Minute
+
+// end returns until when the call is worth working on.
+func (r *run) end() time.Time {
+	wait := defaultWait
+	if r.call.Deadline > 0 {
+		wait = min(wait, r.call.Deadline)
+	}
+	if r.route.Timeout > 0 {
+		wait = min(wait, r.route.Timeout)
+	}
+	return r.received.Add(wait)
+}
+
+// readBody reads the whole body, within the memory that all bodies share.
+func (r *run) readBody(limit int64) (release func(), refusal *outcome.Error) {
+	held := int64(0)
+	release = func() { r.f.bodyBytes.Add(-held) }
+	want := r.req.ContentLength
+	if want == 0 {
+		return release, nil
+	}
+	if limit > 0 && want > limit {
+		return release, outcome.New(outcome.NotRun, outcome.CodeTooLarge, "read", "caller", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if want < 0 {
+		want = unknownBody
+	}
+	held = want
+	if r.f.bodyBytes.Add(want) > r.f.Tuning.MaxBodies {
+		return release, outcome.New(outcome.NotRun, outcome.CodeOverloaded, "read", "caller", "the bodies of other calls fill this VM's memory").After(retryWhenReady)
+	}
+	if limit <= 0 {
+		limit = r.f.Tuning.MaxBodies
+	}
+	ctl := http.NewResponseController(r.w)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // a connection without deadlines is read without one
+	body, err := readAll(http.MaxBytesReader(r.w, r.req.Body, limit), r.req.ContentLength)
+	_ = ctl.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return release, outcome.New(outcome.NotRun, outcome.CodeTooLarge, "read", "caller", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	if err != nil {
+		return release, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", "the body could not be read")
+	}
+	r.body = body
+	return release, nil
+}
+
+const (
+	// unknownBody is the memory reserved for a body of unknown length, in bytes.
+	unknownBody = 256 << 10
+	// bodyTimeout bounds reading a body, so that a caller that trickles holds no
+	// memory for long.
+	bodyTimeout = 30 * time.Second
+)
+
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
--- /dev/null
+++ b/internal/forward/kv.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// Planner decides from where a replica fetches what it lacks of a prompt, and what
+// is saved to the store beside the engines.
+type Planner struct {
+	Cache *cacheview.Index
+	// FetchRate is how fast engines take KV cache over from each other, in tokens/s.
+	FetchRate float32
+}
+
+// minMove is the least that is worth a fetch or a save, in tokens: below it the
+// look-up costs as much as computing.
+const minMove = 64
+
+// storeLife stands for a store's life: its parts outlive weights versions, which
+// stand in the ids instead.
+var storeLife = cacheview.LifeOf(1, "")
+
+// StoreTarget names a store in the cache view.
+func StoreTarget(addr string) ids.Target { return ids.Target("kv-store " + addr) }
+
+// StoreLevel is the id of one part at a store.
+func StoreLevel(salt string, m ids.Model, part string) prefix.ID {
+	return kvcache.LevelID("store/"+salt, m, part)
+}
+
+// plan fills in c.fetch and c.save. A prefix that another replica with the same
+// weights holds is fetched from there, and from the store otherwise. Where the
+// choice is believed to hold all of it, the store is named all the same, if it has
+// it: the belief may be wrong, and a replica fetches only what it lacks.
+func (p *Planner) plan(c *choice, req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch, store *catalog.KVStore, wall string, m ids.Model, parts []kvcache.Part) {
+	if len(req.Levels) == 0 {
+		return
+	}
+	shared := req.Levels[len(req.Levels)-1].Tokens
+	held := p.held(c, snap, sc)
+	if from, tokens := p.holder(c, snap, sc); tokens-held >= minMove {
+		c.fetch = from
+		c.work = max(req.Tokens-tokens, 0)
+	}
+	if store == nil || shared < minMove {
+		return
+	}
+	stored := p.inStore(store, c.salt, m, parts)
+	if c.fetch == "" && stored >= minMove {
+		c.fetch = store.Addr
+		c.work = max(min(c.work, req.Tokens-stored), 0)
+	}
+	if stored < shared {
+		c.save = store.Addr
+	}
+}
+
+// held is how much of the prompt the choice is believed to hold.
+func (p *Planner) held(c *choice, snap *fleet.Snapshot, sc *fleet.Scratch) int32 {
+	for i := range snap.View.Targets {
+		if snap.View.Targets[i].ID == c.target.ID {
+			return sc.Inputs[i].Cached
+		}
+	}
+	return 0
+}
+
+// holder finds the replica that holds most of the prompt under the choice's
+// weights; of equals, one in the choice's failure domain.
+func (p *Planner) holder(c *choice, snap *fleet.Snapshot, sc *fleet.Scratch) (addr string, tokens int32) {
+	near := false
+	for i := range snap.View.Targets {
+		t, in := &snap.View.Targets[i], &sc.Inputs[i]
+		if t.ID == c.target.ID || t.Service != c.target.Service || t.Weights != c.target.Weights ||
+			in.State < routing.Joining || in.BreakerOpen {
+			continue
+		}
+		here := t.FailureDomain == c.target.FailureDomain
+		if in.Cached > tokens || in.Cached == tokens && here && !near {
+			addr, tokens, near = t.Addr, in.Cached, here
+		}
+	}
+	return addr, tokens
+}
+
+// inStore is how much of the prompt the store is believed to hold.
+func (p *Planner) inStore(store *catalog.KVStore, salt string, m ids.Model, parts []kvcache.Part) int32 {
+	target := StoreTarget(store.Addr)
+	end := int32(0)
+	for _, part := range parts {
+		if !p.Cache.Has(target, StoreLevel(salt, m, part.ID)) {
+			break
+		}
+		end += part.Tokens
+	}
+	return end
+}
+
+// sent records what a send will leave behind: the replica, and the store if it is
+// told to save there, hold the shared parts.
+func (p *Planner) sent(c *choice, m ids.Model, parts []kvcache.Part) {
+	p.Cache.Expect(c.target.ID, c.levels, c.work)
+	if c.save == "" {
+		return
+	}
+	p.StoreHolds(c.save, c.salt, m, parts)
+}
+
+// failed takes back what sent recorded of the replica.
+func (p *Planner) failed(c *choice) {
+	life := cacheview.LifeOf(c.target.Incarnation, c.target.Weights)
+	for _, l := range c.levels {
+		p.Cache.Drop(c.target.ID, life, l.ID)
+	}
+}
+
+// StoreHolds records that a store holds parts.
+func (p *Planner) StoreHolds(addr, salt string, m ids.Model, parts []kvcache.Part) {
+	target := StoreTarget(addr)
+	p.Cache.SetLife(target, 1, "")
+	for _, part := range parts {
+		p.Cache.Holds(target, storeLife, []prefix.Level{{ID: StoreLevel(salt, m, part.ID)}})
+	}
+}
+
+// StoreLost records that a store no longer holds a part.
+func (p *Planner) StoreLost(addr, salt string, m ids.Model, part string) {
+	p.Cache.Drop(StoreTarget(addr), storeLife, StoreLevel(salt, m, part))
+}
+
+// StoreEmptied records that a store has lost everything.
+func (p *Planner) StoreEmptied(addr string) { p.Cache.Void(StoreTarget(addr)) }
--- /dev/null
+++ b/internal/forward/refuse.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// statusOf returns the status for a call that failed. 503 and 429 promise that the
+// call did not run and will not; 502 and 504 promise nothing.
+func statusOf(e *outcome.Error) int {
+	if e.Outcome != outcome.NotRun {
+		if e.Code == outcome.CodeDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch e.Code {
+	case outcome.CodeInvalidKey:
+		return http.StatusUnauthorized
+	case outcome.CodeUnknownService:
+		return http.StatusNotFound
+	case outcome.CodeBadRequest:
+		return http.StatusBadRequest
+	case outcome.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.CodeRateLimited:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// refuse writes the answer of a call that failed before anything was passed on.
+func (r *run) refuse(e *outcome.Error) {
+	status := statusOf(e)
+	if e.Outcome == outcome.NotRun {
+		r.f.Stats.Refused.Add(1)
+	} else {
+		r.f.Stats.Failed.Add(1)
+	}
+	h := r.w.Header()
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(max(e.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	r.closeIfDraining()
+	r.w.WriteHeader(status)
+	_, _ = r.w.Write([]byte(e.Message + " (" + e.Outcome.String() + ")\n"))
+	r.logEnd(status, e)
+}
+
+// minRetryAfter keeps a caller from coming back within the same trouble.
+const minRetryAfter = 20 * time.Millisecond
+
+// closeIfDraining asks the caller to use another connection next time.
+func (r *run) closeIfDraining() {
+	if r.f.Draining.Load() {
+		r.w.Header().Set("Connection", "close")
+	}
+}
+
+// logEnd writes the line that ends a call.
+func (r *run) logEnd(status int, e *outcome.Error) {
+	took := time.Since(r.received)
+	r.f.Latency.Observe(took)
+	line := r.f.Log.Request("end", string(r.call.ID)).Int("status", status).
+		Int64("ms", took.Milliseconds()).Int("attempts", r.attempts)
+	if r.route != nil {
+		line = line.Str("route", r.route.Name).Str("kind", r.route.Kind.String())
+	}
+	if r.catalog != nil {
+		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.f.Catalog.ProofAge(r.received).Milliseconds())
+	}
+	if e == nil {
+		line.Str("outcome", outcome.Ran.String()).Send()
+		return
+	}
+	line.Str("outcome", e.Outcome.String()).Str("code", string(e.Code)).Str("step", e.Step).Str("peer", e.Peer).
+		Str("error", e.Error()).Send()
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,279 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/upstream"
+)
+
+// Causes of an attempt that this VM ended itself.
+var (
+	errCallerGone = errors.New("the caller is gone")
+	errStalled    = errors.New("the replica is silent for too long")
+)
+
+// maxSends bounds the sends of one call, those that did not run included.
+const maxSends = 4
+
+// leastLeft is the time below which another attempt can't succeed.
+const leastLeft = 15 * time.Millisecond
+
+// serve runs attempts until the call is answered.
+func (r *run) serve(ctx context.Context) {
+	r.f.Budgets.Of(r.service).Deposit()
+	for {
+		err := r.attempt(ctx)
+		if err == nil {
+			r.logEnd(http.StatusOK, nil)
+			return
+		}
+		if errors.Is(err, errCallerGone) || r.req.Context().Err() != nil {
+			r.left(err)
+			return
+		}
+		if !r.mayRetry(ctx, err) {
+			r.fail(ctx, err)
+			return
+		}
+	}
+}
+
+// left ends a call whose caller has gone.
+func (r *run) left(err *outcome.Error) {
+	r.logEnd(statusClientGone, err)
+	panic(http.ErrAbortHandler)
+}
+
+// statusClientGone is the customary status in logs for a caller that has left.
+const statusClientGone = 499
+
+// fail ends a call that no attempt could answer.
+func (r *run) fail(ctx context.Context, err *outcome.Error) {
+	e := r.final(ctx, err)
+	if !r.begun {
+		r.refuse(e)
+		return
+	}
+	r.f.Stats.Broken.Add(1)
+	r.logEnd(http.StatusOK, e)
+	panic(http.ErrAbortHandler) // the caller must not take the answer for whole
+}
+
+// final types the end of a call that failed.
+func (r *run) final(ctx context.Context, err *outcome.Error) *outcome.Error {
+	e := err
+	if e.Outcome == outcome.NotRun && r.mayRan {
+		// The last attempt did not run; an earlier one may have.
+		e = outcome.Wrap(err, outcome.Unknown, e.Code, e.Step, e.Peer, e.Message)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e = outcome.Wrap(err, e.Outcome, outcome.CodeDeadline, e.Step, e.Peer, "the call's time is over")
+	}
+	if e.Outcome == outcome.NotRun && e.RetryAfter == 0 {
+		e.RetryAfter = retryNoTarget
+	}
+	return e
+}
+
+// mayRetry decides whether another send follows a failed one.
+func (r *run) mayRetry(ctx context.Context, err *outcome.Error) bool {
+	switch {
+	case ctx.Err() != nil, time.Until(r.ends) < leastLeft, r.sends >= maxSends:
+		return false
+	case err.Code == outcome.CodeNoTarget:
+		return false
+	case err.Outcome != outcome.NotRun && !r.repeatable():
+		return false
+	case r.begun && !r.route.Resumable:
+		return false
+	case err.Step != stepDial && !r.f.Budgets.Of(r.service).Withdraw():
+		r.f.Stats.BudgetEmpty.Add(1)
+		r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").Send()
+		return false
+	}
+	r.f.Stats.Retries.Add(1)
+	return true
+}
+
+// repeatable tells whether the call may run once more after an attempt that may
+// have run.
+func (r *run) repeatable() bool { return r.route.Repeatable() && r.attempts < r.route.Attempts }
+
+// stepDial is the step at which nothing has reached a replica.
+const stepDial = "dial"
+
+// attempt is one try: decide, send, judge, pass the answer on.
+func (r *run) attempt(ctx context.Context) *outcome.Error {
+	c, refusal := r.decide()
+	if refusal != nil {
+		return refusal
+	}
+	r.sends++
+	r.attempts++ // taken back when it turns out not to have run
+	r.tried = append(r.tried, c.target.ID)
+	r.f.Stats.Attempts.Add(1)
+	work := r.f.Fleet.Load.Sent(c.target.ID, c.work, time.Now())
+	defer work.End()
+	t := r.try(ctx, &c, work)
+	err := t.run()
+	t.end()
+	r.learn(ctx, &c, err)
+	return err
+}
+
+// try is one send to one replica.
+type try struct {
+	r      *run
+	c      *choice
+	work   *loadview.Work
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stall  *stallTimer
+}
+
+func (r *run) try(ctx context.Context, c *choice, work *loadview.Work) *try {
+	tctx, cancel := context.WithCancelCause(ctx)
+	t := &try{r: r, c: c, work: work, ctx: tctx, cancel: cancel}
+	t.stall = newStallTimer(t.silent)
+	return t
+}
+
+func (t *try) end() {
+	t.stall.stop()
+	t.cancel(nil)
+}
+
+// run sends the call and passes its answer on.
+func (t *try) run() *outcome.Error {
+	r := t.r
+	if r.call.Prompt != nil && r.route.Prompts {
+		r.f.KV.sent(t.c, r.call.Prompt.Model, kvcache.Shared(r.call.Prompt.Parts))
+	}
+	t.countMoves()
+	t.stall.start(t.firstWait())
+	a, err := r.f.Upstream.Send(t.ctx, upstream.Replica{ID: t.c.target.ID, Addr: t.c.target.Addr}, t.request())
+	if err != nil {
+		return t.typed(err)
+	}
+	defer a.Close()
+	reply := r.f.Dialect.ReadReply(a.Status, a.Header)
+	if reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
+		r.f.LearnWeights(t.c.target.ID, reply.Weights)
+	}
+	if e := t.judge(a, reply); e != nil {
+		return e
+	}
+	if r.route.Kind == streamKind && a.Status < http.StatusMultipleChoices {
+		return t.relay(a)
+	}
+	return t.whole(a, reply)
+}
+
+func (t *try) countMoves() {
+	if t.c.fetch != "" {
+		t.r.f.Stats.Fetches.Add(1)
+	}
+	if t.c.save != "" {
+		t.r.f.Stats.Saves.Add(1)
+	}
+}
+
+// typed returns an attempt's error, with what this VM itself ended it for.
+func (t *try) typed(err error) *outcome.Error {
+	e := outcome.Of(err)
+	switch {
+	case t.r.req.Context().Err() != nil:
+		return outcome.Wrap(errors.Join(errCallerGone, err), e.Outcome, outcome.CodeStreamBroken, e.Step, e.Peer, "the caller is gone")
+	case errors.Is(context.Cause(t.ctx), errStalled):
+		return outcome.Wrap(errors.Join(errStalled, err), e.Outcome, outcome.CodeUpstream, e.Step, e.Peer, "the replica was silent for too long")
+	}
+	return e
+}
+
+// judge looks at an answer's head.
+func (t *try) judge(a *upstream.Answer, reply Reply) *outcome.Error {
+	peer := string(t.c.target.ID)
+	switch {
+	case reply.Misfit:
+		return outcome.Wrap(&Refusal{Misfit: true, By: reply.Replica}, outcome.NotRun, outcome.CodeUpstream, "refused", peer,
+			"the replica is another one, or has other weights, than expected")
+	case reply.NotRun:
+		return outcome.Wrap(&Refusal{Status: a.Status, By: reply.Replica}, outcome.NotRun, outcome.CodeOverloaded, "refused", peer,
+			"the replica did not take the call").After(retryNoTarget)
+	case a.Status < http.StatusMultipleChoices && !reply.Signed:
+		return outcome.New(outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the answer lacks the replica's signature")
+	case a.Status >= http.StatusInternalServerError && t.r.repeatable():
+		return outcome.Wrap(&Refusal{Status: a.Status}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica failed")
+	case promises(a.Status):
+		// The replica does not say that the call did not run, so neither may we.
+		return outcome.Wrap(&Refusal{Status: a.Status}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica refused without saying that the call did not run")
+	}
+	return nil
+}
+
+// promises tells whether a status means to callers that the call did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Refusal is a replica's answer that is no answer to the call.
+type Refusal struct {
+	Status int
+	Misfit bool
+	By     ids.Target
+}
+
+// Error implements error.
+func (e *Refusal) Error() string {
+	if e.Misfit {
+		return "misfit, answered by " + string(e.By)
+	}
+	return "status " + http.StatusText(e.Status)
+}
+
+// learn feeds the end of an attempt back into what is believed of the replica.
+func (r *run) learn(ctx context.Context, c *choice, err *outcome.Error) {
+	now := time.Now()
+	members := r.f.Fleet.Members
+	if err == nil {
+		members.Succeeded(c.target.ID)
+		return
+	}
+	if err.Outcome == outcome.NotRun {
+		r.attempts--
+		r.f.KV.failed(c)
+	} else {
+		r.mayRan = true
+	}
+	var refusal *Refusal
+	isRefusal := errors.As(err, &refusal)
+	switch {
+	case errors.Is(err, errCallerGone), ctx.Err() != nil && !errors.Is(err, errStalled):
+		return // says nothing about the replica
+	case isRefusal && refusal.Misfit && refusal.By != "" && refusal.By != c.target.ID:
+		members.Leaves(c.target.ID, c.target.Incarnation)
+		r.f.Upstream.Drop(c.target.ID)
+	case isRefusal && err.Outcome == outcome.NotRun:
+		members.Busy(c.target.ID, now.Add(busyPause))
+	default:
+		members.Failed(c.target.ID, now)
+	}
+	r.f.Fleet.MarkDirty()
+	r.f.Log.Request("attempt-failed", string(r.call.ID)).Str("target", string(c.target.ID)).Str("outcome", err.Outcome.String()).
+		Str("step", err.Step).Str("error", err.Error()).Send()
+}
+
+// busyPause is how long a replica that refused gets no work from this VM: an order
+// under way takes about a second, a full queue less.
+const busyPause = 250 * time.Millisecond
--- /dev/null
+++ b/internal/forward/stall.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+)
+
+const streamKind = catalog.Stream
+
+// Silence of a replica that is too long, as multiples of the route's aims. It ends
+// an attempt only where another one may follow; a silent replica that can't be
+// replaced is waited for.
+const (
+	// firstWaitFactor times the objective: an answer that comes so late is worth
+	// little more than one that another replica gives from the start.
+	firstWaitFactor = 1.5
+	// pauseFactor times the longest pause that is on time.
+	pauseFactor = 2
+	// leastFirstWait bounds the wait from below, for routes with short objectives.
+	leastFirstWait = 150 * time.Millisecond
+	// defaultObjective stands for a route's where it has none.
+	defaultObjective = 2 * time.Second
+	// defaultPause stands for a route's longest pause where it has none.
+	defaultPause = 2 * time.Second
+)
+
+// firstWait is how long the replica may be silent before its first event, or its
+// answer.
+func (t *try) firstWait() time.Duration {
+	aim := t.r.route.Objective
+	if aim <= 0 {
+		aim = defaultObjective
+	}
+	return max(time.Duration(float64(aim)*firstWaitFactor), leastFirstWait)
+}
+
+// pauseWait is how long the replica may be silent between two events.
+func (t *try) pauseWait() time.Duration {
+	pause := t.r.route.MaxPause
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	return pause * pauseFactor
+}
+
+// silent is called when the replica has been silent for too long. Once it has
+// been, it counts as failing, so that other calls avoid it; this call leaves it
+// only if it may go on elsewhere.
+func (t *try) silent() {
+	t.r.f.Fleet.Members.Failed(t.c.target.ID, time.Now())
+	t.r.f.Fleet.MarkDirty()
+	if t.r.repeatable() && t.r.f.Budgets.Of(t.r.service).Left() >= 1 {
+		t.cancel(errStalled)
+	}
+}
+
+// stallTimer calls a function when it is not fed in time. Safe for concurrent use.
+type stallTimer struct {
+	mu   sync.Mutex
+	fire func()
+	t    *time.Timer
+	over bool
+}
+
+func newStallTimer(fire func()) *stallTimer { return &stallTimer{fire: fire} }
+
+// start begins, or begins anew, to wait for d.
+func (s *stallTimer) start(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	if s.t == nil {
+		s.t = time.AfterFunc(d, s.expired)
+		return
+	}
+	s.t.Reset(d)
+}
+
+func (s *stallTimer) expired() {
+	s.mu.Lock()
+	over := s.over
+	s.over = true
+	s.mu.Unlock()
+	if !over {
+		s.fire()
+	}
+}
+
+func (s *stallTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	if s.t != nil {
+		s.t.Stop()
+	}
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/relay"
+	"github.com/threadwall/threadwall/internal/upstream"
+)
+
+// streamState is how far a call's stream has come, over all its attempts.
+type streamState struct {
+	last     uint64 // number of the last event passed on
+	numbered bool   // there is one
+}
+
+// resumeFrom returns the event behind which an attempt goes on: the last one that
+// was passed on, or the one that the caller names.
+func (s *streamState) resumeFrom(c *Call) string {
+	if s.numbered {
+		return strconv.FormatUint(s.last, 10)
+	}
+	return c.LastEvent
+}
+
+// relay passes the events of a stream on as they come.
+func (t *try) relay(a *upstream.Answer) *outcome.Error {
+	r := t.r
+	in := relay.NewRawReader(a.Body)
+	out := http.NewResponseController(r.w)
+	for {
+		ev, err := in.Next()
+		if errors.Is(err, io.EOF) {
+			return t.complete(a)
+		}
+		if err != nil {
+			return t.broken(err)
+		}
+		t.work.FirstToken()
+		if r.stream.passed(&ev) {
+			continue
+		}
+		if err := t.pass(a, &ev); err != nil {
+			return t.callerGone(err)
+		}
+		if !in.Buffered() {
+			if err := out.Flush(); err != nil {
+				return t.callerGone(err)
+			}
+		}
+		t.stall.start(t.pauseWait())
+	}
+}
+
+// passed tells whether an event was passed on before, by an earlier attempt or as
+// its own twin.
+func (s *streamState) passed(ev *relay.RawEvent) bool {
+	return ev.Numbered && s.numbered && ev.ID <= s.last
+}
+
+// pass writes one event. The head goes out with the first: the headers of the
+// replica that began the stream stay, whichever goes on with it.
+func (t *try) pass(a *upstream.Answer, ev *relay.RawEvent) error {
+	r := t.r
+	if !r.begun {
+		r.begun = true
+		r.passHead(a)
+		r.w.WriteHeader(a.Status)
+	}
+	r.f.Stats.Events.Add(1)
+	if ev.Numbered {
+		r.stream.last, r.stream.numbered = ev.ID, true
+	}
+	_, err := r.w.Write(ev.Raw)
+	return err
+}
+
+// complete ends a stream whose answer is whole.
+func (t *try) complete(a *upstream.Answer) *outcome.Error {
+	r := t.r
+	t.stall.stop()
+	if !r.begun {
+		r.begun = true
+		r.passHead(a)
+		r.w.WriteHeader(a.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/kvfeed/kvfeed.go
@@ -0,0 +1,171 @@
+// Package kvfeed reads what engines and stores tell of the KV cache that they
+// keep, and corrects this VM's beliefs by it.
+//
+// Feeds are late and lose entries, so a belief may be wrong either way: one that
+// is held wrongly costs a computation, one that is missing costs a fetch. Neither
+// makes an answer wrong.
+package kvfeed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/forward"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+// Batch is a part of a feed.
+type Batch struct {
+	Life   uint64 // changes when its speaker restarts
+	Next   uint64 // where to read on
+	Gap    bool   // entries before it are lost
+	Events []kvcache.Event
+}
+
+// Reader reads feeds.
+type Reader interface {
+	// ReadFeed returns what came at or after since; it waits if there is nothing.
+	ReadFeed(ctx context.Context, addr string, since uint64, wait time.Duration) (Batch, error)
+}
+
+// Source is one feed.
+type Source struct {
+	ID      ids.Target // an engine, or the name of a store
+	Addr    string
+	Weights ids.WeightsVersion // of an engine, as known now
+	Store   bool
+}
+
+// Feeds reads all feeds that this VM is to read. Its fields are set before Run.
+type Feeds struct {
+	Reader  Reader
+	Cache   *cacheview.Index
+	KV      *forward.Planner
+	Sources func() []Source
+	Log     *eventlog.Log
+
+	mu      sync.Mutex
+	running map[string]context.CancelFunc // by address and id
+	wg      sync.WaitGroup
+}
+
+// Rhythms.
+const (
+	// reviewEvery is how often the set of feeds is looked at.
+	reviewEvery = 500 * time.Millisecond
+	// feedWait is how long a call waits for entries.
+	feedWait = time.Second
+	// feedPause between two calls gathers entries, so that a busy engine costs one
+	// call a pause and not one an entry.
+	feedPause = 400 * time.Millisecond
+	// feedTimeout bounds a call beyond its wait.
+	feedTimeout = time.Second
+	// failPause follows a call that failed.
+	failPause = time.Second
+)
+
+// Run reads until ctx ends.
+func (f *Feeds) Run(ctx context.Context) {
+	f.running = map[string]context.CancelFunc{}
+	for timing.Sleep(ctx, reviewEvery) {
+		f.review(ctx)
+	}
+	f.wg.Wait()
+}
+
+// review starts and ends readers.
+func (f *Feeds) review(ctx context.Context) {
+	want := map[string]Source{}
+	for _, s := range f.Sources() {
+		want[s.Addr+" "+string(s.ID)] = s
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, cancel := range f.running {
+		if _, ok := want[key]; !ok {
+			cancel()
+			delete(f.running, key)
+		}
+	}
+	for key, s := range want {
+		if f.running[key] != nil {
+			continue
+		}
+		rctx, cancel := context.WithCancel(ctx)
+		f.running[key] = cancel
+		f.wg.Go(func() { f.follow(rctx, s) })
+	}
+}
+
+// follow reads one feed.
+func (f *Feeds) follow(ctx context.Context, s Source) {
+	var life, since uint64
+	lost := false
+	timing.Sleep(ctx, rand.N(feedPause))
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
+		b, err := f.Reader.ReadFeed(call, s.Addr, since, feedWait)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !lost {
+				lost = true
+				f.Log.Belief("dependency-lost").Str("dependency", "cache feed").Str("target", string(s.ID)).Str("error", err.Error()).Send()
+			}
+			timing.Sleep(ctx, failPause)
+			continue
+		}
+		if lost {
+			lost = false
+			f.Log.Belief("dependency-regained").Str("dependency", "cache feed").Str("target", string(s.ID)).Send()
+		}
+		if life != 0 && b.Life != life {
+			f.emptied(s)
+		}
+		life, since = b.Life, b.Next
+		for _, ev := range b.Events {
+			f.apply(s, ev)
+		}
+		timing.Sleep(ctx, feedPause)
+	}
+}
+
+// emptied drops the beliefs about a speaker that has restarted.
+func (f *Feeds) emptied(s Source) {
+	f.Log.Belief("cache-emptied").Str("target", string(s.ID)).Send()
+	f.Cache.Void(s.ID)
+}
+
+func (f *Feeds) apply(s Source, ev kvcache.Event) {
+	if s.Store {
+		if ev.Stored {
+			f.KV.StoreHolds(s.Addr, ev.Salt, ev.Model, []kvcache.Part{{ID: ev.Part}})
+		} else {
+			f.KV.StoreLost(s.Addr, ev.Salt, ev.Model, ev.Part)
+		}
+		return
+	}
+	w, wall, ok := kvcache.SplitSalt(ev.Salt)
+	if !ok {
+		return
+	}
+	life := cacheview.LifeOf(engineIncarnation, w)
+	id := kvcache.LevelID(wall, ev.Model, ev.Part)
+	if ev.Stored {
+		f.Cache.Holds(s.ID, life, []prefix.Level{{ID: id}})
+	} else {
+		f.Cache.Drop(s.ID, life, id)
+	}
+}
+
+// engineIncarnation is that of all replicas whose id names one incarnation.
+const engineIncarnation ids.Incarnation = 1
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -48,6 +48,8 @@
 	Fence    uint64        `json:"fence"`    // grows with every new holder
 	Renewal  uint64        `json:"renewal"`
 	Duration time.Duration `json:"duration_ns"`
+	// Released tells that the holder has stopped before the lease's end.
+	Released bool `json:"released,omitempty"`
 }
 
 // Tuning holds a lease's times.
@@ -59,6 +61,9 @@
 	// WaitOut is how long after its end a successor waits. It must be at least the
 	// longest action. Default 10s.
 	WaitOut time.Duration
+	// SuccessorOfSelf lets a VM take over at once from its own former life, where a
+	// VM's name never has two lives at a time.
+	SuccessorOfSelf bool
 }
 
 // DefaultTuning suits orders of up to ten seconds.
@@ -125,7 +130,10 @@
 		return l.write(ctx, began, Record{Fence: rec.Fence, Renewal: rec.Renewal + 1}, obj.Version)
 	}
 	l.lose()
-	if !l.watch(obj.Version, rec.Duration, began) {
+	if rec.Released {
+		rec.Duration = 0
+	}
+	if former := l.tuning.SuccessorOfSelf && rec.Holder == l.vm; !former && !l.watch(obj.Version, rec.Duration, began) {
 		return nil
 	}
 	return l.write(ctx, began, Record{Fence: rec.Fence + 1}, obj.Version)
@@ -180,3 +188,21 @@
 	l.until = began.Add(l.tuning.Duration - l.tuning.Margin)
 	return nil
 }
+
+// Release gives a held lease up, so that a successor has to wait for WaitOut only.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	rec, version, held := l.held, l.version, !l.until.IsZero()
+	l.until = time.Time{}
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	rec.Released = true
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return eris.Wrap(err, "encode lease")
+	}
+	_, err = l.store.Update(ctx, l.key, value, version)
+	return eris.Wrap(err, "release lease")
+}
--- /dev/null
+++ b/internal/membership/failrate.go
@@ -0,0 +1,31 @@
+package membership
+
+import (
+	"math"
+	"time"
+)
+
+// failRate is the recent part of attempts that failed. It fades with time, so that
+// a target which gets no requests because of it is tried again.
+type failRate struct {
+	value float64
+	at    time.Time // of the last failure
+}
+
+const (
+	// failGain is the weight of one attempt: three failures of ten show as 0.4.
+	failGain = 0.25
+	// failHalfLife is how fast a rate fades when nothing fails.
+	failHalfLife = 3 * time.Second
+)
+
+// add takes in one attempt: 1 failed, 0 succeeded.
+func (f *failRate) add(failed float64) { f.value += failGain * (failed - f.value) }
+
+// now returns the faded rate.
+func (f *failRate) now(now time.Time) float32 {
+	if f.at.IsZero() {
+		return 0
+	}
+	return float32(f.value * math.Exp2(-float64(now.Sub(f.at))/float64(failHalfLife)))
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -75,6 +75,8 @@
 	firstSeen   time.Time
 	fails       int
 	lastFail    time.Time
+	failRate    failRate
+	busyUntil   time.Time // it refused work and gets none before this
 	incarnation ids.Incarnation
 	weights     ids.WeightsVersion
 }
@@ -222,6 +224,7 @@
 	defer t.mu.Unlock()
 	if m := t.targets[id]; m != nil {
 		m.fails = 0
+		m.failRate.add(0)
 	}
 }
 
@@ -232,6 +235,25 @@
 	if m := t.targets[id]; m != nil {
 		m.fails++
 		m.lastFail = now
+		m.failRate.add(1)
+		m.failRate.at = now
+	}
+}
+
+// Remove forgets a target that is gone for certain.
+func (t *Table) Remove(id ids.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.targets, id)
+	t.version++
+}
+
+// Busy records that the target refused work for now.
+func (t *Table) Busy(id ids.Target, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.busyUntil = until
 	}
 }
 
@@ -264,6 +286,9 @@
 // breakerOpen tells whether the target gets no work from this VM for now. The
 // time doubles with each failure beyond the first that opened the breaker.
 func (m *target) breakerOpen(tu Tuning, now time.Time) bool {
+	if now.Before(m.busyUntil) {
+		return true
+	}
 	if m.fails < tu.Failures {
 		return false
 	}
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -22,6 +22,7 @@
 	ReportAge   time.Duration      `json:"report_age_ns"`
 	BreakerOpen bool               `json:"breaker_open"`
 	SlowStart   float32            `json:"slow_start"`
+	FailRate    float32            `json:"fail_rate"`
 }
 
 // PeerStatus is one entry VM as membership sees it at one moment.
@@ -66,7 +67,7 @@
 		ID: id, Record: m.record, State: m.state(tu, now),
 		Incarnation: m.incarnation, Weights: m.weights,
 		Report: m.report, ReportAge: min(now.Sub(m.reportAt), longAgo),
-		BreakerOpen: m.breakerOpen(tu, now), SlowStart: 1,
+		BreakerOpen: m.breakerOpen(tu, now), SlowStart: 1, FailRate: m.failRate.now(now),
 	}
 	s.StateName = s.State.String()
 	if s.State == routing.Joining {
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -34,18 +34,58 @@
 	Engines() []Actual
 }
 
+// Wishes tells what state engines are to have.
+type Wishes interface {
+	Wants(ctx context.Context) (map[ids.Target]Want, error)
+}
+
+// Sender sends an order and returns when it has been carried out, or an error.
+type Sender interface {
+	Send(ctx context.Context, o Order, token lease.Token) error
+}
+
+// Intents are the wishes that operators record in the object API.
+type Intents struct{ Store objectapi.Store }
+
+var _ Wishes = Intents{}
+
+// Wants implements Wishes.
+func (i Intents) Wants(ctx context.Context) (map[ids.Target]Want, error) {
+	objects, _, err := i.Store.List(ctx, Prefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "read intents")
+	}
+	return Decode(objects), nil
+}
+
+// HTTPSender sends orders to engines that take them at PathOrders.
+type HTTPSender struct{}
+
+var _ Sender = HTTPSender{}
+
+// Send implements Sender.
+func (HTTPSender) Send(ctx context.Context, o Order, token lease.Token) error {
+	body, err := json.Marshal(Message{Fence: token.Fence, Want: o.Want})
+	if err != nil {
+		return eris.Wrap(err, "encode order")
+	}
+	return post(ctx, "http://"+o.Addr+PathOrders, body)
+}
+
 // Reconciler sends orders while its VM holds the domain's lease.
 type Reconciler struct {
-	Store   objectapi.Store
+	Wishes  Wishes
+	Sender  Sender
 	Lease   *lease.Lease
 	Engines Engines
 	Events  *timeline.Log
 	// Loads limits reads from the weight store, for the whole domain: only the
-	// lease's holder orders loads. A new holder begins with an empty bucket.
+	// lease's holder orders loads. A new holder begins with an empty bucket. Nil: no
+	// limit.
 	Loads *rate.Limiter
 
 	mu   sync.Mutex
-	busy map[ids.Target]bool
+	busy map[ids.Target]bool // orders under way
 	wg   sync.WaitGroup
 }
 
@@ -53,7 +93,10 @@
 func NewReconciler(s objectapi.Store, l *lease.Lease, e Engines, log *timeline.Log, loadsPerMinute float64) *Reconciler {
 	limiter := rate.NewLimiter(rate.Limit(loadsPerMinute/60), max(int(loadsPerMinute/60), 1))
 	limiter.AllowN(time.Now(), limiter.Burst())
-	return &Reconciler{Store: s, Lease: l, Engines: e, Events: log, Loads: limiter, busy: map[ids.Target]bool{}}
+	return &Reconciler{
+		Wishes: Intents{Store: s}, Sender: HTTPSender{}, Lease: l, Engines: e, Events: log, Loads: limiter,
+		busy: map[ids.Target]bool{},
+	}
 }
 
 // Round looks once and sends what is due. Orders run on while it returns.
@@ -61,11 +104,11 @@
 	if _, ok := r.Lease.Held(); !ok {
 		return nil
 	}
-	objects, _, err := r.Store.List(ctx, Prefix)
+	wants, err := r.Wishes.Wants(ctx)
 	if err != nil {
-		return eris.Wrap(err, "read intents")
+		return err
 	}
-	for _, o := range Plan(Decode(objects), r.Engines.Engines()) {
+	for _, o := range Plan(wants, r.Engines.Engines()) {
 		if !r.reserve(o) {
 			continue
 		}
@@ -85,9 +128,12 @@
 func (r *Reconciler) reserve(o Order) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy[o.Target] || o.Loads && !r.Loads.Allow() {
+	if r.busy[o.Target] || o.Loads && r.Loads != nil && !r.Loads.Allow() {
 		return false
 	}
+	if r.busy == nil {
+		r.busy = map[ids.Target]bool{}
+	}
 	r.busy[o.Target] = true
 	return true
 }
@@ -107,10 +153,7 @@
 	if !ok {
 		return
 	}
-	body, err := json.Marshal(Message{Fence: token.Fence, Want: o.Want})
-	if err == nil {
-		err = post(ctx, "http://"+o.Addr+PathOrders, body)
-	}
+	err := r.Sender.Send(ctx, o, token)
 	text := "done"
 	if err != nil {
 		text = err.Error() // the next round reads back what became of it
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -33,6 +33,7 @@
 
 // Record is one VM in the platform's list.
 type Record struct {
+	Key           string             `json:"-"` // of the object that holds it; not always set
 	ID            string             `json:"id"`
 	Role          Role               `json:"role"`
 	FailureDomain ids.FailureDomain  `json:"failure_domain"`
@@ -44,6 +45,9 @@
 	Model         ids.Model          `json:"model,omitempty"`   // engines
 	Weights       ids.WeightsVersion `json:"weights,omitempty"` // engines
 	Service       string             `json:"service,omitempty"` // plain services
+	Slots         int                `json:"slots,omitempty"`   // requests that a target works on at once; zero: not known
+	// Orders counts the orders that an engine has accepted in this incarnation.
+	Orders uint64 `json:"orders,omitempty"`
 }
 
 // Decode reads the list from its objects. Records that can't be read are
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -42,3 +42,18 @@
 	b.tokens--
 	return true
 }
+
+// SetBurst changes how much an idle budget gathers.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
+// Left returns how many retries are allowed now.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,210 @@
+// Package rollout brings model replicas to the weights that operators name.
+//
+// One VM acts at a time, under lease (package lease); package orders decides which
+// replicas are told, a part of each model's at once. An order goes out only to a
+// replica whose state was just read, and names the number of orders that the
+// replica had accepted then: one that is carried out late, after newer ones, does
+// nothing. An order without an answer is never repeated blindly: the state is read
+// again.
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/orders"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+// State is what an engine says of itself.
+type State struct {
+	Weights map[ids.Model]ids.WeightsVersion
+	Busy    bool   // it carries out an order
+	Orders  uint64 // how many orders it has accepted in this incarnation
+}
+
+// Command is one order as it goes to an engine.
+type Command struct {
+	Target   ids.Target
+	Addr     string
+	Model    ids.Model
+	Weights  ids.WeightsVersion
+	Holder   ids.VM
+	Fence    uint64
+	Expected uint64 // orders accepted so far
+}
+
+// Engines are the calls to model replicas.
+type Engines interface {
+	Read(ctx context.Context, id ids.Target, addr string) (State, error)
+	// Order sends a command. Any error leaves open whether it is carried out.
+	Order(ctx context.Context, c Command) error
+}
+
+// Replicas are what is known of the replicas.
+type Replicas interface {
+	Records() []platform.Record
+	SetWeights(id ids.Target, w ids.WeightsVersion, from string)
+}
+
+// Newest tells which weights operators want.
+type Newest interface {
+	Newest(m ids.Model) ids.WeightsVersion
+}
+
+// Rollout supplies package orders with wishes, engines and a sender.
+type Rollout struct {
+	VM       ids.VM
+	Lease    *lease.Lease
+	Replicas Replicas
+	Named    Newest
+	Calls    Engines
+	Log      *eventlog.Log
+	// Ordering is called when a replica is about to get an order, and when it has
+	// been carried out.
+	Ordering func(id ids.Target, w ids.WeightsVersion, done bool)
+}
+
+var (
+	_ orders.Wishes  = (*Rollout)(nil)
+	_ orders.Engines = (*Rollout)(nil)
+	_ orders.Sender  = (*Rollout)(nil)
+)
+
+// Wants implements orders.Wishes.
+func (r *Rollout) Wants(context.Context) (map[ids.Target]orders.Want, error) {
+	wants := map[ids.Target]orders.Want{}
+	for _, rec := range r.Replicas.Records() {
+		if w := r.Named.Newest(rec.Model); rec.Role == platform.RoleEngine && w != "" {
+			wants[ids.Target(rec.ID)] = orders.Want{Weights: w}
+		}
+	}
+	return wants, nil
+}
+
+// Engines implements orders.Engines.
+func (r *Rollout) Engines() []orders.Actual {
+	var out []orders.Actual
+	for _, rec := range r.Replicas.Records() {
+		if rec.Role != platform.RoleEngine || rec.State == platform.StateLeaving {
+			continue
+		}
+		out = append(out, orders.Actual{
+			Target: ids.Target(rec.ID), Model: rec.Model, Addr: rec.Addr, State: routing.Live, Weights: rec.Weights,
+		})
+	}
+	return out
+}
+
+// Behind tells whether any replica lacks the weights that are wanted.
+func (r *Rollout) Behind() bool {
+	for _, rec := range r.Replicas.Records() {
+		if w := r.Named.Newest(rec.Model); rec.Role == platform.RoleEngine && w != "" && w != rec.Weights {
+			return true
+		}
+	}
+	return false
+}
+
+// Bounds of one order.
+const (
+	// readEvery is the pause between two looks at a replica that loads weights. A
+	// load takes about 0.8 s, after the runs at hand have finished.
+	readEvery = 200 * time.Millisecond
+	// readTimeout bounds one look.
+	readTimeout = 500 * time.Millisecond
+	// orderTimeout bounds the wait for an order's answer.
+	orderTimeout = 600 * time.Millisecond
+	// carryOut bounds one order as a whole. An order whose answer was lost may be
+	// carried out after seconds; it is given anew before, since only one of the two
+	// can match the number of orders accepted.
+	carryOut = 4 * time.Second
+)
+
+// Send implements orders.Sender.
+func (r *Rollout) Send(ctx context.Context, o orders.Order, _ lease.Token) error {
+	ctx, cancel := context.WithTimeout(ctx, carryOut)
+	defer cancel()
+	c := Command{Target: o.Target, Addr: o.Addr, Weights: o.Want.Weights, Holder: r.VM}
+	for _, rec := range r.Replicas.Records() {
+		if ids.Target(rec.ID) == o.Target {
+			c.Model = rec.Model
+		}
+	}
+	state, err := r.read(ctx, &c)
+	if err != nil || state.Weights[c.Model] == c.Weights {
+		return err
+	}
+	if !state.Busy {
+		if err := r.order(ctx, &c, state); err != nil {
+			return err
+		}
+	}
+	return r.await(ctx, &c)
+}
+
+// order sends the command while the lease holds.
+func (r *Rollout) order(ctx context.Context, c *Command, s State) error {
+	token, ok := r.Lease.Held()
+	if !ok {
+		return eris.New("the lease has ended")
+	}
+	c.Fence, c.Expected = token.Fence, s.Orders
+	r.Ordering(c.Target, c.Weights, false)
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.Calls.Order(call, *c)
+	line := r.Log.Belief("order").Str("target", string(c.Target)).Str("weights", string(c.Weights)).Uint64("fence", c.Fence).
+		Uint64("expected", c.Expected).Str("before", string(s.Weights[c.Model]))
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Send()
+	return nil // the state that is read next tells what became of it
+}
+
+// await waits until the replica has the weights.
+func (r *Rollout) await(ctx context.Context, c *Command) error {
+	idle := 0
+	for timing.Sleep(ctx, readEvery) {
+		s, err := r.read(ctx, c)
+		switch {
+		case err != nil:
+			return err
+		case s.Weights[c.Model] == c.Weights:
+			return nil
+		case !s.Busy:
+			idle++
+		}
+		if idle >= idleReads {
+			return eris.New("the order is not being carried out")
+		}
+	}
+	return eris.Wrap(ctx.Err(), "wait for the order")
+}
+
+// idleReads is after how many looks at an idle replica an order counts as lost.
+// Reports lag by some hundred milliseconds.
+const idleReads = 4
+
+// read looks at a replica and tells the others what weights it has.
+func (r *Rollout) read(ctx context.Context, c *Command) (State, error) {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s, err := r.Calls.Read(call, c.Target, c.Addr)
+	if err != nil {
+		return s, eris.Wrapf(err, "read the state of %s", c.Target)
+	}
+	if w := s.Weights[c.Model]; w == c.Weights {
+		r.Replicas.SetWeights(c.Target, w, "report")
+		r.Ordering(c.Target, w, true)
+	}
+	return s, nil
+}
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -18,7 +18,11 @@
 // TriedFilter reads the request's earlier attempts.
 type TriedFilter struct{}
 
+// WeightsFilter reads the target's weights where old ones may no longer be used.
+type WeightsFilter struct{}
+
 var (
+	_ Filter = WeightsFilter{}
 	_ Filter = ServesFilter{}
 	_ Filter = StateFilter{}
 	_ Filter = BreakerFilter{}
@@ -57,5 +61,13 @@
 	return Passed
 }
 
+// Check implements Filter.
+func (WeightsFilter) Check(r *Request, t *Target, _ *Input) Reason {
+	if t.WeightsNumber < r.LeastWeights {
+		return OldWeights
+	}
+	return Passed
+}
+
 // HashTarget returns the value for Target.Hash.
 func HashTarget(id ids.Target) uint64 { return xxh3.HashString(string(id)) }
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -88,7 +88,40 @@
 )
 
 // AllFilters are the filters of every policy.
-var AllFilters = []Filter{ServesFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}}
+var AllFilters = []Filter{ServesFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}, WeightsFilter{}}
+
+// Defaults of the policy for opaque requests.
+const (
+	// defaultCrowdSeconds is the time for which one request keeps a place, about:
+	// plain services work 15 to 60 ms, and several VMs send to each replica.
+	defaultCrowdSeconds = 0.12
+	// defaultFailureSeconds is what a failed attempt costs: the objective of most
+	// routes.
+	defaultFailureSeconds = 1
+	// defaultOldWeightsSeconds makes a busy target with new weights better than an
+	// idle one with old weights.
+	defaultOldWeightsSeconds = 0.3
+)
+
+// NewFetching returns the policy for fleets whose engines take KV cache over from
+// each other: a prefix that is held anywhere costs a move and not a computation,
+// so load and failures weigh more than place.
+func NewFetching() *Router {
+	return &Router{
+		Name:    "fetch",
+		Filters: AllFilters,
+		Scorers: []Scorer{
+			QueueScorer{},
+			FetchScorer{},
+			CrowdScorer{Seconds: defaultCrowdSeconds},
+			FailureScorer{Seconds: defaultFailureSeconds},
+			OldWeightsScorer{Seconds: defaultOldWeightsSeconds},
+			DistanceScorer{Seconds: defaultDistanceSeconds},
+			SlowStartScorer{Seconds: defaultSlowStart},
+		},
+		Picker: BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
+	}
+}
 
 // NewCost returns the default policy.
 func NewCost() *Router {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -39,6 +39,8 @@
 	Incarnation   ids.Incarnation
 	Addr          string
 	Hash          uint64 // of ID, for rendezvous
+	// WeightsNumber is Weights as a number; zero if it is none.
+	WeightsNumber uint64
 }
 
 // View is an immutable list of targets.
@@ -60,6 +62,13 @@
 	PrefillRate float32 `json:"prefill_rate"`
 	// Cached is the deepest prefix believed cached, in tokens.
 	Cached int32 `json:"cached"`
+	// InFlight is how many of this VM's requests the target works on.
+	InFlight int32 `json:"in_flight,omitempty"`
+	// Slots is how many requests the target works on at once; zero: not known.
+	Slots int32 `json:"slots,omitempty"`
+	// FailRate is the recent part of this VM's requests that failed through the
+	// target's fault, 0 to 1.
+	FailRate float32 `json:"fail_rate,omitempty"`
 }
 
 // Request is what a decision needs to know of a request.
@@ -71,6 +80,14 @@
 	Tokens          int32
 	RecomputeWeight float32
 	Seed            uint64
+	// Weights are those that operators want; empty: any.
+	Weights ids.WeightsVersion
+	// LeastWeights is the oldest version that may still be used, where versions are
+	// numbers; zero: any.
+	LeastWeights uint64
+	// FetchRate is how fast a target takes KV cache over from another that holds
+	// it, in tokens/s; zero: it has to compute what it lacks.
+	FetchRate float32
 }
 
 // Reason says why a filter turned a target down.
@@ -83,6 +100,7 @@
 	NotServing
 	BreakerOpen
 	AlreadyTried
+	OldWeights
 	reasonCount
 )
 
@@ -136,9 +154,19 @@
 var infinite = float32(math.Inf(1))
 
 // Decide picks a target. len(in) must be len(v.Targets).
+//
+// Where breakers leave no target, they are disregarded: what failed a moment ago is
+// better than nothing.
 func (p *Router) Decide(r *Request, v *View, in []Input, s *Scratch) Decision {
 	s.reset(len(v.Targets))
 	s.eligible = p.filter(r, v, in, s)
+	if s.eligible.Count == 0 && s.Filtered[BreakerOpen] > 0 {
+		for i := range in {
+			in[i].BreakerOpen = false
+		}
+		s.reset(len(v.Targets))
+		s.eligible = p.filter(r, v, in, s)
+	}
 	e := &s.eligible // not a local one, which would be allocated for the interface calls
 	for i := range v.Targets {
 		if s.costs[i] == infinite {
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -23,7 +23,27 @@
 // would queue behind its cold cache.
 type SlowStartScorer struct{ Seconds float32 }
 
+// CrowdScorer reads this VM's requests in flight: each slows the next one down by
+// a part of Seconds, more where a target has few places.
+type CrowdScorer struct{ Seconds float32 }
+
+// FailureScorer reads the rate of recent failures: a failed attempt costs the
+// caller Seconds.
+type FailureScorer struct{ Seconds float32 }
+
+// OldWeightsScorer reads the target's weights: an answer made on others than the
+// wanted ones is worth less, as if it came Seconds later.
+type OldWeightsScorer struct{ Seconds float32 }
+
+// FetchScorer is PrefillScorer where targets take KV cache over from each other:
+// what another eligible target holds is moved, the rest is computed.
+type FetchScorer struct{}
+
 var (
+	_ Scorer = CrowdScorer{}
+	_ Scorer = FailureScorer{}
+	_ Scorer = OldWeightsScorer{}
+	_ Scorer = FetchScorer{}
 	_ Scorer = QueueScorer{}
 	_ Scorer = PrefillScorer{}
 	_ Scorer = RecomputeScorer{}
@@ -68,3 +88,38 @@
 func (s SlowStartScorer) Cost(_ *Request, _ *Target, in *Input, _ *Eligible) float32 {
 	return s.Seconds * (1 - in.SlowStart)
 }
+
+// assumedSlots stands for a target's places where they are not known.
+const assumedSlots = 8
+
+// Cost implements Scorer.
+func (s CrowdScorer) Cost(_ *Request, _ *Target, in *Input, _ *Eligible) float32 {
+	slots := in.Slots
+	if slots == 0 {
+		slots = assumedSlots
+	}
+	return s.Seconds * float32(in.InFlight) / float32(slots)
+}
+
+// Cost implements Scorer.
+func (s FailureScorer) Cost(_ *Request, _ *Target, in *Input, _ *Eligible) float32 {
+	return s.Seconds * in.FailRate
+}
+
+// Cost implements Scorer.
+func (s OldWeightsScorer) Cost(r *Request, t *Target, _ *Input, _ *Eligible) float32 {
+	if r.Weights == "" || t.Weights == r.Weights {
+		return 0
+	}
+	return s.Seconds
+}
+
+// Cost implements Scorer.
+func (FetchScorer) Cost(r *Request, _ *Target, in *Input, e *Eligible) float32 {
+	if r.FetchRate <= 0 {
+		return prefillTime(r, in)
+	}
+	moved := float32(max(e.Best-in.Cached, 0))
+	computed := float32(max(r.Tokens-max(e.Best, in.Cached), 0))
+	return moved/r.FetchRate + computed/rate(in)
+}
--- /dev/null
+++ b/internal/settings/edge.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/durations"
+)
+
+// Edge are the settings of a VM that serves opaque requests. The comment of each
+// field gives default, unit and effect.
+type Edge struct {
+	// ReadyListen is ip:port where the platform's balancer asks whether this VM takes
+	// new connections. Required.
+	ReadyListen string `json:"ready_listen" validate:"required,hostname_port"`
+	// KeyTTL is how old the proof of the configuration may be when a request with an
+	// API key is sent on: within it a key that was taken away stops working. Default
+	// 0: any age.
+	KeyTTL durations.Duration `json:"key_ttl,omitempty"`
+	// WeightsWithin is how long older weights may be used after newer ones were
+	// named. Default 10s.
+	WeightsWithin durations.Duration `json:"weights_within,omitempty"`
+	// OrderTurn is the least time between the orders of one holder and those of the
+	// next, for engines that check no fencing token. Default 3s.
+	OrderTurn durations.Duration `json:"order_turn,omitempty"`
+	// RetryRatio is how many attempts beyond the first all VMs may make for each
+	// request to a service. Default 0.1.
+	RetryRatio float64 `json:"retry_ratio,omitempty" validate:"min=0,max=1"`
+	// RetryBurst is how many more they may make at once. Default 10.
+	RetryBurst float64 `json:"retry_burst,omitempty" validate:"min=0"`
+	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
+	Grace durations.Duration `json:"grace,omitempty"`
+	// MemoryMB is the memory that the process may use. Default 256.
+	MemoryMB int64 `json:"memory_mb,omitempty" validate:"min=0"`
+}
+
+// withDefaults returns e with every unset field at its default.
+func (e Edge) withDefaults() Edge {
+	e.WeightsWithin = durations.Duration(e.WeightsWithin.Or(10 * time.Second))
+	e.OrderTurn = durations.Duration(e.OrderTurn.Or(3 * time.Second))
+	e.Grace = durations.Duration(e.Grace.Or(10 * time.Second))
+	orDefault(&e.RetryRatio, 0.1)
+	orDefault(&e.RetryBurst, 10)
+	orDefault(&e.MemoryMB, 256)
+	return e
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,9 @@
 	Policy string `json:"policy,omitempty" validate:"omitempty,oneof=cost round-robin"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	// Edge makes this VM serve opaque requests for the platform whose metadata store
+	// Store names, in place of threadwall's own interface. Default none.
+	Edge *Edge `json:"edge,omitempty"`
 }
 
 // Load reads, checks and completes the settings of a file.
@@ -149,6 +152,10 @@
 	orDefault(&s.WeightLoadsPerMinute, 6)
 	orDefault(&s.Policy, "cost")
 	orDefault(&s.LogLevel, "info")
+	if s.Edge != nil {
+		e := s.Edge.withDefaults()
+		s.Edge = &e
+	}
 	return s
 }
 
