Order engines with the oldest weights first, half of them at once

Cause: orders went out by engine id, a quarter at a time. Ruled out: lost orders (none refused, all expected counts right).

Change: oldest weights first, orders under way count as out of service, half of a model's engines at once; requests in flight are scaled by the number of VMs.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -157,6 +157,7 @@
 		c.at[o.Key] = r
 	}
 	c.d.budgets.SetVMs(len(c.at))
+	c.d.Fleet.SetSenders(len(c.at))
 	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,6 +122,11 @@
 	keyMargin = 300 * time.Millisecond
 	// weightsMargin is taken off the time in which older weights may be used.
 	weightsMargin = time.Second
+	// orderShare is one in how many engines of a model may carry out an order at a
+	// time. An engine first finishes its runs and then loads; loads of more than about
+	// a fifth of a model's engines at a time slow each other down, so about as many
+	// finish runs while others load.
+	orderShare = 2
 	// returnGrace is how long after the store's return entries that had lapsed
 	// meanwhile may come back.
 	returnGrace = 2 * time.Second
@@ -180,7 +185,7 @@
 	}
 	d.Orders = &orders.Reconciler{
 		Wishes: d.Rollout, Sender: d.Rollout, Lease: d.Lease, Engines: d.Rollout,
-		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents),
+		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), OutShare: orderShare,
 	}
 	d.ready.set(false, "starting")
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -66,6 +66,7 @@
 	State   routing.State
 	Weights ids.WeightsVersion
 	Drained bool // it says that it takes no new work
+	Busy    bool // an order to it is under way
 }
 
 // Order is one thing to tell an engine.
@@ -76,31 +77,36 @@
 	Loads  bool // it will read from the weight store
 }
 
+// DefaultOutShare is one in how many engines of a model may be out of service.
+const DefaultOutShare = 4
+
 // Plan returns the orders to send now. It is a pure function. Of each model at
-// most a quarter of the engines, and at least one, may be out of service at a
-// time, counting those that are down already; drains come first, since an
-// operator who drains is waiting.
-func Plan(wants map[ids.Target]Want, engines []Actual) []Order {
+// most one in outShare engines, and at least one, may be out of service at a time,
+// counting those that are down already or carry out an order; drains come first,
+// since an operator who drains is waiting, then the engines with the oldest
+// weights, so that none is left behind where versions follow each other closely.
+func Plan(wants map[ids.Target]Want, engines []Actual, outShare int) []Order {
 	total, out := map[ids.Model]int{}, map[ids.Model]int{}
 	for _, e := range engines {
 		total[e.Model]++
-		if e.State < routing.Joining {
+		if e.State < routing.Joining || e.Busy {
 			out[e.Model]++
 		}
 	}
 	engines = slices.Clone(engines)
 	slices.SortFunc(engines, func(a, b Actual) int {
-		return cmp.Or(cmp.Compare(rank(wants[a.Target]), rank(wants[b.Target])), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(rank(wants[a.Target]), rank(wants[b.Target])),
+			compareWeights(a.Weights, b.Weights), cmp.Compare(a.Target, b.Target))
 	})
 	var plan []Order
 	for _, e := range engines {
 		want, ok := wants[e.Target]
-		if !ok || e.State == routing.Dead || satisfied(want, e) {
+		if !ok || e.Busy || e.State == routing.Dead || satisfied(want, e) {
 			continue
 		}
 		loads := want.Weights != "" && want.Weights != e.Weights
 		takesOut := e.State >= routing.Joining && (loads || want.Serve == ServeDrain)
-		if takesOut && out[e.Model] >= max(total[e.Model]/maxOutShare, 1) {
+		if takesOut && out[e.Model] >= max(total[e.Model]/outShare, 1) {
 			continue
 		}
 		if takesOut {
@@ -111,8 +117,10 @@
 	return plan
 }
 
-// maxOutShare is one in how many engines of a model may be out of service.
-const maxOutShare = 4
+// compareWeights orders versions that are numbers by value, others as texts.
+func compareWeights(a, b ids.WeightsVersion) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+}
 
 func rank(w Want) int {
 	if w.Serve == ServeDrain {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -33,13 +33,13 @@
 		}
 		for range engines {
 			down := count(engines, routing.Dead)
-			plan := Plan(wants, engines)
+			plan := Plan(wants, engines, DefaultOutShare)
 			if limit := max(len(engines)/4, 1); len(plan) > max(limit-down, 0) {
 				rt.Fatalf("%d orders at once with %d of %d down", len(plan), down, len(engines))
 			}
 			follow(engines, plan)
 		}
-		if rest := Plan(wants, engines); len(rest) > 0 {
+		if rest := Plan(wants, engines, DefaultOutShare); len(rest) > 0 {
 			rt.Fatalf("orders without end: %+v", rest)
 		}
 		for _, e := range engines {
--- /dev/null
+++ b/internal/orders/plan_test.go
@@ -0,0 +1,45 @@
+package orders
+
+import (
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// TestPlanOldestFirst follows versions that are named faster than all engines can
+// load them: the engines with the oldest weights come first, so that none is left
+// behind for good (solano and bac trouble-2, hunt seed 849263114917: two engines
+// never got version 2).
+func TestPlanOldestFirst(t *testing.T) {
+	wants := map[ids.Target]Want{}
+	engines := []Actual{
+		{Target: "a", Weights: "9"}, {Target: "b", Weights: "10"}, {Target: "c", Weights: "8"},
+		{Target: "d", Weights: "10"}, {Target: "e", Weights: "8"}, {Target: "f", Weights: "9"},
+	}
+	for i := range engines {
+		engines[i].State = routing.Live
+		wants[engines[i].Target] = Want{Weights: "11"}
+	}
+	plan := Plan(wants, engines, 3)
+	if len(plan) != 2 || plan[0].Target != "c" || plan[1].Target != "e" {
+		t.Fatalf("got %+v, want the engines with version 8", plan)
+	}
+}
+
+// TestPlanCountsOrdersUnderWay checks that an engine that carries out an order
+// counts as out of service and is not told again.
+func TestPlanCountsOrdersUnderWay(t *testing.T) {
+	wants := map[ids.Target]Want{}
+	engines := []Actual{
+		{Target: "a", Weights: "1", Busy: true}, {Target: "b", Weights: "2"}, {Target: "c", Weights: "2"}, {Target: "d", Weights: "2"},
+	}
+	for i := range engines {
+		engines[i].State = routing.Live
+		wants[engines[i].Target] = Want{Weights: "3"}
+	}
+	plan := Plan(wants, engines, 2)
+	if len(plan) != 1 || plan[0].Target != "b" {
+		t.Fatalf("got %+v, want one order more, to b", plan)
+	}
+}
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -84,6 +85,10 @@
 	// limit.
 	Loads *rate.Limiter
 
+	// OutShare is one in how many engines of a model may be out of service. Zero:
+	// DefaultOutShare.
+	OutShare int
+
 	mu   sync.Mutex
 	busy map[ids.Target]bool // orders under way
 	wg   sync.WaitGroup
@@ -108,7 +113,9 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range Plan(wants, r.Engines.Engines()) {
+	engines := r.Engines.Engines()
+	r.markBusy(engines)
+	for _, o := range Plan(wants, engines, cmp.Or(r.OutShare, DefaultOutShare)) {
 		if !r.reserve(o) {
 			continue
 		}
@@ -120,6 +127,15 @@
 	return nil
 }
 
+// markBusy notes which engines have an order under way.
+func (r *Reconciler) markBusy(engines []Actual) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range engines {
+		engines[i].Busy = r.busy[engines[i].Target]
+	}
+}
+
 // Wait waits for orders that are under way.
 func (r *Reconciler) Wait() { r.wg.Wait() }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,7 +62,8 @@
 	PrefillRate float32 `json:"prefill_rate"`
 	// Cached is the deepest prefix believed cached, in tokens.
 	Cached int32 `json:"cached"`
-	// InFlight is how many of this VM's requests the target works on.
+	// InFlight is how many requests the target is estimated to work on, from this
+	// VM's own.
 	InFlight int32 `json:"in_flight,omitempty"`
 	// Slots is how many requests the target works on at once; zero: not known.
 	Slots int32 `json:"slots,omitempty"`
