Compute a prefix that nobody holds at one home; fetch only what is held for certain

A VM took a prefix for held as soon as it had sent it somewhere, and told the next replica to fetch it from there before it was computed; other VMs did not know at all. Each miss was computed once more, which in turn made queues.

Change: beliefs are made by first events and feeds only; until then all VMs agree on one home for the prefix by rendezvous, and a VM's own pending send is the home. A token computed twice is priced in the decision. Feeds are read 150 ms apart instead of 400. The assumed prefill rate is that of today's engines.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,10 +111,13 @@
 const (
 	// beliefCapacity is how many cache beliefs a VM holds, at 16 bytes each.
 	beliefCapacity = 64 << 10
-	// fetchRate is how fast engines move KV cache to each other, in tokens/s, until it
-	// is measured: 18 KB a token over some hundred Gbit/s, and a millisecond or two to
-	// begin with.
-	fetchRate = 1_500_000
+	// fetchRate is how fast engines move KV cache to each other, in tokens/s, with
+	// what a move risks: moving 3,800 tokens takes 1 to 50 ms, and now and then their
+	// holder has just dropped them, so that they are computed once more.
+	fetchRate = 100_000
+	// prefillRate is assumed of engines, in tokens/s: about what the engines that
+	// threadwall is built for do.
+	prefillRate = 50_000
 	// bodyShare is the part of the memory that callers' bodies may take.
 	bodyShare = 0.25
 	// keyMargin is taken off the age that a proof may have, for the way from here to
@@ -152,6 +155,7 @@
 			loadview.New(), policy, nil),
 		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse),
 	}
+	d.Fleet.AssumeRate(prefillRate)
 	d.build()
 	return d, nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,8 +50,13 @@
 	scratch sync.Pool
 	now     func() time.Time
 	senders atomic.Int64 // VMs that send to the same targets
+	rate    float64      // prefill rate of targets that don't tell theirs, in tokens/s
 }
 
+// AssumeRate sets the prefill rate of targets that don't tell theirs, in tokens/s.
+// It is called before the first decision.
+func (f *Fleet) AssumeRate(tokens float64) { f.rate = tokens }
+
 // SetSenders tells how many VMs send to the same targets, this one included. Where
 // nothing is heard of their requests, they are taken to have as many in flight as
 // this VM. Until it is called, this VM counts alone.
@@ -62,7 +67,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	f := &Fleet{Members: m, Cache: c, Load: l, policy: policy, now: now}
+	f := &Fleet{Members: m, Cache: c, Load: l, policy: policy, now: now, rate: defaultPrefillRate}
 	f.senders.Store(1)
 	f.scratch.New = func() any { return &Scratch{} }
 	f.Refresh()
@@ -75,7 +80,7 @@
 	now := f.now()
 	statuses := f.Members.Targets(now)
 	s := newSnapshot(statuses, now)
-	assumed := assumedRate(statuses)
+	assumed := f.assumedRate(statuses)
 	for i := range statuses {
 		st := &statuses[i]
 		if st.Incarnation != 0 {
@@ -134,7 +139,7 @@
 }
 
 // assumedRate is the mean prefill rate of the targets that told theirs.
-func assumedRate(statuses []membership.TargetStatus) float64 {
+func (f *Fleet) assumedRate(statuses []membership.TargetStatus) float64 {
 	sum, n := 0.0, 0
 	for i := range statuses {
 		if r := statuses[i].Report.PrefillRate; r > 0 {
@@ -143,7 +148,7 @@
 		}
 	}
 	if n == 0 {
-		return defaultPrefillRate
+		return f.rate
 	}
 	return sum / float64(n)
 }
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -45,6 +45,7 @@
 		req.Levels = kvcache.Levels(wall, p.Model, parts)
 		req.Tokens = p.Tokens
 		req.FetchRate = f.KV.FetchRate
+		req.Pending = f.KV.computing(req.Levels)
 		req.Weights, req.LeastWeights = f.Weights.Wanted(p.Model, time.Now())
 	}
 	sc := f.Fleet.Acquire()
--- a/internal/forward/kv.go
+++ b/internal/forward/kv.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"sync"
+
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -16,6 +18,15 @@
 	Cache *cacheview.Index
 	// FetchRate is how fast engines take KV cache over from each other, in tokens/s.
 	FetchRate float32
+
+	mu      sync.Mutex
+	pending map[prefix.ID]*pending // by the deepest shared level
+}
+
+// pending is a prefix that a replica computes for this VM's requests.
+type pending struct {
+	target ids.Target // of the first of them
+	sends  int
 }
 
 // minMove is the least that is worth a fetch or a save, in tokens: below it the
@@ -102,22 +113,59 @@
 	return end
 }
 
-// sent records what a send will leave behind: the replica, and the store if it is
-// told to save there, hold the shared parts.
+// sent records what a send leaves behind: the replica computes the shared parts,
+// and the store will hold them if it is told to save them there.
 func (p *Planner) sent(c *choice, m ids.Model, parts []kvcache.Part) {
-	p.Cache.Expect(c.target.ID, c.levels, c.work)
-	if c.save == "" {
+	if c.save != "" {
+		p.StoreHolds(c.save, c.salt, m, parts)
+	}
+	if len(c.levels) == 0 {
 		return
 	}
-	p.StoreHolds(c.save, c.salt, m, parts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pending == nil {
+		p.pending = map[prefix.ID]*pending{}
+	}
+	key := c.levels[len(c.levels)-1].ID
+	w := p.pending[key]
+	if w == nil {
+		w = &pending{target: c.target.ID}
+		p.pending[key] = w
+	}
+	w.sends++
 }
 
-// failed takes back what sent recorded of the replica.
-func (p *Planner) failed(c *choice) {
-	life := cacheview.LifeOf(c.target.Incarnation, c.target.Weights)
-	for _, l := range c.levels {
-		p.Cache.Drop(c.target.ID, life, l.ID)
+// ended records that a send no longer computes the shared parts: the replica holds
+// them now, or the send has failed.
+func (p *Planner) ended(c *choice, held bool) {
+	if len(c.levels) == 0 {
+		return
+	}
+	if held {
+		p.Cache.Holds(c.target.ID, cacheview.LifeOf(c.target.Incarnation, c.target.Weights), c.levels)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := c.levels[len(c.levels)-1].ID
+	if w := p.pending[key]; w != nil {
+		if w.sends--; w.sends <= 0 {
+			delete(p.pending, key)
+		}
+	}
+}
+
+// computing returns the replica that computes a prompt's shared parts now.
+func (p *Planner) computing(levels []prefix.Level) ids.Target {
+	if len(levels) == 0 {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.pending[levels[len(levels)-1].ID]; w != nil {
+		return w.target
 	}
+	return ""
 }
 
 // StoreHolds records that a store holds parts.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -136,6 +136,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stall  *stallTimer
+	kvSent bool // the planner counts this send among those that compute
 }
 
 func (r *run) try(ctx context.Context, c *choice, work *loadview.Work) *try {
@@ -146,6 +147,7 @@
 }
 
 func (t *try) end() {
+	t.computed(false)
 	t.stall.stop()
 	t.cancel(nil)
 }
@@ -155,6 +157,7 @@
 	r := t.r
 	if r.call.Prompt != nil && r.route.Prompts {
 		r.f.KV.sent(t.c, r.call.Prompt.Model, kvcache.Shared(r.call.Prompt.Parts))
+		t.kvSent = true
 	}
 	t.countMoves()
 	t.stall.start(t.firstWait())
@@ -176,6 +179,14 @@
 	return t.whole(a, reply)
 }
 
+// computed notes that the replica is done with the prompt's shared parts, once.
+func (t *try) computed(held bool) {
+	if t.kvSent {
+		t.kvSent = false
+		t.r.f.KV.ended(t.c, held)
+	}
+}
+
 func (t *try) countMoves() {
 	if t.c.fetch != "" {
 		t.r.f.Stats.Fetches.Add(1)
@@ -252,7 +263,6 @@
 	}
 	if err.Outcome == outcome.NotRun {
 		r.attempts--
-		r.f.KV.failed(c)
 	} else {
 		r.mayRan = true
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,6 +40,7 @@
 			return t.broken(err)
 		}
 		t.work.FirstToken()
+		t.computed(true)
 		if r.stream.passed(&ev) {
 			continue
 		}
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -64,7 +64,7 @@
 	feedWait = time.Second
 	// feedPause between two calls gathers entries, so that a busy engine costs one
 	// call a pause and not one an entry.
-	feedPause = 400 * time.Millisecond
+	feedPause = 150 * time.Millisecond
 	// feedTimeout bounds a call beyond its wait.
 	feedTimeout = time.Second
 	// failPause follows a call that failed.
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -101,6 +101,9 @@
 	// defaultOldWeightsSeconds makes a busy target with new weights better than an
 	// idle one with old weights.
 	defaultOldWeightsSeconds = 0.3
+	// defaultAwayPerToken is the price of a token that is computed twice: 3,800 tokens,
+	// a usual level, weigh as much as an answer that comes half a second late.
+	defaultAwayPerToken = 1.3e-4
 )
 
 // NewFetching returns the policy for fleets whose engines take KV cache over from
@@ -119,7 +122,8 @@
 			DistanceScorer{Seconds: defaultDistanceSeconds},
 			SlowStartScorer{Seconds: defaultSlowStart},
 		},
-		Picker: BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
+		Picker:       BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
+		AwayPerToken: defaultAwayPerToken,
 	}
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -89,6 +89,9 @@
 	// FetchRate is how fast a target takes KV cache over from another that holds
 	// it, in tokens/s; zero: it has to compute what it lacks.
 	FetchRate float32
+	// Pending is the target that computes the prompt's shared levels now, as far as
+	// this VM knows; empty: none.
+	Pending ids.Target
 }
 
 // Reason says why a filter turned a target down.
@@ -136,6 +139,9 @@
 	Count    int     `json:"count"`
 	Best     int32   `json:"best"`      // deepest believed prefix, in tokens
 	MeanWait float32 `json:"mean_wait"` // mean wait for a turn, in seconds
+	// Home is the index of the target where the shared levels should be computed if
+	// nobody holds them: all VMs that see the same targets agree on it.
+	Home int `json:"home"`
 }
 
 // Picker chooses among costs; an infinite cost is not eligible. It returns -1
@@ -150,6 +156,10 @@
 	Filters []Filter
 	Scorers []Scorer
 	Picker  Picker
+	// AwayPerToken is what it costs to compute a shared token that nobody holds on
+	// another target than the one on which all VMs agree, in seconds: the others may
+	// be computing it there. Zero: nothing.
+	AwayPerToken float32
 }
 
 var infinite = float32(math.Inf(1))
@@ -176,6 +186,9 @@
 		for _, sc := range p.Scorers {
 			s.costs[i] += sc.Cost(r, &v.Targets[i], &in[i], e)
 		}
+		if p.AwayPerToken > 0 && i != e.Home {
+			s.costs[i] += p.AwayPerToken * unheld(r, e)
+		}
 	}
 	d := Decision{Index: p.Picker.Pick(r, v, e, s.costs), BestCached: e.Best}
 	if d.Index >= 0 {
@@ -225,9 +238,31 @@
 		e.MeanWait += queueWait(&in[i])
 	}
 	e.MeanWait /= float32(max(e.Count, 1))
+	e.Home = home(r, v, s.costs)
 	return e
 }
 
+// home picks the target that computes levels which nobody holds.
+func home(r *Request, v *View, costs []float32) int {
+	best, bestWeight := -1, uint64(0)
+	if len(r.Levels) == 0 {
+		return best
+	}
+	key := uint64(r.Levels[len(r.Levels)-1].ID)
+	for i := range v.Targets {
+		if costs[i] == infinite {
+			continue
+		}
+		if v.Targets[i].ID == r.Pending {
+			return i
+		}
+		if w := Affinity(key, &v.Targets[i]); best < 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
 func (p *Router) check(r *Request, t *Target, in *Input) Reason {
 	for _, f := range p.Filters {
 		if reason := f.Check(r, t, in); reason != Passed {
@@ -251,3 +286,11 @@
 func (s State) String() string {
 	return [...]string{"dead", "leaving", "suspect", "joining", "live"}[s]
 }
+
+// unheld is how many shared tokens no eligible target holds.
+func unheld(r *Request, e *Eligible) float32 {
+	if len(r.Levels) == 0 {
+		return 0
+	}
+	return float32(max(r.Levels[len(r.Levels)-1].Tokens-e.Best, 0))
+}
