Tell peers of loads and orders by datagram

Change: package news, one unanswered datagram to each peer every 150 ms with the loads, two for each order.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -16,6 +16,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvfeed"
 	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/news"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/timing"
@@ -59,6 +60,8 @@
 		"sweep":           every(sweepEvery, d.Replicas.Sweep),
 		"log":             every(logEvery, d.Log.Tell),
 		"feeds":           d.feeds.Run,
+		"hear-news":       d.news.Hear,
+		"tell-news":       d.news.Tell,
 		"lease":           d.keepLease,
 		"orders":          d.giveOrders,
 	}
@@ -157,7 +160,11 @@
 		c.at[o.Key] = r
 	}
 	c.d.budgets.SetVMs(len(c.at))
-	c.d.Fleet.SetSenders(len(c.at))
+	peers := make([]news.Peer, 0, len(c.at))
+	for _, r := range c.at {
+		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
+	}
+	c.d.news.SetPeers(peers)
 	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
 }
 
@@ -201,13 +208,21 @@
 // orderTime is how long a replica that got an order is expected to take no work.
 const orderTime = 1500 * time.Millisecond
 
-// ordering notes that a replica carries out an order, or has done so.
-func (d *Daemon) ordering(id ids.Target, _ ids.WeightsVersion, done bool) {
+// ordering notes that a replica carries out an order, or has done so, and tells
+// the peers.
+func (d *Daemon) ordering(id ids.Target, w ids.WeightsVersion, done bool) {
+	d.ordered(news.Order{Target: id, Weights: w, Done: done})
+	d.news.TellOrder(news.Order{Target: id, Weights: w, Done: done})
+}
+
+// ordered takes in that a replica carries out an order, or has done so.
+func (d *Daemon) ordered(o news.Order) {
 	until := time.Now().Add(orderTime)
-	if done {
+	if o.Done {
 		until = time.Time{}
+		d.Replicas.SetWeights(o.Target, o.Weights, "news")
 	}
-	d.Fleet.Members.Busy(id, until)
+	d.Fleet.Members.Busy(o.Target, until)
 	d.Fleet.MarkDirty()
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,7 @@
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/news"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
@@ -90,6 +91,7 @@
 	adapter Adapter
 	feeds   *kvfeed.Feeds
 	budgets *retry.Services
+	news    *news.Exchange
 	ready   readiness
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -168,7 +170,7 @@
 	s, edge := d.Settings, d.Settings.Edge
 	client := upstream.NewClient(s.DialTimeout.D())
 	d.Replicas = &follow.Replicas{
-		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: client.Drop, ReturnGrace: returnGrace, Log: d.Log,
+		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: d.gone(client), ReturnGrace: returnGrace, Log: d.Log,
 	}
 	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Within: edge.WeightsWithin.D() - weightsMargin, Log: d.Log}
 	planner := &forward.Planner{Cache: d.Fleet.Cache, FetchRate: fetchRate}
@@ -191,9 +193,20 @@
 		Wishes: d.Rollout, Sender: d.Rollout, Lease: d.Lease, Engines: d.Rollout,
 		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), OutShare: orderShare,
 	}
+	d.news = &news.Exchange{
+		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
+	}
 	d.ready.set(false, "starting")
 }
 
+// gone forgets what is kept of a replica.
+func (d *Daemon) gone(client *upstream.Client) func(ids.Target) {
+	return func(id ids.Target) {
+		client.Drop(id)
+		d.Fleet.Load.Forget(id)
+	}
+}
+
 // Start listens and starts all duties.
 func (d *Daemon) Start(context.Context) error {
 	d.started = time.Now()
@@ -215,6 +228,10 @@
 		d.servers = append(d.servers, l.server)
 		d.run(l.addr, func() error { return l.server.Serve(listener) })
 	}
+	if err := d.news.Start(); err != nil {
+		cancel()
+		return err
+	}
 	for name, duty := range d.dutyTable() {
 		d.run(name, func() error { duty(ctx); return nil })
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,26 +49,19 @@
 	dirty   atomic.Bool
 	scratch sync.Pool
 	now     func() time.Time
-	senders atomic.Int64 // VMs that send to the same targets
-	rate    float64      // prefill rate of targets that don't tell theirs, in tokens/s
+	rate    float64 // prefill rate of targets that don't tell theirs, in tokens/s
 }
 
 // AssumeRate sets the prefill rate of targets that don't tell theirs, in tokens/s.
 // It is called before the first decision.
 func (f *Fleet) AssumeRate(tokens float64) { f.rate = tokens }
 
-// SetSenders tells how many VMs send to the same targets, this one included. Where
-// nothing is heard of their requests, they are taken to have as many in flight as
-// this VM. Until it is called, this VM counts alone.
-func (f *Fleet) SetSenders(n int) { f.senders.Store(int64(max(n, 1))) }
-
 // New returns a fleet over the given parts. now is nil for the wall clock.
 func New(m *membership.Table, c *cacheview.Index, l *loadview.Tracker, policy *routing.Router, now func() time.Time) *Fleet {
 	if now == nil {
 		now = time.Now
 	}
 	f := &Fleet{Members: m, Cache: c, Load: l, policy: policy, now: now, rate: defaultPrefillRate}
-	f.senders.Store(1)
 	f.scratch.New = func() any { return &Scratch{} }
 	f.Refresh()
 	return f
@@ -214,8 +207,8 @@
 		in := &sc.Inputs[i]
 		in.Cached = sc.overlaps[snap.nums[i]]
 		in.QueueTokens = float32(sc.loads[i].QueueTokens)
-		in.SlotWait = snap.places[i].wait(sc.loads[i].OwnInFlight)
-		in.InFlight = int32(sc.loads[i].OwnInFlight * int(f.senders.Load()))
+		in.SlotWait = snap.places[i].wait(sc.loads[i].InFlight)
+		in.InFlight = int32(sc.loads[i].InFlight)
 	}
 	for _, t := range tried {
 		for i := range snap.statuses {
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -16,13 +16,16 @@
 
 	missed  float64
 	answers int
+
+	peers map[ids.VM]*peer
 }
 
 // own is what this VM has sent to one target.
 type own struct {
 	pending  float64 // tokens of prefill without a first token yet
 	inFlight int
-	sent     []sent // newest last
+	sent     []sent   // newest last
+	peers    PeerLoad // of all peers together
 }
 
 type sent struct {
@@ -136,6 +139,7 @@
 type Load struct {
 	QueueTokens float64
 	OwnInFlight int
+	InFlight    int // own and, as far as they tell, all peers'
 }
 
 // Report is a target's last word on its load.
@@ -181,5 +185,7 @@
 		tokens += o.sent[i].tokens
 	}
 	tokens -= r.Rate * r.Age.Seconds()
-	return Load{QueueTokens: max(tokens, o.pending, 0), OwnInFlight: o.inFlight}
+	return Load{
+		QueueTokens: max(tokens, o.pending+o.peers.Pending, 0), OwnInFlight: o.inFlight, InFlight: o.inFlight + o.peers.InFlight,
+	}
 }
--- /dev/null
+++ b/internal/loadview/peers.go
@@ -0,0 +1,92 @@
+package loadview
+
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// PeerLoad is another VM's work at one target.
+type PeerLoad struct {
+	InFlight int
+	Pending  float64 // prompt tokens without a first token yet
+}
+
+// peerMemory is how long a peer's last word counts. It is longer than the pause
+// between two rounds of news in a large fleet.
+const peerMemory = 2500 * time.Millisecond
+
+// peer is the last word of one VM.
+type peer struct {
+	life  int64
+	seq   uint64
+	at    time.Time
+	loads map[ids.Target]PeerLoad
+}
+
+// Peer takes in all of a peer's loads. One that is older than the last is left out.
+func (t *Tracker) Peer(vm ids.VM, life int64, seq uint64, loads map[ids.Target]PeerLoad, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.peers[vm]
+	if old != nil && (life < old.life || life == old.life && seq <= old.seq) {
+		return
+	}
+	t.subtract(old)
+	if t.peers == nil {
+		t.peers = map[ids.VM]*peer{}
+	}
+	t.peers[vm] = &peer{life: life, seq: seq, at: now, loads: loads}
+	for id, l := range loads {
+		o := t.of(id)
+		o.peers.InFlight += l.InFlight
+		o.peers.Pending += l.Pending
+	}
+}
+
+// Fade forgets the loads of peers that have not been heard for long.
+func (t *Tracker) Fade(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.loads != nil && now.Sub(p.at) > peerMemory {
+			t.subtract(p)
+			p.loads = nil
+		}
+	}
+}
+
+// subtract takes a peer's last word back. The lock is held.
+func (t *Tracker) subtract(p *peer) {
+	if p == nil {
+		return
+	}
+	for id, l := range p.loads {
+		o := t.of(id)
+		o.peers.InFlight -= l.InFlight
+		o.peers.Pending -= l.Pending
+	}
+}
+
+// Own calls f for each target at which this VM has work.
+func (t *Tracker) Own(f func(id ids.Target, inFlight int, pending float64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, o := range t.own {
+		if o.inFlight > 0 {
+			f(id, o.inFlight, o.pending)
+		}
+	}
+}
+
+// Forget drops the record of a target that is gone. Work under way keeps its own.
+func (t *Tracker) Forget(id ids.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.own[id]; o != nil && o.inFlight == 0 {
+		delete(t.own, id)
+		for _, p := range t.peers {
+			delete(p.loads, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,221 @@
+// Package news is what entry VMs tell each other about targets: how much work each
+// has sent where, and which engines are being brought to new weights.
+//
+// A message is one datagram, sent to each peer and not answered. One that is lost
+// or late makes a decision a little worse and nothing wrong: loads are told again
+// and fade, and an engine that is told to load refuses work by itself. So there is
+// no connection to keep, no order to restore, and a VM that is cut off waits for
+// nobody.
+//
+// What it costs stays bounded: the pause between two rounds grows with the number
+// of peers, so that a VM takes in at most MessagesPerSecond; beyond maxPeers it
+// speaks to those of its own failure domain only.
+package news
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+// Peer is another entry VM.
+type Peer struct {
+	VM            ids.VM
+	FailureDomain ids.FailureDomain
+	Addr          string // ip:port
+}
+
+// Message is one datagram.
+type Message struct {
+	VM    ids.VM `json:"vm"`
+	Seq   uint64 `json:"seq"`             // orders the loads of one life of a VM
+	Life  int64  `json:"life"`            // when that life began, in milliseconds of the VM's clock
+	Loads []Load `json:"loads,omitempty"` // all targets with work; others have none
+	Order *Order `json:"order,omitempty"`
+}
+
+// Load is a VM's work at one target.
+type Load struct {
+	Target   ids.Target `json:"t"`
+	InFlight int        `json:"n"`
+	Pending  int        `json:"p,omitempty"` // prompt tokens without a first token yet
+}
+
+// Order says that an engine is being brought to other weights, or has been.
+type Order struct {
+	Target  ids.Target         `json:"t"`
+	Weights ids.WeightsVersion `json:"w"`
+	Done    bool               `json:"done,omitempty"`
+}
+
+// Bounds.
+const (
+	// shortest is the least pause between two rounds: about the time to a first token.
+	shortest = 150 * time.Millisecond
+	// messagesPerSecond bounds what a VM takes in: at 30 us each, 0.2% of a core.
+	messagesPerSecond = 70
+	// maxPeers is up to how many peers all are told: beyond, loads would be older than
+	// the requests that they speak of.
+	maxPeers = 100
+	// maxDatagram bounds a message, in bytes.
+	maxDatagram = 16 << 10
+	// orderCopies is how often an order is told, since datagrams get lost.
+	orderCopies = 2
+)
+
+// Exchange tells and hears news. Its fields are set before Run.
+type Exchange struct {
+	VM            ids.VM
+	FailureDomain ids.FailureDomain
+	Listen        string // ip:port
+	Load          *loadview.Tracker
+	// Ordered is called for each order that a peer tells of.
+	Ordered func(o Order)
+
+	mu    sync.Mutex
+	peers []Peer
+	conn  *net.UDPConn
+	life  int64
+	seq   atomic.Uint64
+	told  int // targets in the last round
+
+	Sent, Heard, Rejected atomic.Int64
+}
+
+// SetPeers tells who the peers are; this VM itself is left out.
+func (x *Exchange) SetPeers(all []Peer) {
+	var near, far []Peer
+	for _, p := range all {
+		switch {
+		case p.VM == x.VM || p.Addr == "":
+		case p.FailureDomain == x.FailureDomain:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	peers := near
+	if len(near)+len(far) <= maxPeers {
+		peers = append(peers, far...)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peers = peers
+}
+
+func (x *Exchange) list() []Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.peers
+}
+
+// Start listens.
+func (x *Exchange) Start() error {
+	addr, err := net.ResolveUDPAddr("udp4", x.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "news address %s", x.Listen)
+	}
+	x.conn, err = net.ListenUDP("udp4", addr)
+	x.life = time.Now().UnixMilli()
+	return eris.Wrapf(err, "listen for news on %s", x.Listen)
+}
+
+// Hear takes in datagrams until ctx ends.
+func (x *Exchange) Hear(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() }) // ends the read below
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := x.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			x.Rejected.Add(1)
+			continue
+		}
+		x.take(buf[:n])
+	}
+}
+
+func (x *Exchange) take(data []byte) {
+	var m Message
+	if err := json.Unmarshal(data, &m); err != nil || m.VM == "" || m.VM == x.VM {
+		x.Rejected.Add(1)
+		return
+	}
+	x.Heard.Add(1)
+	if m.Order != nil {
+		x.Ordered(*m.Order)
+		return
+	}
+	loads := make(map[ids.Target]loadview.PeerLoad, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending)}
+	}
+	x.Load.Peer(m.VM, m.Life, m.Seq, loads, time.Now())
+}
+
+// Tell sends this VM's loads round after round until ctx ends.
+func (x *Exchange) Tell(ctx context.Context) {
+	for timing.Sleep(ctx, x.pause()) {
+		x.Load.Fade(time.Now())
+		x.round()
+	}
+}
+
+// pause is the time between two rounds.
+func (x *Exchange) pause() time.Duration {
+	return max(shortest, time.Duration(len(x.list()))*time.Second/messagesPerSecond)
+}
+
+// round tells the loads once; after a round without any, nothing.
+func (x *Exchange) round() {
+	var loads []Load
+	x.Load.Own(func(t ids.Target, inFlight int, pending float64) {
+		loads = append(loads, Load{Target: t, InFlight: inFlight, Pending: int(pending)})
+	})
+	if len(loads) == 0 && x.told == 0 {
+		return
+	}
+	x.told = len(loads)
+	x.send(Message{VM: x.VM, Life: x.life, Seq: x.seq.Add(1), Loads: loads})
+}
+
+// TellOrder tells all peers of an order.
+func (x *Exchange) TellOrder(o Order) {
+	for range orderCopies {
+		x.send(Message{VM: x.VM, Life: x.life, Order: &o})
+	}
+}
+
+// send sends a message to all peers. A failed send is a lost datagram.
+func (x *Exchange) send(m Message) {
+	data, err := json.Marshal(m)
+	if err != nil || len(data) > maxDatagram {
+		x.Rejected.Add(1)
+		return
+	}
+	for _, p := range x.list() {
+		addr, err := net.ResolveUDPAddr("udp4", p.Addr)
+		if err != nil {
+			x.Rejected.Add(1)
+			continue
+		}
+		if _, err := x.conn.WriteToUDP(data, addr); err != nil {
+			x.Rejected.Add(1)
+			continue
+		}
+		x.Sent.Add(1)
+	}
+}
