--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -14,8 +14,12 @@
 func TestPlanOldestFirst(t *testing.T) {
 	wants := map[ids.Target]Want{}
 	engines := []Actual{
-		{Target: "a", Weights: "9"}, {Target: "b", Weights: "10"}, {Target: "c", Weights: "8"},
-		{Target: "d", Weights: "10"}, {Target: "e", Weights: "8"}, {Target: "f", Weights: "9"},
+		{Target: "a", Weights: "9"},
+		{Target: "b", Weights: "10"},
+		{Target: "c", Weights: "8"},
+		{Target: "d", Weights: "10"},
+		{Target: "e", Weights: "8"},
+		{Target: "f", Weights: "9"},
 	}
 	for i := range engines {
 		engines[i].State = routing.Live
