Pace rollouts by load; measure a replica's silence against its queue

Cause: under load, half of the engines out of service made queues of 80,000 tokens at the rest; calls then counted late answers as failures, left for the next replica and threw the work away. Change: the pace of a rollout follows the wait at the engines in service; the least loaded of the oldest goes first; silence counts from the end of the predicted wait.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,11 +127,9 @@
 	keyMargin = 300 * time.Millisecond
 	// weightsMargin is taken off the time in which older weights may be used.
 	weightsMargin = time.Second
-	// orderShare is one in how many engines of a model may carry out an order at a
-	// time. An engine first finishes its runs and then loads; loads of more than about
-	// a fifth of a model's engines at a time slow each other down, so about as many
-	// finish runs while others load.
-	orderShare = 2
+	// hurryShare is the part of the time in which older weights may be used after
+	// which a rollout no longer takes one engine at a time.
+	hurryShare = 0.5
 	// returnGrace is how long after the store's return entries that had lapsed
 	// meanwhile may come back.
 	returnGrace = 2 * time.Second
@@ -187,11 +185,12 @@
 	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Log: d.Log}
 	d.Lease = lease.New(d.adapter.Store, "orders", s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
-		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Log: d.Log, Ordering: d.ordering,
+		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Loads: d.Fleet, Log: d.Log, Ordering: d.ordering,
+		Hurry: time.Duration(float64(edge.WeightsWithin.D()) * hurryShare),
 	}
 	d.Orders = &orders.Reconciler{
 		Wishes: d.Rollout, Sender: d.Rollout, Lease: d.Lease, Engines: d.Rollout,
-		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), OutShare: orderShare,
+		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), OutShare: d.Rollout.OutShare,
 	}
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,19 @@
 	return sum / float64(n)
 }
 
+// StateOf returns a target's state.
+func (f *Fleet) StateOf(id ids.Target) routing.State { return f.Members.State(id, f.now()) }
+
+// WorkOf returns how many requests a target is estimated to work on, and how long a
+// new one would wait for its turn.
+func (f *Fleet) WorkOf(id ids.Target) (inFlight int, wait time.Duration) {
+	handles := []loadview.Handle{f.Load.Handle(id)}
+	loads := make([]loadview.Load, 1)
+	f.Load.Estimate(handles, []loadview.Report{{}}, 0, f.now(), loads)
+	seconds := loads[0].QueueTokens / f.rate
+	return loads[0].InFlight, time.Duration(seconds * float64(time.Second))
+}
+
 // MarkDirty asks for a fresh snapshot before the next decision: something
 // happened that must not wait for the duty.
 func (f *Fleet) MarkDirty() { f.dirty.Store(true) }
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -106,6 +106,17 @@
 	return VersionText(all[len(all)-1].version)
 }
 
+// Since returns for how long the newest version of a model has been named.
+func (w *Weights) Since(m ids.Model, now time.Time) time.Duration {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	all := w.models[m]
+	if len(all) == 0 {
+		return 0
+	}
+	return now.Sub(all[len(all)-1].at)
+}
+
 // Wanted returns the newest version of a model, and the least version that may
 // still be used.
 func (w *Weights) Wanted(m ids.Model, now time.Time) (newest ids.WeightsVersion, least uint64) {
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -22,6 +22,7 @@
 // choice is a decided replica and what goes along with the call.
 type choice struct {
 	target routing.Target
+	wait   time.Duration  // predicted until the first event
 	levels []prefix.Level // shared parts
 	work   int32          // tokens that the replica is expected to compute
 	salt   string
@@ -55,7 +56,9 @@
 		r.logNoTarget(sc)
 		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(retryNoTarget)
 	}
-	c := choice{target: snap.View.Targets[d.Index], levels: req.Levels, work: max(req.Tokens-d.Cached, 0)}
+	c := choice{
+		target: snap.View.Targets[d.Index], wait: time.Duration(float64(d.PredictedTTFT) * float64(time.Second)), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
+	}
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		wall := r.catalog.Wall(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, wall)
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -27,13 +27,14 @@
 )
 
 // firstWait is how long the replica may be silent before its first event, or its
-// answer.
+// answer. What it has to do before is waited for besides: under load all replicas
+// are late, and to leave one for the next would only make work.
 func (t *try) firstWait() time.Duration {
 	aim := t.r.route.Objective
 	if aim <= 0 {
 		aim = defaultObjective
 	}
-	return max(time.Duration(float64(aim)*firstWaitFactor), leastFirstWait)
+	return max(time.Duration(float64(aim+t.c.wait)*firstWaitFactor), leastFirstWait)
 }
 
 // pauseWait is how long the replica may be silent between two events.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -67,6 +67,7 @@
 	Weights ids.WeightsVersion
 	Drained bool // it says that it takes no new work
 	Busy    bool // an order to it is under way
+	Load    int  // requests that it works on; of equals the least loaded comes first
 }
 
 // Order is one thing to tell an engine.
@@ -96,7 +97,8 @@
 	engines = slices.Clone(engines)
 	slices.SortFunc(engines, func(a, b Actual) int {
 		return cmp.Or(cmp.Compare(rank(wants[a.Target]), rank(wants[b.Target])),
-			compareWeights(a.Weights, b.Weights), cmp.Compare(a.Target, b.Target))
+			compareWeights(a.Weights, b.Weights),
+			cmp.Compare(a.Load, b.Load), cmp.Compare(a.Target, b.Target))
 	})
 	var plan []Order
 	for _, e := range engines {
--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -85,9 +84,9 @@
 	// limit.
 	Loads *rate.Limiter
 
-	// OutShare is one in how many engines of a model may be out of service. Zero:
+	// OutShare tells one in how many engines of a model may be out of service. Nil:
 	// DefaultOutShare.
-	OutShare int
+	OutShare func() int
 
 	mu   sync.Mutex
 	busy map[ids.Target]bool // orders under way
@@ -115,7 +114,11 @@
 	}
 	engines := r.Engines.Engines()
 	r.markBusy(engines)
-	for _, o := range Plan(wants, engines, cmp.Or(r.OutShare, DefaultOutShare)) {
+	share := DefaultOutShare
+	if r.OutShare != nil {
+		share = r.OutShare()
+	}
+	for _, o := range Plan(wants, engines, share) {
 		if !r.reserve(o) {
 			continue
 		}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -54,9 +54,20 @@
 	SetWeights(id ids.Target, w ids.WeightsVersion, from string)
 }
 
+// Loads tells how replicas are doing.
+type Loads interface {
+	// StateOf returns a replica's state, as far as this VM knows.
+	StateOf(id ids.Target) routing.State
+	// WorkOf returns how many requests a replica works on, and how long a new one
+	// waits for its turn there.
+	WorkOf(id ids.Target) (inFlight int, wait time.Duration)
+}
+
 // Newest tells which weights operators want.
 type Newest interface {
 	Newest(m ids.Model) ids.WeightsVersion
+	// Since returns for how long the newest version has been named.
+	Since(m ids.Model, now time.Time) time.Duration
 }
 
 // Rollout supplies package orders with wishes, engines and a sender.
@@ -66,7 +77,10 @@
 	Replicas Replicas
 	Named    Newest
 	Calls    Engines
+	Loads    Loads
 	Log      *eventlog.Log
+	// Hurry is how long after a version was named the slowest pace is left.
+	Hurry time.Duration
 	// Ordering is called when a replica is about to get an order, and when it has
 	// been carried out.
 	Ordering func(id ids.Target, w ids.WeightsVersion, done bool)
@@ -96,13 +110,60 @@
 		if rec.Role != platform.RoleEngine || rec.State == platform.StateLeaving {
 			continue
 		}
+		id := ids.Target(rec.ID)
+		inFlight, _ := r.Loads.WorkOf(id)
 		out = append(out, orders.Actual{
-			Target: ids.Target(rec.ID), Model: rec.Model, Addr: rec.Addr, State: routing.Live, Weights: rec.Weights,
+			Target: id, Model: rec.Model, Addr: rec.Addr, State: max(r.Loads.StateOf(id), routing.Suspect), Weights: rec.Weights,
+			Load: inFlight,
 		})
 	}
 	return out
 }
 
+// Paces of a rollout, as one in how many engines may be out of service.
+const (
+	// paceIdle: an engine first finishes its runs and then loads; loads of more than
+	// about a fifth of a model's engines at a time slow each other down, so about as
+	// many finish runs while others load.
+	paceIdle = 2
+	paceBusy = 4
+	// paceFull: each engine out of service makes all others' callers late, and an
+	// answer on old weights loses less than a late one.
+	paceFull = 9
+)
+
+// Waits that tell the paces apart: a part of the usual objective of half a second.
+const (
+	waitBusy = 100 * time.Millisecond
+	waitFull = 350 * time.Millisecond
+)
+
+// OutShare returns one in how many engines may be out of service, by how long
+// callers wait at those that are in it.
+func (r *Rollout) OutShare() int {
+	var sum time.Duration
+	n, since := 0, time.Duration(0)
+	for _, rec := range r.Replicas.Records() {
+		id := ids.Target(rec.ID)
+		if rec.Role != platform.RoleEngine || r.Loads.StateOf(id) < routing.Joining {
+			continue
+		}
+		_, wait := r.Loads.WorkOf(id)
+		sum += wait
+		n++
+		since = max(since, r.Named.Since(rec.Model, time.Now()))
+	}
+	mean := sum / time.Duration(max(n, 1))
+	switch {
+	case mean < waitBusy:
+		return paceIdle
+	case mean < waitFull || since > r.Hurry:
+		return paceBusy
+	default:
+		return paceFull
+	}
+}
+
 // Behind tells whether any replica lacks the weights that are wanted.
 func (r *Rollout) Behind() bool {
 	for _, rec := range r.Replicas.Records() {
