--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,7 +83,6 @@
 	FailureDomain ids.FailureDomain
 	CacheTokens   int64
 	FeedReaders   int
-	LinkBytes     float64 // bytes a second that it takes in and gives out
 }
 
 // Workspace is one tenant.
@@ -182,16 +181,6 @@
 	return nil
 }
 
-// BytesPerToken returns the size of one token's KV cache; zero if no service tells.
-func (c *Catalog) BytesPerToken() int64 {
-	for i := range c.Services {
-		if e := c.Services[i].Engine; e != nil {
-			return e.BytesPerToken
-		}
-	}
-	return 0
-}
-
 // Isolated names the workspaces that share no KV cache, joined in order. What
 // the others share is void when this changes: a workspace that is isolated now
 // may have made some of it.
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -165,7 +165,6 @@
 		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
 	}
 	c.d.news.SetPeers(peers)
-	c.d.Forward.KV.Saves.SetVMs(len(c.at))
 	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
 }
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvcache"
@@ -61,12 +62,14 @@
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		wall := r.catalog.Wall(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, wall)
-		f.KV.plan(&c, &req, snap, sc, r.catalog.KVStore(), r.catalog.BytesPerToken(), p.Model, parts)
+		f.KV.plan(&c, &req, snap, sc, r.kvStore(), wall, p.Model, parts)
 	}
 	r.logDecision(snap, &d, sc, &c)
 	return c, nil
 }
 
+func (r *run) kvStore() *catalog.KVStore { return r.catalog.KVStore() }
+
 func (r *run) logDecision(snap *fleet.Snapshot, d *routing.Decision, sc *fleet.Scratch, c *choice) {
 	in := &sc.Inputs[d.Index]
 	r.f.Log.Request("decide", string(r.call.ID)).Str("service", r.service).Str("target", string(c.target.ID)).
--- a/internal/forward/kv.go
+++ b/internal/forward/kv.go
@@ -18,8 +18,6 @@
 	Cache *cacheview.Index
 	// FetchRate is how fast engines take KV cache over from each other, in tokens/s.
 	FetchRate float32
-	// Saves bounds what is saved to the store.
-	Saves SaveBudget
 
 	mu      sync.Mutex
 	pending map[prefix.ID]*pending // by the deepest shared level
@@ -47,12 +45,11 @@
 	return kvcache.LevelID("store/"+salt, m, part)
 }
 
-// plan fills in c.fetch and c.save. What nobody holds is saved as it is computed,
-// as far as the store's link bears it. A prefix that another replica with the same
+// plan fills in c.fetch and c.save. A prefix that another replica with the same
 // weights holds is fetched from there, and from the store otherwise. Where the
 // choice is believed to hold all of it, the store is named all the same, if it has
 // it: the belief may be wrong, and a replica fetches only what it lacks.
-func (p *Planner) plan(c *choice, req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch, store *catalog.KVStore, bytesPerToken int64, m ids.Model, parts []kvcache.Part) {
+func (p *Planner) plan(c *choice, req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch, store *catalog.KVStore, wall string, m ids.Model, parts []kvcache.Part) {
 	if len(req.Levels) == 0 {
 		return
 	}
@@ -70,7 +67,7 @@
 		c.fetch = store.Addr
 		c.work = max(min(c.work, req.Tokens-stored), 0)
 	}
-	if stored < shared && req.Tokens > 0 && sc.Routing.Best() < shared && p.Saves.Allow(store, bytesPerToken*int64(req.Tokens)) {
+	if stored < shared {
 		c.save = store.Addr
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -208,10 +208,6 @@
 	s.Filtered = [reasonCount]int{}
 }
 
-// Best returns the deepest prefix that any eligible target of the last decision
-// holds, in tokens.
-func (s *Scratch) Best() int32 { return s.eligible.Best }
-
 // Costs returns the costs of the last decision, in the order of its view.
 func (s *Scratch) Costs() []float32 { return s.costs }
 
