--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,7 +116,7 @@
 	// fetchRate is how fast engines move KV cache to each other, in tokens/s, with
 	// what a move risks: moving 3,800 tokens takes 1 to 50 ms, and now and then their
 	// holder has just dropped them, so that they are computed once more.
-	fetchRate = 100_000
+	fetchRate = 40_000
 	// prefillRate is assumed of engines, in tokens/s: about what the engines that
 	// threadwall is built for do.
 	prefillRate = 50_000
