Drain an engine before its order, then cut off what can be resumed

Cause: an order lets the runs at hand finish, and a stream of 200 tokens runs for up to 5 s under load.

Change: peers are told not to send to an engine before its order; when no request is left there that can't go on elsewhere (VMs tell each other how many are), the rest is cut off and resumed at other replicas.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,7 +129,7 @@
 	weightsMargin = time.Second
 	// hurryShare is the part of the time in which older weights may be used after
 	// which a rollout no longer takes one engine at a time.
-	hurryShare = 0.5
+	hurryShare = 0.3
 	// returnGrace is how long after the store's return entries that had lapsed
 	// meanwhile may come back.
 	returnGrace = 2 * time.Second
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,14 +149,11 @@
 // StateOf returns a target's state.
 func (f *Fleet) StateOf(id ids.Target) routing.State { return f.Members.State(id, f.now()) }
 
-// WorkOf returns how many requests a target is estimated to work on, and how long a
-// new one would wait for its turn.
-func (f *Fleet) WorkOf(id ids.Target) (inFlight int, wait time.Duration) {
-	handles := []loadview.Handle{f.Load.Handle(id)}
-	loads := make([]loadview.Load, 1)
-	f.Load.Estimate(handles, []loadview.Report{{}}, 0, f.now(), loads)
-	seconds := loads[0].QueueTokens / f.rate
-	return loads[0].InFlight, time.Duration(seconds * float64(time.Second))
+// WorkOf returns the work at a target, as far as this VM knows, and how long a new
+// request would wait for its turn there.
+func (f *Fleet) WorkOf(id ids.Target) (l loadview.PeerLoad, wait time.Duration) {
+	l = f.Load.All(id)
+	return l, time.Duration(l.Pending / f.rate * float64(time.Second))
 }
 
 // MarkDirty asks for a fresh snapshot before the next decision: something
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -121,6 +121,9 @@
 	r.f.Stats.Attempts.Add(1)
 	work := r.f.Fleet.Load.Sent(c.target.ID, c.work, time.Now())
 	defer work.End()
+	if !r.route.Resumable || r.attempts >= r.route.Attempts {
+		work.Bind()
+	}
 	t := r.try(ctx, &c, work)
 	err := t.run()
 	t.end()
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -24,6 +24,7 @@
 type own struct {
 	pending  float64 // tokens of prefill without a first token yet
 	inFlight int
+	bound    int      // of those in flight, requests that can't go on at another target
 	sent     []sent   // newest last
 	peers    PeerLoad // of all peers together
 }
@@ -45,9 +46,21 @@
 	target ids.Target
 	tokens float64
 	begun  bool
+	bound  bool
 	ended  bool
 }
 
+// Bind notes that the request can't go on at another target: if this one stops
+// working on it, it is lost.
+func (w *Work) Bind() {
+	w.t.mu.Lock()
+	defer w.t.mu.Unlock()
+	if !w.bound && !w.ended {
+		w.bound = true
+		w.t.own[w.target].bound++
+	}
+}
+
 // Heard counts work that a peer sent to a target.
 func (t *Tracker) Heard(target ids.Target, tokens int32, at time.Time) {
 	t.mu.Lock()
@@ -107,6 +120,9 @@
 	if !w.ended {
 		w.ended = true
 		w.t.own[w.target].inFlight--
+		if w.bound {
+			w.t.own[w.target].bound--
+		}
 	}
 }
 
--- a/internal/loadview/peers.go
+++ b/internal/loadview/peers.go
@@ -6,10 +6,11 @@
 	"github.com/threadwall/threadwall/internal/ids"
 )
 
-// PeerLoad is another VM's work at one target.
+// PeerLoad is one or several VMs' work at one target.
 type PeerLoad struct {
 	InFlight int
 	Pending  float64 // prompt tokens without a first token yet
+	Bound    int     // of those in flight, requests that can't go on at another target
 }
 
 // peerMemory is how long a peer's last word counts. It is longer than the pause
@@ -41,6 +42,7 @@
 		o := t.of(id)
 		o.peers.InFlight += l.InFlight
 		o.peers.Pending += l.Pending
+		o.peers.Bound += l.Bound
 	}
 }
 
@@ -65,16 +67,30 @@
 		o := t.of(id)
 		o.peers.InFlight -= l.InFlight
 		o.peers.Pending -= l.Pending
+		o.peers.Bound -= l.Bound
+	}
+}
+
+// All returns the work of this VM and, as far as they tell, of all peers at a target.
+func (t *Tracker) All(id ids.Target) PeerLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.own[id]
+	if o == nil {
+		return PeerLoad{}
+	}
+	return PeerLoad{
+		InFlight: o.inFlight + o.peers.InFlight, Pending: o.pending + o.peers.Pending, Bound: o.bound + o.peers.Bound,
 	}
 }
 
 // Own calls f for each target at which this VM has work.
-func (t *Tracker) Own(f func(id ids.Target, inFlight int, pending float64)) {
+func (t *Tracker) Own(f func(id ids.Target, l PeerLoad)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, o := range t.own {
 		if o.inFlight > 0 {
-			f(id, o.inFlight, o.pending)
+			f(id, PeerLoad{InFlight: o.inFlight, Pending: o.pending, Bound: o.bound})
 		}
 	}
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -49,6 +49,7 @@
 	Target   ids.Target `json:"t"`
 	InFlight int        `json:"n"`
 	Pending  int        `json:"p,omitempty"` // prompt tokens without a first token yet
+	Bound    int        `json:"b,omitempty"` // requests that can't go on at another target
 }
 
 // Order says that an engine is being brought to other weights, or has been.
@@ -161,7 +162,7 @@
 	}
 	loads := make(map[ids.Target]loadview.PeerLoad, len(m.Loads))
 	for _, l := range m.Loads {
-		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending)}
+		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
 	}
 	x.Load.Peer(m.VM, m.Life, m.Seq, loads, time.Now())
 }
@@ -182,8 +183,8 @@
 // round tells the loads once; after a round without any, nothing.
 func (x *Exchange) round() {
 	var loads []Load
-	x.Load.Own(func(t ids.Target, inFlight int, pending float64) {
-		loads = append(loads, Load{Target: t, InFlight: inFlight, Pending: int(pending)})
+	x.Load.Own(func(t ids.Target, l loadview.PeerLoad) {
+		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), Bound: l.Bound})
 	})
 	if len(loads) == 0 && x.told == 0 {
 		return
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -17,6 +17,7 @@
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/routing"
@@ -39,8 +40,20 @@
 	Holder   ids.VM
 	Fence    uint64
 	Expected uint64 // orders accepted so far
+	Method   Method
 }
 
+// Method is what becomes of the runs at hand when weights are loaded.
+type Method uint8
+
+// The methods.
+const (
+	// Finish lets them end first. It takes as long as the longest of them.
+	Finish Method = iota
+	// CutOff ends them at once; those that can are resumed at other replicas.
+	CutOff
+)
+
 // Engines are the calls to model replicas.
 type Engines interface {
 	Read(ctx context.Context, id ids.Target, addr string) (State, error)
@@ -58,9 +71,9 @@
 type Loads interface {
 	// StateOf returns a replica's state, as far as this VM knows.
 	StateOf(id ids.Target) routing.State
-	// WorkOf returns how many requests a replica works on, and how long a new one
-	// waits for its turn there.
-	WorkOf(id ids.Target) (inFlight int, wait time.Duration)
+	// WorkOf returns a replica's work, and how long a new request waits for its turn
+	// there.
+	WorkOf(id ids.Target) (l loadview.PeerLoad, wait time.Duration)
 }
 
 // Newest tells which weights operators want.
@@ -111,10 +124,10 @@
 			continue
 		}
 		id := ids.Target(rec.ID)
-		inFlight, _ := r.Loads.WorkOf(id)
+		work, _ := r.Loads.WorkOf(id)
 		out = append(out, orders.Actual{
 			Target: id, Model: rec.Model, Addr: rec.Addr, State: max(r.Loads.StateOf(id), routing.Suspect), Weights: rec.Weights,
-			Load: inFlight,
+			Load: work.InFlight,
 		})
 	}
 	return out
@@ -186,7 +199,7 @@
 	// carryOut bounds one order as a whole. An order whose answer was lost may be
 	// carried out after seconds; it is given anew before, since only one of the two
 	// can match the number of orders accepted.
-	carryOut = 4 * time.Second
+	carryOut = 5 * time.Second
 )
 
 // Send implements orders.Sender.
@@ -204,6 +217,7 @@
 		return err
 	}
 	if !state.Busy {
+		c.Method = r.drain(ctx, c.Target)
 		if err := r.order(ctx, &c, state); err != nil {
 			return err
 		}
@@ -211,6 +225,41 @@
 	return r.await(ctx, &c)
 }
 
+// Bounds of the drain before an order.
+const (
+	// drainLeast is how long all VMs need to hear that a replica gets no new requests,
+	// and to tell what they have there.
+	drainLeast = 350 * time.Millisecond
+	// drainMost is how long requests that can't go on elsewhere are waited for: most
+	// have short answers.
+	drainMost = 1500 * time.Millisecond
+	// drainEvery is the pause between two looks.
+	drainEvery = 50 * time.Millisecond
+	// cutMost is how many runs may be cut off: each costs a retry of the budget that
+	// all VMs share.
+	cutMost = 24
+)
+
+// drain keeps new requests from a replica until none is left there that can't go on
+// elsewhere, and returns what is to become of the rest. An order right away would
+// wait for the longest run, some seconds, while the replica takes nothing new.
+func (r *Rollout) drain(ctx context.Context, id ids.Target) Method {
+	began := time.Now()
+	r.Ordering(id, "", false)
+	for timing.Sleep(ctx, drainEvery) {
+		work, _ := r.Loads.WorkOf(id)
+		waited := time.Since(began)
+		switch {
+		case waited < drainLeast:
+		case work.Bound == 0 && work.InFlight <= cutMost:
+			return CutOff
+		case waited >= drainMost:
+			return Finish
+		}
+	}
+	return Finish
+}
+
 // order sends the command while the lease holds.
 func (r *Rollout) order(ctx context.Context, c *Command, s State) error {
 	token, ok := r.Lease.Held()
@@ -223,7 +272,7 @@
 	defer cancel()
 	err := r.Calls.Order(call, *c)
 	line := r.Log.Belief("order").Str("target", string(c.Target)).Str("weights", string(c.Weights)).Uint64("fence", c.Fence).
-		Uint64("expected", c.Expected).Str("before", string(s.Weights[c.Model]))
+		Uint64("expected", c.Expected).Bool("cut_off", c.Method == CutOff).Str("before", string(s.Weights[c.Model]))
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
