--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,233 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+)
+
+func TestAnswerComesBackUnchanged(t *testing.T) {
+	s := newStandIn(t, "a", ok("the answer"))
+	tf := newFleet(t, route(catalog.Once, 1), s)
+	resp, body, err := tf.ask(t, "Salt", "forged", "Workspace", "forged", "X-Mine", "kept")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "the answer" || resp.Header.Get("Signed") != "yes" {
+		t.Fatalf("got %v, %q, %v", resp, body, err)
+	}
+	got := s.requests()[0]
+	if got.Method != http.MethodPost || got.RequestURI != "/x?q=1" || got.Host != "h.example" {
+		t.Fatalf("the replica got %s %s at %s", got.Method, got.RequestURI, got.Host)
+	}
+	if got.Header.Get("Salt") != "" || got.Header.Get("Workspace") != "" || got.Header.Get("X-Mine") != "kept" {
+		t.Fatalf("the replica got the headers %v", got.Header)
+	}
+}
+
+// TestAtMostOnce checks, for each way in which a send can end, what becomes of a
+// call that may not be repeated: it goes to a second replica only if the first did
+// not run it, and it is called "not run" only if none did.
+func TestAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  func(net.Conn, *http.Request) bool
+		status int
+		sends  int // to the second replica
+	}{
+		{"refused as not run", status(http.StatusServiceUnavailable, notRun), http.StatusOK, 1},
+		{"another incarnation", status(http.StatusMisdirectedRequest, "By: x\r\n"), http.StatusOK, 1},
+		{"answer lost", hangUp, http.StatusBadGateway, 0},
+		{"failed", status(http.StatusInternalServerError, signed), http.StatusInternalServerError, 0},
+		{"no signature", status(http.StatusOK), http.StatusBadGateway, 0},
+		{"busy without saying that it did not run", status(http.StatusServiceUnavailable), http.StatusBadGateway, 0},
+		{"too many without saying that it did not run", status(http.StatusTooManyRequests), http.StatusBadGateway, 0},
+		{"another call's answer", func(c net.Conn, _ *http.Request) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nno")
+			return false
+		}, http.StatusBadGateway, 0},
+		{"cut short", func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: 20\r\n\r\nhalf", r.Header.Get("Id"))
+			return false
+		}, http.StatusBadGateway, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newStandIn(t, "a", c.first), newStandIn(t, "b", ok("fine"))
+			tf := newFleet(t, route(catalog.Once, 1), first, second)
+			for range 20 { // until the first replica is picked first
+				resp, body, err := tf.ask(t)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(first.requests()) == 0 {
+					continue
+				}
+				before := len(second.requests())
+				if resp.StatusCode != c.status {
+					t.Fatalf("got %d %q, want %d", resp.StatusCode, body, c.status)
+				}
+				id := first.requests()[0].Header.Get("Id")
+				sends := 0
+				for _, r := range second.requests()[:before] {
+					if r.Header.Get("Id") == id {
+						sends++
+					}
+				}
+				if sends != c.sends {
+					t.Fatalf("%d sends to the second replica, want %d", sends, c.sends)
+				}
+				return
+			}
+			t.Fatal("the first replica was never picked")
+		})
+	}
+}
+
+// TestRefusalSaysWhenToComeBack checks that a call which has not run is refused at
+// once, truly, and with advice.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	s := newStandIn(t, "a", status(http.StatusServiceUnavailable, notRun))
+	tf := newFleet(t, route(catalog.Once, 1), s)
+	began := time.Now()
+	resp, _, err := tf.ask(t)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Fatalf("the refusal took %v", took)
+	}
+}
+
+// TestNoPromiseAfterAnUnknownAttempt lets one replica lose the answer of a call
+// that may be repeated, and the other refuse it: the end is unknown, not "not run".
+func TestNoPromiseAfterAnUnknownAttempt(t *testing.T) {
+	a, b := newStandIn(t, "a", hangUp), newStandIn(t, "b", status(http.StatusServiceUnavailable, notRun))
+	tf := newFleet(t, route(catalog.Idempotent, 2), a, b)
+	for range 10 {
+		resp, _, err := tf.ask(t)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(a.requests()) > 0 && resp.StatusCode != http.StatusBadGateway {
+			t.Fatalf("got %d after an attempt whose answer was lost, want 502", resp.StatusCode)
+		}
+		if len(a.requests()) > 0 {
+			return
+		}
+	}
+	t.Fatal("the replica that loses answers was never picked")
+}
+
+func TestIdempotentGoesOnElsewhere(t *testing.T) {
+	a, b := newStandIn(t, "a", hangUp), newStandIn(t, "b", ok("fine"))
+	tf := newFleet(t, route(catalog.Idempotent, 2), a, b)
+	for range 10 {
+		if resp, body, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusOK || body != "fine" {
+			t.Fatalf("got %v, %q, %v", resp, body, err)
+		}
+	}
+}
+
+// TestSilentReplicaIsLeft lets one replica hang: a call that may be repeated is
+// answered by the other, soon after its objective.
+func TestSilentReplicaIsLeft(t *testing.T) {
+	a := newStandIn(t, "a", func(net.Conn, *http.Request) bool { time.Sleep(3 * time.Second); return false })
+	tf := newFleet(t, route(catalog.Idempotent, 2), a, newStandIn(t, "b", ok("fine")))
+	for range 5 {
+		began := time.Now()
+		resp, _, err := tf.ask(t)
+		if err != nil || resp.StatusCode != http.StatusOK || time.Since(began) > time.Second {
+			t.Fatalf("got %v, %v after %v", resp, err, time.Since(began))
+		}
+	}
+}
+
+// TestRouteTimeout ends a call at its route's timeout though its caller would wait.
+func TestRouteTimeout(t *testing.T) {
+	a := newStandIn(t, "a", func(net.Conn, *http.Request) bool { time.Sleep(3 * time.Second); return false })
+	r := route(catalog.Once, 1)
+	r.Timeout = 300 * time.Millisecond
+	tf := newFleet(t, r, a)
+	began := time.Now()
+	resp, _, err := tf.ask(t, "Deadline", "5s")
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if took := time.Since(began); took < 250*time.Millisecond || took > 800*time.Millisecond {
+		t.Fatalf("the answer took %v", took)
+	}
+}
+
+// TestCallerLeavesReplicaStops checks that a replica learns within half a second
+// that the caller has gone, also while its answer is waited for.
+func TestCallerLeavesReplicaStops(t *testing.T) {
+	closed := make(chan struct{})
+	a := newStandIn(t, "a", func(c net.Conn, _ *http.Request) bool {
+		var b [1]byte
+		_, _ = c.Read(b[:])
+		close(closed)
+		return false
+	})
+	tf := newFleet(t, route(catalog.Once, 1), a)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(tf.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprint(conn, "POST /x HTTP/1.1\r\nHost: h.example\r\nId: gone\r\nContent-Length: 2\r\n\r\nhi")
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.Close()
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the replica still works for a caller that has gone")
+	}
+}
+
+// TestKeys checks the workspace that goes along, and what a VM answers that can't
+// prove that its configuration is the newest.
+func TestKeys(t *testing.T) {
+	s := newStandIn(t, "a", ok("fine"))
+	r := route(catalog.Once, 1)
+	r.Public = false
+	tf := newFleet(t, r, s)
+	tf.f.Tuning.KeyTTL = time.Second
+	tf.f.Catalog.Adopt(catalog.New(catalog.Declaration{
+		Version: 2, Routes: []catalog.Route{r},
+		Workspaces: []catalog.Workspace{{Name: "w1", Keys: []string{"k1"}}},
+	}))
+	for _, c := range []struct {
+		key    string
+		proven time.Duration // ago
+		status int
+	}{
+		{"k1", 0, http.StatusOK},
+		{"wrong", 0, http.StatusUnauthorized},
+		{"", 0, http.StatusUnauthorized},
+		{"k1", 2 * time.Second, http.StatusServiceUnavailable},
+		{"wrong", 2 * time.Second, http.StatusServiceUnavailable}, // it may be a new key
+	} {
+		fresh := &catalog.Current{}
+		fresh.Adopt(tf.f.Catalog.Get())
+		fresh.Prove(time.Now().Add(-c.proven))
+		tf.f.Catalog = fresh
+		resp, _, err := tf.ask(t, "Key", c.key)
+		if err != nil || resp.StatusCode != c.status {
+			t.Fatalf("key %q, proven %v ago: got %v, %v, want %d", c.key, c.proven, resp, err, c.status)
+		}
+	}
+	if got := s.requests(); len(got) != 1 || got[0].Header.Get("Workspace") != "w1" || got[0].Header.Get("Key") != "" {
+		t.Fatalf("the replica got %d requests, the first with %v", len(got), got[0].Header)
+	}
+}
+
+// TestNoConfiguration: a VM that knows no configuration can't know that a route or
+// a key does not exist.
+func TestNoConfiguration(t *testing.T) {
+	tf := newFleet(t, route(catalog.Once, 1), newStandIn(t, "a", ok("fine")))
+	tf.f.Catalog = &catalog.Current{}
+	if resp, _, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+}
--- /dev/null
+++ b/internal/forward/helpers_test.go
@@ -0,0 +1,206 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/retry"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/upstream"
+)
+
+// plainDialect is a dialect of short names for tests.
+type plainDialect struct{}
+
+func (plainDialect) ReadCall(h http.Header) (Call, error) {
+	c := Call{ID: ids.Request(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("After")}
+	if v := h.Get("Deadline"); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return c, err
+		}
+		c.Deadline = d
+	}
+	if m := h.Get("Model"); m != "" {
+		c.Prompt = &Prompt{Model: ids.Model(m), Tokens: 1000, Parts: []kvcache.Part{{ID: "p1", Tokens: 800}, {ID: "own", Tokens: 200}}}
+	}
+	return c, nil
+}
+
+func (plainDialect) WriteSend(h http.Header, s *Send) {
+	for _, name := range []string{"Key", "Deadline", "After", "Workspace", "Salt"} {
+		h.Del(name)
+	}
+	h.Set("Deadline", s.Left.String())
+	h.Set("Replica", string(s.Replica))
+	h.Set("Workspace", string(s.Workspace))
+	h.Set("Salt", s.Salt)
+	if s.LastEvent != "" {
+		h.Set("After", s.LastEvent)
+	}
+}
+
+func (plainDialect) ReadReply(status int, h http.Header) Reply {
+	return Reply{
+		Request: ids.Request(h.Get("Id")), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Misfit: status == http.StatusMisdirectedRequest, Replica: ids.Target(h.Get("By")),
+	}
+}
+
+// standIn is a replica that answers by a script.
+type standIn struct {
+	id   ids.Target
+	addr string
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func (s *standIn) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.seen...)
+}
+
+// newStandIn serves answer on each connection; it returns false to close it.
+func newStandIn(t *testing.T, id ids.Target, answer func(c net.Conn, r *http.Request) bool) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &standIn{id: id, addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(c net.Conn, answer func(c net.Conn, r *http.Request) bool) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, r)
+		s.mu.Unlock()
+		if !answer(c, r) {
+			return
+		}
+	}
+}
+
+// ok answers with a signed success.
+func ok(body string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+		return true
+	}
+}
+
+func status(code int, headers ...string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 0\r\n\r\n", code, r.Header.Get("Id"), strings.Join(headers, ""))
+		return true
+	}
+}
+
+// hangUp reads the request and closes the connection.
+func hangUp(net.Conn, *http.Request) bool { return false }
+
+const signed, notRun = "Signed: yes\r\n", "Not-Run: yes\r\n"
+
+type alwaysReady struct{}
+
+func (alwaysReady) Ready() (bool, string) { return true, "" }
+
+type noWeights struct{}
+
+func (noWeights) Wanted(ids.Model, time.Time) (ids.WeightsVersion, uint64) { return "", 0 }
+
+// testFleet is a forwarder with its replicas and a server before it.
+type testFleet struct {
+	f   *Forwarder
+	url string
+}
+
+// route returns a route of the given kind to the service "svc".
+func route(kind catalog.Kind, attempts int) catalog.Route {
+	return catalog.Route{
+		Name: "r", Host: "h.example", PathPrefix: "/", Kind: kind, Attempts: attempts, Timeout: 2 * time.Second,
+		Objective: 200 * time.Millisecond, MaxPause: 100 * time.Millisecond,
+		Split: []catalog.Share{{Service: "svc", Weight: 1}}, Resumable: kind == catalog.Stream && attempts > 1, Public: true,
+	}
+}
+
+func newFleet(t *testing.T, r catalog.Route, replicas ...*standIn) *testFleet {
+	t.Helper()
+	tuning := membership.DefaultTuning
+	tuning.Grace = time.Hour
+	fl := fleet.New(membership.New("vm", tuning), cacheview.New(1024, nil), loadview.New(), routing.NewFetching(), nil)
+	var records []platform.Record
+	for _, s := range replicas {
+		records = append(records, platform.Record{ID: string(s.id), Role: platform.RoleService, Service: "svc", Addr: s.addr, Incarnation: 1})
+	}
+	fl.Members.Platform(records, time.Now())
+	fl.Refresh()
+	f := &Forwarder{
+		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(200 * time.Millisecond), Dialect: plainDialect{},
+		Budgets: retry.NewServices(1, 100), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{}, Readiness: alwaysReady{},
+		LearnWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxBodies: 1 << 20, MaxInFlight: 100},
+	}
+	f.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Routes: []catalog.Route{r}}))
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	return &testFleet{f: f, url: srv.URL}
+}
+
+var callNumber atomic.Int64
+
+// ask makes one call and returns its answer; an error is that of the connection.
+func (tf *testFleet) ask(t *testing.T, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, tf.url+"/x?q=1", strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", fmt.Sprint("c", callNumber.Add(1)))
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+)
+
+// events answers with events from the one behind After on, up to last; it breaks
+// off before event breakAt (zero: never), in the middle of it if torn is set.
+func events(last, breakAt int, torn bool) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nBy: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			r.Header.Get("Id"), r.Header.Get("Replica"))
+		for n := after + 1; n <= last; n++ {
+			ev := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+			if n == breakAt {
+				if torn {
+					_, _ = fmt.Fprintf(c, "%x\r\n%s", len(ev), ev[:len(ev)-5])
+				}
+				return false
+			}
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+			time.Sleep(2 * time.Millisecond)
+		}
+		_, _ = fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+}
+
+// pieces returns the numbers of the events in a stream.
+func pieces(body string) string {
+	var out []string
+	for ev := range strings.SplitSeq(body, "\n\n") {
+		id, data, ok := strings.Cut(ev, "\n")
+		id = strings.TrimPrefix(id, "id: ")
+		if ok && data == "data: piece "+id {
+			out = append(out, id)
+		} else if ev != "" {
+			out = append(out, "torn")
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func TestStreamPassesWhole(t *testing.T) {
+	tf := newFleet(t, route(catalog.Stream, 1), newStandIn(t, "a", events(5, 0, false)))
+	resp, body, err := tf.ask(t)
+	if err != nil || resp.Header.Get("Signed") != "yes" || pieces(body) != "1 2 3 4 5" {
+		t.Fatalf("got %v, %q, %v", resp, body, err)
+	}
+}
+
+// TestStreamResumes breaks each first stream off, between two events or within
+// one; another replica goes on behind the last whole event. The caller gets each
+// event once and the first replica's headers.
+func TestStreamResumes(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		for breakAt := 1; breakAt <= 5; breakAt++ {
+			a, b := newStandIn(t, "a", events(5, breakAt, torn)), newStandIn(t, "b", events(5, 0, false))
+			tf := newFleet(t, route(catalog.Stream, 2), a, b)
+			for range 10 {
+				resp, body, err := tf.ask(t)
+				if err != nil || pieces(body) != "1 2 3 4 5" {
+					t.Fatalf("torn %v, break at %d: got %q, %v", torn, breakAt, pieces(body), err)
+				}
+				if len(a.requests()) > 0 && breakAt > 1 && resp.Header.Get("By") != "a" {
+					t.Fatalf("the headers are those of %s", resp.Header.Get("By"))
+				}
+				if len(a.requests()) > 0 {
+					break
+				}
+			}
+		}
+	}
+}
+
+// TestBrokenStreamIsNotComplete breaks a stream off that may not be resumed: its
+// caller sees a cut connection.
+func TestBrokenStreamIsNotComplete(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		tf := newFleet(t, route(catalog.Stream, 1), newStandIn(t, "a", events(5, 3, torn)))
+		_, body, err := tf.ask(t)
+		if err == nil || pieces(body) != "1 2" {
+			t.Fatalf("torn %v: got %q, %v", torn, pieces(body), err)
+		}
+	}
+}
+
+// TestStreamBeforeItsFirstEvent breaks a stream off before anything was passed on:
+// one that may not be resumed is answered 502.
+func TestStreamBeforeItsFirstEvent(t *testing.T) {
+	tf := newFleet(t, route(catalog.Stream, 1), newStandIn(t, "a", events(5, 1, false)))
+	if resp, _, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+}
+
+// TestRepeatedEventsAreLeftOut lets the second replica begin from the start though
+// it was asked to go on.
+func TestRepeatedEventsAreLeftOut(t *testing.T) {
+	fromStart := func(c net.Conn, r *http.Request) bool {
+		r.Header.Del("After")
+		return events(5, 0, false)(c, r)
+	}
+	tf := newFleet(t, route(catalog.Stream, 2), newStandIn(t, "a", events(5, 4, false)), newStandIn(t, "b", fromStart))
+	for range 10 {
+		if _, body, err := tf.ask(t); err != nil || pieces(body) != "1 2 3 4 5" {
+			t.Fatalf("got %q, %v", pieces(body), err)
+		}
+	}
+}
+
+// TestSilentStreamMoves lets a replica fall silent within a stream: another goes on.
+func TestSilentStreamMoves(t *testing.T) {
+	silent := func(c net.Conn, r *http.Request) bool {
+		events(5, 3, false)(c, r)
+		time.Sleep(3 * time.Second)
+		return false
+	}
+	tf := newFleet(t, route(catalog.Stream, 2), newStandIn(t, "a", silent), newStandIn(t, "b", events(5, 0, false)))
+	for range 4 {
+		began := time.Now()
+		if _, body, err := tf.ask(t); err != nil || pieces(body) != "1 2 3 4 5" || time.Since(began) > 1500*time.Millisecond {
+			t.Fatalf("got %q, %v after %v", pieces(body), err, time.Since(began))
+		}
+	}
+}
+
+// TestCallerResumes passes a caller's own wish to go on behind an event.
+func TestCallerResumes(t *testing.T) {
+	tf := newFleet(t, route(catalog.Stream, 2), newStandIn(t, "a", events(5, 0, false)))
+	if _, body, err := tf.ask(t, "After", "3"); err != nil || pieces(body) != "4 5" {
+		t.Fatalf("got %q, %v", pieces(body), err)
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,268 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// replica serves each connection by a script; n counts connections from 0.
+func replica(t *testing.T, script func(n int, c net.Conn, in *bufio.Reader)) Replica {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return Replica{ID: "r1", Addr: l.Addr().String()}
+}
+
+// take reads one request and returns its id.
+func take(in *bufio.Reader) string {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("Id")
+}
+
+func say(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
+
+func request(id string, body []byte) *Request {
+	return &Request{
+		Method: http.MethodPost, URI: "/a?b=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: body,
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func whole(t *testing.T, c *Client, to Replica, r *Request) (string, error) {
+	t.Helper()
+	a, err := c.Send(t.Context(), to, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	data, err := io.ReadAll(a.Body)
+	return string(data), err
+}
+
+func client() *Client { return NewClient(300 * time.Millisecond) }
+
+func TestNothingListensIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	_, err = client().Send(t.Context(), Replica{ID: "r1", Addr: addr}, request("a", nil))
+	if got := outcome.Of(err).Outcome; got != outcome.NotRun {
+		t.Fatalf("got %v, want not-run: no connection was made", got)
+	}
+}
+
+func TestCloseAfterReadIsUnknown(t *testing.T) {
+	to := replica(t, func(_ int, _ net.Conn, in *bufio.Reader) { take(in) })
+	_, err := client().Send(t.Context(), to, request("a", nil))
+	if got := outcome.Of(err).Outcome; got != outcome.Unknown {
+		t.Fatalf("got %v, want unknown: the replica had read the request", got)
+	}
+}
+
+// TestKeptConnectionNeverReplays closes a kept connection after it has read the
+// second request: nothing may send that request again.
+func TestKeptConnectionNeverReplays(t *testing.T) {
+	got := make(chan string, 10)
+	to := replica(t, func(n int, c net.Conn, in *bufio.Reader) {
+		got <- take(in)
+		say(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
+		if id := take(in); id != "" {
+			got <- id
+		}
+	})
+	c := client()
+	if _, err := whole(t, c, to, request("a", nil)); err != nil {
+		t.Fatal(err)
+	}
+	r := request("b", nil)
+	r.Method = http.MethodGet
+	_, err := c.Send(t.Context(), to, r)
+	if outcome.Of(err).Outcome != outcome.Unknown {
+		t.Fatalf("got %v, want unknown", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if len(got) != 2 {
+		t.Fatalf("the replica read %d requests, want 2", len(got))
+	}
+}
+
+// TestStrayAnswerIsReadOff sends an answer of an earlier request first.
+func TestStrayAnswerIsReadOff(t *testing.T) {
+	to := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		take(in)
+		say(c, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold")
+		say(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nnew")
+		take(in)
+	})
+	body, err := whole(t, client(), to, request("a", nil))
+	if err != nil || body != "new" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
+
+// TestExtraAnswerSpoilsTheConnection sends a second answer behind the first; the
+// next request goes out on another connection.
+func TestExtraAnswerSpoilsTheConnection(t *testing.T) {
+	conns := make(chan int, 10)
+	to := replica(t, func(n int, c net.Conn, in *bufio.Reader) {
+		conns <- n
+		id := take(in)
+		say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 2\r\n\r\nok")
+		time.Sleep(20 * time.Millisecond)
+		say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 2\r\n\r\nno")
+		take(in)
+	})
+	c := client()
+	for _, id := range []string{"a", "b"} {
+		if body, err := whole(t, c, to, request(id, nil)); err != nil || body != "ok" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	if len(conns) != 2 {
+		t.Fatalf("%d connections were used, want 2", len(conns))
+	}
+}
+
+func TestCutBodyIsAnError(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := replica(t, func(_ int, c net.Conn, in *bufio.Reader) { take(in); say(c, answer) })
+			if _, err := whole(t, client(), to, request("a", nil)); err == nil {
+				t.Fatal("a body that broke off was taken for whole")
+			}
+		})
+	}
+}
+
+// TestUnframedAnswer ends with its connection: whole after a close, broken after a
+// reset.
+func TestUnframedAnswer(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		to := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
+			take(in)
+			say(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		body, err := whole(t, client(), to, request("a", nil))
+		if reset == (err == nil) {
+			t.Fatalf("reset %v: got %q, %v", reset, body, err)
+		}
+	}
+}
+
+// TestEarlyAnswer answers before a long body is read: the answer counts, and no
+// other request may go where the rest of the body is due.
+func TestEarlyAnswer(t *testing.T) {
+	conns := make(chan int, 10)
+	to := replica(t, func(n int, c net.Conn, in *bufio.Reader) {
+		conns <- n
+		id := ""
+		for line, err := in.ReadString('\n'); err == nil && line != "\r\n"; line, err = in.ReadString('\n') {
+			if v, ok := strings.CutPrefix(line, "Id: "); ok {
+				id = strings.TrimSpace(v)
+			}
+		}
+		say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 5\r\n\r\nearly")
+		time.Sleep(200 * time.Millisecond) // the body stays unread
+	})
+	c := client()
+	for _, id := range []string{"a", "b"} {
+		if body, err := whole(t, c, to, request(id, make([]byte, 8<<20))); err != nil || body != "early" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	if len(conns) != 2 {
+		t.Fatalf("%d connections were used, want 2", len(conns))
+	}
+}
+
+// TestCancelClosesTheConnection checks that a replica learns at once that nobody
+// waits any more.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	to := replica(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		take(in)
+		_, _ = in.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := client().Send(ctx, to, request("a", nil)); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the connection stayed open")
+	}
+}
+
+// TestIdleLimits checks that a connection is not used when the replica may be
+// about to close it.
+func TestIdleLimits(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		keeps time.Duration
+		idle  time.Duration
+		fresh bool
+	}{
+		{0, 9 * time.Second, true},
+		{0, 11 * time.Second, false},
+		{2 * time.Second, time.Second, true},
+		{2 * time.Second, 1500 * time.Millisecond, false},
+		{time.Second, 200 * time.Millisecond, true},
+		{time.Second, 400 * time.Millisecond, false},
+	} {
+		cn := &conn{since: now.Add(-c.idle), idleFor: c.keeps}
+		if cn.fresh(now) != c.fresh {
+			t.Errorf("kept for %v, idle for %v: fresh is %v", c.keeps, c.idle, !c.fresh)
+		}
+	}
+}
+
+// TestHeaderCannotSplit checks that no header's value can begin another line.
+func TestHeaderCannotSplit(t *testing.T) {
+	r := request("a", nil)
+	r.Header.Set("Evil", "x\r\nContent-Length: 9")
+	if head := string(r.head()); strings.Contains(head, "\r\nContent-Length: 9") {
+		t.Fatalf("the head was split: %q", head)
+	}
+}
