--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -293,3 +293,13 @@
 	d.Log.Close()
 	return nil
 }
+
+// Kill ends the daemon at once, as a kill of its process would.
+func (d *Daemon) Kill() {
+	d.cancel()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.duties.Wait()
+	d.Log.Close()
+}
--- /dev/null
+++ b/internal/lab/platformlab/replica.go
@@ -0,0 +1,296 @@
+package platformlab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Run is one request that a replica began to work on.
+type Run struct {
+	Replica   string
+	Request   string
+	Method    string
+	URI       string
+	Body      string
+	Workspace string
+	Salt      string
+	Version   int
+	Header    http.Header
+	At        time.Time
+}
+
+// Ledger records what all replicas ran. Safe for concurrent use.
+type Ledger struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+func (l *Ledger) add(r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+}
+
+// Runs returns all runs so far.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+// Of returns the runs of one request.
+func (l *Ledger) Of(request string) []Run {
+	var out []Run
+	for _, r := range l.Runs() {
+		if r.Request == request {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Replica is one incarnation of a target.
+type Replica struct {
+	ID      string
+	Service string
+	Zone    string
+	Model   string        // set: it serves a model
+	Work    time.Duration // for each request
+	Pieces  int           // events of a stream
+	Pause   time.Duration // between events
+
+	store   *Store
+	ledger  *Ledger
+	server  *http.Server
+	addr    string
+	mu      sync.Mutex
+	state   string
+	version int
+	busy    bool
+	orders  int
+	loading time.Duration
+	// Answers decides, if set, what happens to a request instead of the usual.
+	answers atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
+	silent  atomic.Bool // no connection is answered
+}
+
+// Addr is where the replica listens.
+func (r *Replica) Addr() string { return r.addr }
+
+// Version returns the weights that it has.
+func (r *Replica) Version() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// Start listens, on addr if it is given, and registers.
+func (r *Replica) Start(store *Store, ledger *Ledger, addr string) error {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	r.store, r.ledger, r.addr, r.state = store, ledger, l.Addr().String(), "ready"
+	if r.version == 0 {
+		r.version = 1
+	}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }() // ends with Stop
+	r.register()
+	return nil
+}
+
+// entry is what a replica writes about itself.
+type entry struct {
+	Service string       `json:"service"`
+	Address string       `json:"address"`
+	Zone    string       `json:"zone"`
+	Slots   int          `json:"slots"`
+	State   string       `json:"state"`
+	Models  []modelState `json:"models,omitempty"`
+	Seq     int          `json:"seq"`
+}
+
+type modelState struct {
+	Name    string `json:"name"`
+	Version int    `json:"version"`
+}
+
+const slots = 16
+
+func (r *Replica) register() {
+	r.mu.Lock()
+	e := entry{Service: r.Service, Address: r.addr, Zone: r.Zone, Slots: slots, State: r.state}
+	if r.Model != "" {
+		e.Models = []modelState{{r.Model, r.version}}
+	}
+	r.mu.Unlock()
+	r.store.Put("servers", r.ID, e)
+}
+
+// Drain reports that the replica leaves.
+func (r *Replica) Drain() {
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	r.register()
+}
+
+// Crash ends the replica at once; its entry stays.
+func (r *Replica) Crash() { _ = r.server.Close() }
+
+// Silence lets requests hang.
+func (r *Replica) Silence(on bool) { r.silent.Store(on) }
+
+// Answer lets f answer requests; it returns false for the usual answer. Nil: none.
+func (r *Replica) Answer(f func(w http.ResponseWriter, req *http.Request) bool) {
+	if f == nil {
+		r.answers.Store(nil)
+		return
+	}
+	r.answers.Store(&f)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.silent.Load() {
+		<-req.Context().Done()
+		return
+	}
+	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.ID {
+		w.Header().Set("X-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch req.URL.Path {
+	case "/threadwall/report":
+		r.report(w)
+	case "/threadwall/order":
+		r.order(w, req)
+	case "/threadwall/kv-events":
+		r.feed(w, req)
+	default:
+		r.run(w, req)
+	}
+}
+
+func (r *Replica) report(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{
+		"models": []modelState{{r.Model, r.version}}, "busy": r.busy, "seq": r.orders,
+	})
+}
+
+// Order is an order's body.
+type Order struct {
+	Op       string `json:"op"`
+	Model    string `json:"model"`
+	Version  int    `json:"version"`
+	Method   string `json:"method"`
+	Holder   string `json:"holder"`
+	Fence    int    `json:"fence"`
+	Expected *int   `json:"expected"`
+}
+
+func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
+	var o Order
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+		http.Error(w, "bad order", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.version == o.Version:
+		w.WriteHeader(http.StatusOK)
+		return
+	case r.busy, o.Expected != nil && *o.Expected != r.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	r.busy = true
+	r.orders++
+	time.AfterFunc(loadTime, func() {
+		r.mu.Lock()
+		r.version, r.busy = o.Version, false
+		r.mu.Unlock()
+		r.register()
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// loadTime is how long a replica loads weights.
+const loadTime = 150 * time.Millisecond
+
+func (r *Replica) feed(w http.ResponseWriter, req *http.Request) {
+	wait, _ := strconv.Atoi(req.Header.Get("Wait-Ms"))
+	select {
+	case <-time.After(time.Duration(wait) * time.Millisecond):
+	case <-req.Context().Done():
+		return
+	}
+	reply(w, http.StatusOK, map[string]any{"epoch": 1, "next": 1, "lost": false, "events": []any{}})
+}
+
+// run works on a request.
+func (r *Replica) run(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
+	r.mu.Lock()
+	version, busy := r.version, r.busy
+	r.mu.Unlock()
+	if want := req.Header.Get("X-Expect-Version"); r.Model != "" && want != "" && want != strconv.Itoa(version) {
+		w.Header().Set("X-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if busy {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.ledger.add(Run{
+		Replica: r.ID, Request: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body),
+		Workspace: req.Header.Get("X-Tenant-Id"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
+		Header: req.Header.Clone(), At: time.Now(),
+	})
+	if f := r.answers.Load(); f != nil && (*f)(w, req) {
+		return
+	}
+	time.Sleep(r.Work)
+	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
+	if r.Pieces == 0 {
+		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("X-Request-Id"))
+		return
+	}
+	r.stream(w, req)
+}
+
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	out := http.NewResponseController(w)
+	for n := after + 1; n <= r.Pieces; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, req.Header.Get("X-Request-Id")); err != nil {
+			return
+		}
+		if out.Flush() != nil {
+			return
+		}
+		time.Sleep(r.Pause)
+	}
+}
--- /dev/null
+++ b/internal/lab/platformlab/store.go
@@ -0,0 +1,297 @@
+// Package platformlab stands in for the platform that threadwall's users run: its
+// metadata store, replicas of engines and plain services, and callers that check
+// what they get. It speaks the platform's published protocol on loopback and lets
+// tests bring its troubles about.
+package platformlab
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Object is an object of the store.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Metadata names an object and its last change.
+type Metadata struct {
+	Name      string `json:"name"`
+	Rev       uint64 `json:"rev"`
+	CreateRev uint64 `json:"createRev"`
+}
+
+// change is an entry of the store's history.
+type change struct {
+	kind    string
+	object  Object
+	removed bool
+}
+
+// Trouble is what is wrong with the store.
+type Trouble struct {
+	// Down: "busy" answers 503, "reset" closes connections, "silent" never answers.
+	Down string
+	// Slow delays each answer.
+	Slow time.Duration
+	// LoseWrites is the part of writes that are done and not answered.
+	LoseWrites float64
+}
+
+// Store is the metadata store.
+type Store struct {
+	mu      sync.Mutex
+	rev     uint64
+	kinds   map[string]map[string]Object
+	history []change
+	oldest  uint64 // watches from before get 410
+	trouble Trouble
+	changed chan struct{}
+	cut     chan struct{}
+	Calls   map[string]int // by method and kind
+
+	server *httptest.Server
+}
+
+// NewStore starts a store on loopback.
+func NewStore() *Store {
+	s := &Store{kinds: map[string]map[string]Object{}, changed: make(chan struct{}), cut: make(chan struct{}), Calls: map[string]int{}}
+	s.server = httptest.NewServer(s)
+	return s
+}
+
+// URL is where the store answers.
+func (s *Store) URL() string { return s.server.URL }
+
+// Close stops the store.
+func (s *Store) Close() {
+	s.Set(Trouble{Down: "busy"})
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// Set changes what is wrong with the store. Waiting watches are cut off.
+func (s *Store) Set(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble = t
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// Compact drops the history and cuts waiting watches off.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.rev+1
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// Put writes an object, whatever its revision, and returns the store's.
+func (s *Store) Put(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // the lab's own types always encode
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, name, data).Metadata.Rev
+}
+
+// Remove deletes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.kinds[kind], name)
+	s.rev++
+	o.Metadata.Rev = s.rev
+	s.note(change{kind: kind, object: o, removed: true})
+}
+
+func (s *Store) put(kind, name string, spec json.RawMessage) Object {
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]Object{}
+	}
+	o, known := s.kinds[kind][name]
+	if known && slices.Equal(o.Spec, spec) {
+		return o // nothing changes, so there is no event
+	}
+	s.rev++
+	if !known {
+		o.Metadata = Metadata{Name: name, CreateRev: s.rev}
+	}
+	o.Metadata.Rev, o.Spec = s.rev, spec
+	s.kinds[kind][name] = o
+	s.note(change{kind: kind, object: o})
+	return o
+}
+
+func (s *Store) note(c change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+const prefixObjects = "/threadwall/objects/"
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefixObjects), "/")
+	s.mu.Lock()
+	t := s.trouble
+	s.Calls[r.Method+" "+kind]++
+	s.mu.Unlock()
+	time.Sleep(t.Slow)
+	switch t.Down {
+	case "busy":
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	case "reset":
+		panic(http.ErrAbortHandler)
+	case "silent":
+		<-r.Context().Done()
+		return
+	}
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet && name == "":
+		s.list(w, kind, r.URL.Query().Get("after"))
+	case r.Method == http.MethodGet:
+		s.get(w, kind, name)
+	case r.Method == http.MethodDelete:
+		s.Remove(kind, name)
+	default:
+		s.write(w, r, kind, name, t.LoseWrites)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.kinds[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, nil)
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
+
+// pageSize is how many objects a page of a list holds; small, so that tests page.
+const pageSize = 5
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	names := make([]string, 0, len(s.kinds[kind]))
+	for name := range s.kinds[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	truncated := len(names) > pageSize
+	items := []Object{}
+	for _, name := range names[:min(len(names), pageSize)] {
+		items = append(items, s.kinds[kind][name])
+	}
+	rev := s.rev
+	s.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "storeRevision": rev})
+}
+
+// event is one change as a watch tells it.
+type event struct {
+	Object  Object `json:"object"`
+	Removed bool   `json:"removed"`
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events, gone, rev := s.since(kind, after)
+		changed, cut := s.changed, s.cut
+		s.mu.Unlock()
+		if gone {
+			http.Error(w, "the history is gone", http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
+			return
+		}
+		select {
+		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		case <-end:
+			reply(w, http.StatusOK, map[string]any{"events": []event{}, "storeRevision": rev})
+			return
+		}
+	}
+}
+
+// since returns the changes of a kind after a revision. The lock is held.
+func (s *Store) since(kind string, after uint64) (events []event, gone bool, rev uint64) {
+	if after+1 < s.oldest {
+		return nil, true, s.rev
+	}
+	for _, c := range s.history {
+		if c.kind == kind && c.object.Metadata.Rev > after {
+			events = append(events, event{Object: c.object, Removed: c.removed})
+		}
+	}
+	return events, false, s.rev
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string, lose float64) {
+	var in Object
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	create := r.Method == http.MethodPost
+	if create {
+		name = in.Metadata.Name
+	}
+	s.mu.Lock()
+	old, known := s.kinds[kind][name]
+	var o Object
+	status := http.StatusOK
+	switch {
+	case create && known, !create && in.Metadata.Rev != 0 && in.Metadata.Rev != old.Metadata.Rev:
+		o, status = old, http.StatusConflict
+	case !create && !known:
+		status = http.StatusNotFound
+	default:
+		o = s.put(kind, name, in.Spec)
+	}
+	s.mu.Unlock()
+	if status == http.StatusOK && rand.Float64() < lose {
+		panic(http.ErrAbortHandler) // done, and not answered
+	}
+	reply(w, status, o)
+}
