--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -73,7 +73,7 @@
 }
 
 // Metrics are this VM's counters, published under "threadwall/VM" by expvar.
-// docs/OPERATING.md explains each.
+// docs/OPERATIONS.md explains each.
 type Metrics struct {
 	Requests       int64 `json:"requests"`
 	Refused        int64 `json:"refused"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,6 +92,7 @@
 	feeds   *kvfeed.Feeds
 	budgets *retry.Services
 	news    *news.Exchange
+	vms     vmList
 	ready   readiness
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -195,6 +196,7 @@
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
 	}
+	d.vms.d = d
 	d.ready.set(false, "starting")
 }
 
--- /dev/null
+++ b/internal/edge/vms.go
@@ -0,0 +1,128 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/follow"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/news"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+// prefixVMs is where entry VMs register. Nothing there expires: a VM that is gone
+// only makes the others' shares of common budgets smaller.
+const prefixVMs = "entry-vms/"
+
+// vmRecord is a VM's entry.
+type vmRecord struct {
+	VM            ids.VM            `json:"vm"`
+	FailureDomain ids.FailureDomain `json:"failure_domain"`
+	PeerAddr      string            `json:"peer_addr"`
+}
+
+// registerRetry is the pause between tries to register.
+const registerRetry = time.Second
+
+// register writes this VM's entry once.
+func (d *Daemon) register(ctx context.Context) {
+	value, err := json.Marshal(vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen})
+	for err == nil {
+		err = d.writeEntry(ctx, prefixVMs+string(d.Settings.VM), value)
+		if err == nil {
+			return
+		}
+		d.Log.Belief("not-registered").Str("error", err.Error()).Send()
+		if !timing.Sleep(ctx, registerRetry/2+rand.N(registerRetry)) {
+			return
+		}
+		err = nil
+	}
+}
+
+func (d *Daemon) writeEntry(ctx context.Context, key string, value []byte) error {
+	_, err := d.adapter.Store.Create(ctx, key, value)
+	if !errors.Is(err, objectapi.ErrExists) {
+		return err
+	}
+	o, err := d.adapter.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if slices.Equal(o.Value, value) {
+		return nil
+	}
+	_, err = d.adapter.Store.Update(ctx, key, value, o.Version)
+	return eris.Wrap(err, "update this VM's entry")
+}
+
+// vmList follows the list of entry VMs.
+type vmList struct {
+	d  *Daemon
+	mu sync.Mutex
+	at map[string]vmRecord
+}
+
+var _ follow.Handler = (*vmList)(nil)
+
+// Listed implements follow.Handler.
+func (c *vmList) Listed(objects []objectapi.Object, _ time.Time, _ bool) {
+	c.mu.Lock()
+	c.at = map[string]vmRecord{}
+	c.mu.Unlock()
+	c.Changed(objects, time.Time{})
+}
+
+// Changed implements follow.Handler.
+func (c *vmList) Changed(events []objectapi.Object, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range events {
+		if o.Deleted {
+			delete(c.at, o.Key)
+			continue
+		}
+		var r vmRecord
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			c.d.Log.Belief("vm-rejected").Str("key", o.Key).Str("error", err.Error()).Send()
+			continue
+		}
+		c.at[o.Key] = r
+	}
+	c.d.budgets.SetVMs(len(c.at))
+	peers := make([]news.Peer, 0, len(c.at))
+	for _, r := range c.at {
+		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
+	}
+	c.d.news.SetPeers(peers)
+	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
+}
+
+// Unchanged implements follow.Handler.
+func (c *vmList) Unchanged(time.Time) {}
+
+// rank is how many VMs come before this one for a target, by rendezvous.
+func (c *vmList) rank(id ids.Target) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own, before := weight(id, c.d.Settings.VM), 0
+	for _, r := range c.at {
+		if weight(id, r.VM) > own {
+			before++
+		}
+	}
+	return before
+}
+
+func weight(id ids.Target, vm ids.VM) uint64 {
+	return routing.HashTarget(ids.Target(string(id) + "\x00" + string(vm)))
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,6 +32,12 @@
 	beliefBurst = 400
 )
 
+// timeFormat shows milliseconds: a request lasts some tens of them.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// zerolog takes the format from a variable of its package, for all loggers.
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // Log is a process's event log. Safe for concurrent use. The zero value of a
 // pointer is a log that writes nothing.
 type Log struct {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,7 @@
 	attempts int  // sends that may have run
 	mayRan   bool // an attempt ended in another way than not-run
 	begun    bool // something of the answer was passed on
+	status   int  // the status that was passed on
 	stream   streamState
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,8 +72,10 @@
 	return reply.Request == r.call.ID
 }
 
-// passHead copies an answer's head to the caller's side.
-func (r *run) passHead(a *upstream.Answer) {
+// passHead passes an answer's head on. length is that of its body; negative: not
+// known.
+func (r *run) passHead(a *upstream.Answer, length int) {
+	r.begun, r.status = true, a.Status
 	out := r.w.Header()
 	in := maps.Clone(a.Header)
 	dropHop(in)
@@ -83,5 +86,9 @@
 	if _, ok := out["Date"]; !ok {
 		out["Date"] = nil
 	}
+	if length >= 0 {
+		out.Set("Content-Length", strconv.Itoa(length))
+	}
 	r.closeIfDraining()
+	r.w.WriteHeader(a.Status)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -31,7 +31,7 @@
 	for {
 		err := r.attempt(ctx)
 		if err == nil {
-			r.logEnd(http.StatusOK, nil)
+			r.logEnd(r.status, nil)
 			return
 		}
 		if errors.Is(err, errCallerGone) || r.req.Context().Err() != nil {
@@ -62,7 +62,7 @@
 		return
 	}
 	r.f.Stats.Broken.Add(1)
-	r.logEnd(http.StatusOK, e)
+	r.logEnd(r.status, e)
 	panic(http.ErrAbortHandler) // the caller must not take the answer for whole
 }
 
@@ -179,7 +179,7 @@
 	if r.route.Kind == streamKind && a.Status < http.StatusMultipleChoices {
 		return t.relay(a)
 	}
-	return t.whole(a, reply)
+	return t.whole(a)
 }
 
 // computed notes that the replica is done with the prompt's shared parts, once.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,9 @@
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
+// unknownLength is that of a body which is passed on as it comes.
+const unknownLength = -1
+
 // streamState is how far a call's stream has come, over all its attempts.
 type streamState struct {
 	last     uint64 // number of the last event passed on
@@ -67,9 +70,7 @@
 func (t *try) pass(a *upstream.Answer, ev *relay.RawEvent) error {
 	r := t.r
 	if !r.begun {
-		r.begun = true
-		r.passHead(a)
-		r.w.WriteHeader(a.Status)
+		r.passHead(a, unknownLength)
 	}
 	r.f.Stats.Events.Add(1)
 	if ev.Numbered {
@@ -84,9 +85,7 @@
 	r := t.r
 	t.stall.stop()
 	if !r.begun {
-		r.begun = true
-		r.passHead(a)
-		r.w.WriteHeader(a.Status)
+		r.passHead(a, unknownLength)
 	}
 	return nil
 }
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/upstream"
@@ -16,7 +15,7 @@
 const wholeBytes = 512 << 10
 
 // whole passes on an answer that is no stream of events.
-func (t *try) whole(a *upstream.Answer, _ Reply) *outcome.Error {
+func (t *try) whole(a *upstream.Answer) *outcome.Error {
 	var buf bytes.Buffer
 	n, err := io.CopyN(&buf, a.Body, wholeBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -25,12 +24,11 @@
 	t.stall.stop()
 	t.work.FirstToken()
 	r := t.r
-	r.passHead(a)
-	r.begun = true
+	length := unknownLength
 	if n < wholeBytes && r.req.Method != http.MethodHead {
-		r.w.Header().Set("Content-Length", strconv.Itoa(buf.Len()))
+		length = buf.Len()
 	}
-	r.w.WriteHeader(a.Status)
+	r.passHead(a, length)
 	if _, err := r.w.Write(buf.Bytes()); err != nil {
 		return t.callerGone(err)
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -46,7 +46,7 @@
 // Code is a stable, machine-readable reason that callers see.
 type Code string
 
-// Codes that callers can meet. README and docs/OPERATING.md list them.
+// Codes that callers can meet. README and docs/OPERATIONS.md list them.
 const (
 	CodeInvalidKey      Code = "invalid_api_key"
 	CodeBadRequest      Code = "invalid_request"
