--- a/internal/cli/queries/vms.go
+++ b/internal/cli/queries/vms.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"os"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -137,12 +138,18 @@
 func Explain() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "show why a request went where it did",
+		Usage:     "show why a request went where it did, from the VMs' memory or from their logs",
 		ArgsUsage: "REQUEST",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "logs", Usage: "read the daemons' logs from `FILE` (- is the standard input) in place of asking the VMs"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
 				return eris.New("explain needs a request's id, as answers carry it in X-Request-Id")
 			}
+			if files := c.StringSlice("logs"); len(files) > 0 {
+				return explainFromLogs(c, files)
+			}
 			events, missing, err := gather(ctx, c, c.Args().First())
 			if err != nil {
 				return err
@@ -162,6 +169,23 @@
 	}
 }
 
+// explainFromLogs prints what the logs tell of a request.
+func explainFromLogs(c *cli.Command, files []string) error {
+	lines, err := openLogs(files, os.Stdin)
+	if err != nil {
+		return err
+	}
+	found := explainLogs(lines, c.Args().First())
+	if len(found) == 0 {
+		return eris.Errorf("no line in %v is about request %s", files, c.Args().First())
+	}
+	return common.Print(c, found, func(w io.Writer) {
+		for _, l := range found {
+			common.Row(w, l.Time.Format("15:04:05.000"), l.VM, l.Event, l.text())
+		}
+	})
+}
+
 func printDecision(w io.Writer, detail json.RawMessage) {
 	var d routing.Record
 	if json.Unmarshal(detail, &d) != nil {
