--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -66,17 +66,17 @@
 	Pieces  int           // events of a stream
 	Pause   time.Duration // between events
 
-	store   *Store
-	ledger  *Ledger
-	server  *http.Server
-	addr    string
-	mu      sync.Mutex
-	state   string
-	version int
-	busy    bool
-	orders  int
-	loading time.Duration
-	// Answers decides, if set, what happens to a request instead of the usual.
+	store     *Store
+	ledger    *Ledger
+	server    *http.Server
+	addr      string
+	published string
+	mu        sync.Mutex
+	state     string
+	version   int
+	busy      bool
+	orders    int
+	// answers decides, if set, what happens to a request instead of the usual.
 	answers atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
 	silent  atomic.Bool // no connection is answered
 }
@@ -96,20 +96,41 @@
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
+	if err := r.listen(ledger, addr); err != nil {
+		return err
+	}
+	r.Register(store, r.addr)
+	return nil
+}
+
+// Listen listens without registering.
+func (r *Replica) Listen(ledger *Ledger) error { return r.listen(ledger, "127.0.0.1:0") }
+
+func (r *Replica) listen(ledger *Ledger, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	r.store, r.ledger, r.addr, r.state = store, ledger, l.Addr().String(), "ready"
+	r.ledger, r.addr, r.state = ledger, l.Addr().String(), "ready"
 	if r.version == 0 {
 		r.version = 1
 	}
 	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }() // ends with Stop
-	r.register()
+	go func() { _ = r.server.Serve(l) }() // ends with Crash
 	return nil
 }
 
+// Register publishes the replica under an address, which may be that of a proxy.
+func (r *Replica) Register(store *Store, published string) {
+	r.mu.Lock()
+	r.store, r.published = store, published
+	r.mu.Unlock()
+	r.register()
+}
+
+// SetVersion sets the weights before the replica starts.
+func (r *Replica) SetVersion(v int) { r.version = v }
+
 // entry is what a replica writes about itself.
 type entry struct {
 	Service string       `json:"service"`
@@ -130,12 +151,15 @@
 
 func (r *Replica) register() {
 	r.mu.Lock()
-	e := entry{Service: r.Service, Address: r.addr, Zone: r.Zone, Slots: slots, State: r.state}
+	e := entry{Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state}
 	if r.Model != "" {
 		e.Models = []modelState{{r.Model, r.version}}
 	}
+	store := r.store
 	r.mu.Unlock()
-	r.store.Put("servers", r.ID, e)
+	if store != nil {
+		store.Put("servers", r.ID, e)
+	}
 }
 
 // Drain reports that the replica leaves.
--- a/internal/lab/platformlab/store.go
+++ b/internal/lab/platformlab/store.go
@@ -151,7 +151,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefixObjects), "/")
 	s.mu.Lock()
-	t := s.trouble
+	t, cut := s.trouble, s.cut
 	s.Calls[r.Method+" "+kind]++
 	s.mu.Unlock()
 	time.Sleep(t.Slow)
@@ -162,8 +162,11 @@
 	case "reset":
 		panic(http.ErrAbortHandler)
 	case "silent":
-		<-r.Context().Done()
-		return
+		select {
+		case <-r.Context().Done():
+		case <-cut: // a request whose body is unread doesn't notice that its caller has gone
+		}
+		panic(http.ErrAbortHandler)
 	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// call is one call of a caller and what became of it.
+type call struct {
+	id      string
+	path    string
+	key     string
+	vm      *process
+	sent    time.Time
+	ended   time.Time
+	status  int // zero: no answer
+	body    string
+	broken  bool // the answer broke off
+	signed  bool
+	calm    bool // nothing was wrong with its VM, nor anywhere else, from before it to its end
+	version int  // configuration that was confirmed long before it was sent
+}
+
+// Paths of the soak's routes, by kind.
+const (
+	pathOnce   = "/once/"
+	pathRepeat = "/repeat/"
+	pathStream = "/stream/"
+)
+
+var paths = []string{pathOnce, pathRepeat, pathStream}
+
+// callers make calls without end, each over kept connections of its own.
+type callers struct {
+	w      *world
+	number atomic.Int64
+	mu     sync.Mutex
+	calls  []call
+	wg     sync.WaitGroup
+}
+
+// callPause is the pause between two calls of one caller.
+const callPause = 15 * time.Millisecond
+
+// run starts n callers that call until ctx ends.
+func (c *callers) run(ctx context.Context, n int, seed uint64) {
+	for i := range n {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		transport := &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}
+		c.wg.Go(func() {
+			defer transport.CloseIdleConnections()
+			for ctx.Err() == nil {
+				c.one(rng, transport)
+				time.Sleep(callPause/2 + rand.N(callPause))
+			}
+		})
+	}
+}
+
+// deadline is how long callers wait.
+const deadline = 2 * time.Second
+
+// one makes one call to a random VM.
+func (c *callers) one(rng *rand.Rand, transport *http.Transport) {
+	w := c.w
+	out := call{
+		id: fmt.Sprintf("s%08d", c.number.Add(1)), path: paths[rng.IntN(len(paths))],
+		vm: w.vms[rng.IntN(len(w.vms))], version: w.confirmed(),
+	}
+	out.key = w.key(rng.IntN(keyCount))
+	calm := w.calm(out.vm)
+	out.sent = time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+out.vm.listen+out.path+"x", strings.NewReader("body of "+out.id))
+	if err != nil {
+		panic(err) // the soak's own addresses are always valid
+	}
+	req.GetBody = nil
+	req.Host = host
+	req.Header.Set("X-Request-Id", out.id)
+	req.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Api-Key", out.key)
+	if out.path == pathStream {
+		req.Header.Set("X-Model", model)
+		req.Header.Set("X-Token-Count", "1000,50")
+		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:500,b%d:400,%s:100", rng.IntN(20), out.id))
+	}
+	resp, err := transport.RoundTrip(req)
+	if err == nil {
+		out.status, out.signed = resp.StatusCode, resp.Header.Get("X-Response-Signature") != ""
+		data, rerr := io.ReadAll(resp.Body)
+		out.body, out.broken = string(data), rerr != nil
+		_ = resp.Body.Close()
+	}
+	out.ended = time.Now()
+	out.calm = calm && w.calm(out.vm)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, out)
+}
+
+// all returns the calls so far.
+func (c *callers) all() []call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]call(nil), c.calls...)
+}
+
+// want is the body of a whole answer.
+func (c *call) want() string {
+	if c.path != pathStream {
+		return "answer to " + c.id
+	}
+	var b strings.Builder
+	for n := 1; n <= pieces; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", n, n, c.id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// process is one threadwalld. Only processes that the soak started are signalled,
+// by their ids.
+type process struct {
+	name     string
+	program  string
+	settings string // file
+	log      string // file
+	listen   string
+	ready    string
+	store    *Proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	gone    chan struct{}
+	faulty  time.Time // when the last fault on it or on its path to the store began or ended
+	stopped bool      // SIGTERM was sent, it has not started again
+}
+
+// newProcess writes settings for a VM and starts it.
+func newProcess(dir, program, name, storeAddr string) (*process, error) {
+	store, err := NewProxy(storeAddr)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name: name, program: program, store: store,
+		settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"),
+	}
+	addrs, err := freeAddrs(4)
+	if err != nil {
+		return nil, err
+	}
+	p.listen, p.ready = addrs[0], addrs[1]
+	s := map[string]any{
+		"vm": name, "failure_domain": "z1", "listen": p.listen, "peer_listen": addrs[2], "admin_listen": addrs[3],
+		"store": "http://" + store.Addr(), "store_timeout": "500ms",
+		"edge": map[string]any{
+			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
+			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(),
+		},
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(p.settings, data, 0o600); err != nil {
+		return nil, eris.Wrap(err, "write settings")
+	}
+	return p, p.start()
+}
+
+// freeAddrs returns addresses on loopback that are free now.
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// start starts the process, unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+	defer func() { _ = out.Close() }() // the process has its own
+	cmd := exec.Command(p.program, "run", "-s", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := cmd.Start(); err != nil {
+		return eris.Wrapf(err, "start %s", p.name)
+	}
+	gone := make(chan struct{})
+	p.cmd, p.gone, p.stopped = cmd, gone, false
+	go func() {
+		_ = cmd.Wait() // how it ended shows in its log
+		p.mu.Lock()
+		p.cmd = nil
+		p.mu.Unlock()
+		close(gone)
+	}()
+	return nil
+}
+
+// signal sends a signal, if the process runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faulty = time.Now()
+	if s == syscall.SIGTERM {
+		p.stopped = true
+	}
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may just have ended
+	}
+}
+
+// touch notes a fault on the process's path.
+func (p *process) touch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faulty = time.Now()
+}
+
+// calm tells whether the process runs and had no fault for a while.
+func (p *process) calm(since time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.stopped && time.Since(p.faulty) > since
+}
+
+// await waits until the process has ended.
+func (p *process) await(limit time.Duration) bool {
+	p.mu.Lock()
+	gone, running := p.gone, p.cmd != nil
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-gone:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// isReady asks as the platform's balancer does.
+func (p *process) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get(fmt.Sprintf("http://%s/threadwall/ready", p.ready))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// end kills the process and its proxy.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.await(time.Second)
+	p.store.Close()
+}
