--- a/internal/durations/set.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package durations
-
-import "time"
-
-// Set changes d.
-func (d *Duration) Set(v time.Duration) { *d = Duration(v) }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,13 +43,14 @@
 	Cache   *cacheview.Index
 	Load    *loadview.Tracker
 
-	policy  *routing.Router
-	counter atomic.Uint64
-	snap    atomic.Pointer[Snapshot]
-	dirty   atomic.Bool
-	scratch sync.Pool
-	now     func() time.Time
-	rate    float64 // prefill rate of targets that don't tell theirs, in tokens/s
+	policy     *routing.Router
+	counter    atomic.Uint64
+	snap       atomic.Pointer[Snapshot]
+	dirty      atomic.Bool
+	refreshing sync.Mutex
+	scratch    sync.Pool
+	now        func() time.Time
+	rate       float64 // prefill rate of targets that don't tell theirs, in tokens/s
 }
 
 // AssumeRate sets the prefill rate of targets that don't tell theirs, in tokens/s.
@@ -68,7 +69,12 @@
 }
 
 // Refresh makes a new snapshot. A duty calls it every few tens of milliseconds.
+//
+// One refresh follows the other: one that began earlier would otherwise put an
+// older picture in the place of a newer one.
 func (f *Fleet) Refresh() *Snapshot {
+	f.refreshing.Lock()
+	defer f.refreshing.Unlock()
 	f.dirty.Store(false)
 	now := f.now()
 	statuses := f.Members.Targets(now)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -16,6 +16,10 @@
 	// API key is sent on: within it a key that was taken away stops working. Default
 	// 0: any age.
 	KeyTTL durations.Duration `json:"key_ttl,omitempty"`
+	// ProofEvery is how often the configuration is proven to be the newest, at least.
+	// Shorter: more calls of the store; longer: less of KeyTTL is left when the store
+	// is away. Default 0.3 of KeyTTL, or 10s without it.
+	ProofEvery durations.Duration `json:"proof_every,omitempty"`
 	// WeightsWithin is how long older weights may be used after newer ones were
 	// named. Default 10s.
 	WeightsWithin durations.Duration `json:"weights_within,omitempty"`
@@ -33,11 +37,23 @@
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"min=0"`
 }
 
+// proofShare is ProofEvery as a part of KeyTTL: a proof counts from the sending of
+// its call, so its age reaches twice that and the time of an answer.
+const proofShare = 0.3
+
+// defaultProofEvery is for VMs whose keys need no proof.
+const defaultProofEvery = 10 * time.Second
+
 // withDefaults returns e with every unset field at its default.
 func (e Edge) withDefaults() Edge {
 	e.WeightsWithin = durations.Duration(e.WeightsWithin.Or(10 * time.Second))
 	e.OrderTurn = durations.Duration(e.OrderTurn.Or(3 * time.Second))
 	e.Grace = durations.Duration(e.Grace.Or(10 * time.Second))
+	proof := defaultProofEvery
+	if e.KeyTTL > 0 {
+		proof = time.Duration(float64(e.KeyTTL) * proofShare)
+	}
+	e.ProofEvery = durations.Duration(e.ProofEvery.Or(proof))
 	orDefault(&e.RetryRatio, 0.1)
 	orDefault(&e.RetryBurst, 10)
 	orDefault(&e.MemoryMB, 256)
