--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,7 +50,7 @@
 	c.keys(k, runs)
 	c.inForce(k)
 	c.replicas(k, runs)
-	if k.calm && !c.good(k) {
+	if c.w.calmServes && k.calm && !c.good(k) {
 		c.say("call %s on %s to %s with nothing wrong anywhere: status %d, broken %v, after %v", k.id, k.path, k.vm.name, k.status, k.broken, k.ended.Sub(k.sent))
 	}
 }
@@ -135,7 +135,7 @@
 			c.say("call %s ran with weights %d under the salt %q", k.id, r.Version, r.Salt)
 		}
 		left, ok := c.w.left[r.Replica]
-		if ok && k.calm && k.sent.After(left.Add(drainTime)) {
+		if ok && c.w.calmServes && k.calm && k.sent.After(left.Add(drainTime)) {
 			c.say("call %s ran at %s, %v after that began to leave", k.id, r.Replica, k.sent.Sub(left))
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,9 @@
 	Callers int
 	// Faults is for how long faults are injected; calls go on for a while after.
 	Faults time.Duration
+	// Busy tells that the machine has other work: bounds in time, such as that every
+	// call is served while nothing is wrong, are not checked then.
+	Busy bool
 	// Keep leaves settings and logs in place also when all promises were kept.
 	Keep bool
 }
@@ -52,6 +55,7 @@
 	}
 	w, err := newWorld(dir, o.Program, o.VMs)
 	defer w.close()
+	w.calmServes = !o.Busy
 	if err != nil {
 		return report, err
 	}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,39 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// regressions are seeds that once broke a promise, with the cause. What a seed draws
+// is fixed; how it falls in time is not, so each cause has a test of its own, too.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "VMs with short key lifetimes became unready by turns: the watch's wait did not follow them (settings, platform TestCalmDay)"},
+	{110, "a decision took the snapshot from before a change that was being taken in (fleet TestSnapshotShowsMarkedChanges)"},
+}
+
+// TestSoak runs the daemon as processes under drawn faults for some seconds. Bounds in
+// time are left out: CI's machine may be busy.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "threadwalld")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/threadwalld").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, r := range regressions {
+		report, err := Run(t.Context(), Options{Program: program, Seed: r.seed, VMs: 3, Callers: 6, Faults: 3 * time.Second, Busy: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", r.seed, err)
+		}
+		if len(report.Broken) > 0 {
+			t.Errorf("seed %d (%s): %v, logs %v", r.seed, r.cause, report.Broken, report.Logs)
+		}
+		if report.Served == 0 {
+			t.Errorf("seed %d: no call was served", r.seed)
+		}
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -45,6 +45,8 @@
 	store  *platformlab.Store
 	ledger *platformlab.Ledger
 	vms    []*process
+	// calmServes: calls while nothing is wrong must be served, and bounds in time hold.
+	calmServes bool
 
 	mu        sync.Mutex
 	replicas  []*replica
