Let a few VMs prove that the configuration is the newest, and the others ask them

Change: six VMs watch with short waits; a VM that asks one of them counts the proof from the sending of its question (package news), so late datagrams make a proof older and never younger. Changes of replicas are gathered for 8 ms a VM. Five VMs look at the lease often, the rest every 6 s.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -21,6 +21,10 @@
 	// holderEvery is how often the lease's holder renews, and others look.
 	holderEvery = 700 * time.Millisecond
 	otherEvery  = 1400 * time.Millisecond
+	// candidates is how many VMs look often, so that one takes over soon; farEvery is
+	// how often the rest does, for the case that all of them are gone.
+	candidates = 5
+	farEvery   = 6 * time.Second
 	// roundEvery is how often the holder compares what is and what is wanted.
 	roundEvery = 100 * time.Millisecond
 )
@@ -39,10 +43,11 @@
 // context ends.
 func (d *Daemon) dutyTable() map[string]func(context.Context) {
 	return map[string]func(context.Context){
-		"follow-config":   d.follower(d.adapter.PrefixConfig, &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, Log: d.Log}),
-		"follow-replicas": d.follower(d.adapter.PrefixReplicas, d.Replicas),
-		"follow-weights":  d.follower(d.adapter.PrefixWeights, d.Weights),
-		"follow-vms":      d.follower(prefixVMs, &d.vms),
+		"follow-config":   d.follower(d.adapter.PrefixConfig, d.catalogs(), d.configWait, nil),
+		"follow-replicas": d.follower(d.adapter.PrefixReplicas, d.Replicas, nil, d.gather),
+		"follow-weights":  d.follower(d.adapter.PrefixWeights, d.Weights, nil, nil),
+		"follow-vms":      d.follower(prefixVMs, &d.vms, nil, d.gather),
+		"ask-proofs":      d.askProofs,
 		"register":        d.register,
 		"readiness":       d.judge,
 		"refresh":         every(refreshEvery, func() { d.Fleet.Refresh() }),
@@ -57,8 +62,8 @@
 	}
 }
 
-func (d *Daemon) follower(prefix string, h follow.Handler) func(context.Context) {
-	f := &follow.Follower{Store: d.adapter.Store, Prefix: prefix, Handler: h, Log: d.Log}
+func (d *Daemon) follower(prefix string, h follow.Handler, wait, gather func() time.Duration) func(context.Context) {
+	f := &follow.Follower{Store: d.adapter.Store, Prefix: prefix, Handler: h, Log: d.Log, Wait: wait, Gather: gather}
 	return f.Run
 }
 
@@ -83,14 +88,25 @@
 			held = holds
 			d.Log.Belief("lease").Bool("held", holds).Uint64("fence", token.Fence).Send()
 		}
-		pause := otherEvery/2 + rand.N(otherEvery)
-		if holds {
-			pause = holderEvery
-		}
-		timing.Sleep(ctx, pause)
+		timing.Sleep(ctx, d.leasePause(holds))
 	}
 }
 
+// leasePause is the time until this VM looks at the lease again.
+func (d *Daemon) leasePause(holds bool) time.Duration {
+	switch {
+	case holds:
+		return holderEvery
+	case d.vms.rank(leaseName) < candidates:
+		return otherEvery/2 + rand.N(otherEvery)
+	default:
+		return farEvery/2 + rand.N(farEvery)
+	}
+}
+
+// leaseName names the lease for orders, in the store and for rendezvous.
+const leaseName = "orders"
+
 // giveOrders compares what is with what is wanted while this VM holds the lease.
 func (d *Daemon) giveOrders(ctx context.Context) {
 	for timing.Sleep(ctx, roundEvery) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -93,6 +94,7 @@
 	budgets *retry.Services
 	news    *news.Exchange
 	vms     vmList
+	behind  atomic.Uint64 // a newer version that a peer has proven
 	ready   readiness
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -184,7 +186,7 @@
 		},
 	}
 	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Log: d.Log}
-	d.Lease = lease.New(d.adapter.Store, "orders", s.VM, leaseTuning(edge.OrderTurn.D()), nil)
+	d.Lease = lease.New(d.adapter.Store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
 		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Loads: d.Fleet, Log: d.Log, Ordering: d.ordering,
 		Hurry: time.Duration(float64(edge.WeightsWithin.D()) * hurryShare),
@@ -195,6 +197,7 @@
 	}
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
+		Prove: d.proof, Proven: d.proven,
 	}
 	d.vms.d = d
 	d.ready.set(false, "starting")
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -110,6 +110,17 @@
 // Unchanged implements follow.Handler.
 func (c *vmList) Unchanged(time.Time) {}
 
+// names returns all VMs.
+func (c *vmList) names() []ids.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]ids.VM, 0, len(c.at))
+	for _, r := range c.at {
+		out = append(out, r.VM)
+	}
+	return out
+}
+
 // rank is how many VMs come before this one for a target, by rendezvous.
 func (c *vmList) rank(id ids.Target) int {
 	c.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,6 +41,11 @@
 	Prefix  string
 	Handler Handler
 	Log     *eventlog.Log
+	// Wait tells how long a watch waits for a change. Nil: as long as the store likes.
+	Wait func() time.Duration
+	// Gather tells how long to wait after a change for others, so that a row of them
+	// costs one call. Nil: not at all.
+	Gather func() time.Duration
 
 	after objectapi.Revision // zero: list first
 	lost  bool
@@ -82,6 +87,9 @@
 		f.Handler.Listed(objects, sent, f.lost)
 		return nil
 	}
+	if f.Wait != nil {
+		ctx = objectapi.WithWait(ctx, f.Wait())
+	}
 	events, rev, err := f.Store.Watch(ctx, f.Prefix, f.after)
 	if err != nil {
 		return err
@@ -89,6 +97,9 @@
 	f.after = max(rev, f.after)
 	if len(events) > 0 {
 		f.Handler.Changed(events, sent)
+		if f.Gather != nil {
+			timing.Sleep(ctx, f.Gather())
+		}
 	} else {
 		f.Handler.Unchanged(sent)
 	}
--- a/internal/lab/platformlab/store.go
+++ b/internal/lab/platformlab/store.go
@@ -56,14 +56,14 @@
 	trouble Trouble
 	changed chan struct{}
 	cut     chan struct{}
-	Calls   map[string]int // by method and kind
+	calls   map[string]int // by method and kind
 
 	server *httptest.Server
 }
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
-	s := &Store{kinds: map[string]map[string]Object{}, changed: make(chan struct{}), cut: make(chan struct{}), Calls: map[string]int{}}
+	s := &Store{kinds: map[string]map[string]Object{}, changed: make(chan struct{}), cut: make(chan struct{}), calls: map[string]int{}}
 	s.server = httptest.NewServer(s)
 	return s
 }
@@ -96,6 +96,13 @@
 	s.cut = make(chan struct{})
 }
 
+// Count returns how many calls of a method and kind came, such as "GET config".
+func (s *Store) Count(call string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[call]
+}
+
 // Put writes an object, whatever its revision, and returns the store's.
 func (s *Store) Put(kind, name string, spec any) uint64 {
 	data, err := json.Marshal(spec)
@@ -152,7 +159,7 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefixObjects), "/")
 	s.mu.Lock()
 	t, cut := s.trouble, s.cut
-	s.Calls[r.Method+" "+kind]++
+	s.calls[r.Method+" "+kind]++
 	s.mu.Unlock()
 	time.Sleep(t.Slow)
 	switch t.Down {
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -135,3 +135,20 @@
 	}
 	return Object{}, ErrAmbiguous
 }
+
+// waitKey is the key of a context's wait.
+type waitKey struct{}
+
+// WithWait bounds how long a watch under ctx waits on the server for a change. A
+// store may ignore it.
+func WithWait(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, waitKey{}, d)
+}
+
+// WaitOf returns the wait that ctx asks for, or def.
+func WaitOf(ctx context.Context, def time.Duration) time.Duration {
+	if d, ok := ctx.Value(waitKey{}).(time.Duration); ok {
+		return d
+	}
+	return def
+}
