--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/news"
+	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timing"
 )
 
@@ -37,7 +38,7 @@
 func (d *Daemon) proverVMs() []ids.VM {
 	key := ids.Target(d.adapter.KeyConfig)
 	all := d.vms.names()
-	slices.SortFunc(all, func(a, b ids.VM) int { return cmp.Compare(weight(key, b), weight(key, a)) })
+	slices.SortFunc(all, func(a, b ids.VM) int { return cmp.Compare(routing.VMWeight(key, b), routing.VMWeight(key, a)) })
 	return all[:min(len(all), provers)]
 }
 
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -125,15 +125,11 @@
 func (c *vmList) rank(id ids.Target) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	own, before := weight(id, c.d.Settings.VM), 0
+	own, before := routing.VMWeight(id, c.d.Settings.VM), 0
 	for _, r := range c.at {
-		if weight(id, r.VM) > own {
+		if routing.VMWeight(id, r.VM) > own {
 			before++
 		}
 	}
 	return before
 }
-
-func weight(id ids.Target, vm ids.VM) uint64 {
-	return routing.HashTarget(ids.Target(string(id) + "\x00" + string(vm)))
-}
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -20,6 +20,7 @@
 	URI       string
 	Body      string
 	Workspace string
+	Key       string // API key that came through; none should
 	Salt      string
 	Version   int
 	Header    http.Header
@@ -289,7 +290,7 @@
 	}
 	r.ledger.add(Run{
 		Replica: r.ID, Request: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body),
-		Workspace: req.Header.Get("X-Tenant-Id"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
+		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
 		Header: req.Header.Clone(), At: time.Now(),
 	})
 	if f := r.answers.Load(); f != nil && (*f)(w, req) {
--- a/internal/peers/teller.go
+++ b/internal/peers/teller.go
@@ -107,15 +107,11 @@
 
 // rank is how many live VMs of the domain come before this one for a target.
 func (n *Node) rank(id ids.Target) int {
-	own, before := weight(id, n.VM), 0
+	own, before := routing.VMWeight(id, n.VM), 0
 	for _, p := range n.Fleet.Members.Peers(time.Now()) {
-		if p.FailureDomain == n.Domain && p.State >= routing.Joining && weight(id, p.ID) > own {
+		if p.FailureDomain == n.Domain && p.State >= routing.Joining && routing.VMWeight(id, p.ID) > own {
 			before++
 		}
 	}
 	return before
 }
-
-func weight(id ids.Target, vm ids.VM) uint64 {
-	return routing.HashTarget(ids.Target(string(id) + "\x00" + string(vm)))
-}
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -71,3 +71,9 @@
 
 // HashTarget returns the value for Target.Hash.
 func HashTarget(id ids.Target) uint64 { return xxh3.HashString(string(id)) }
+
+// VMWeight is the rendezvous weight of an entry VM for something that few VMs care
+// for, such as a target that is to be probed: equal on all VMs.
+func VMWeight(id ids.Target, vm ids.VM) uint64 {
+	return xxh3.HashString(string(id) + "\x00" + string(vm))
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/threadwall/threadwall/internal/lab/platformlab"
 )
 
 // call is one call of a caller and what became of it.
@@ -79,23 +81,18 @@
 	out.sent = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+out.vm.listen+out.path+"x", strings.NewReader("body of "+out.id))
+	spec := platformlab.Call{ID: out.id, Host: host, Path: out.path + "x", Key: out.key, Body: "body of " + out.id, Deadline: deadline}
+	if out.path == pathStream {
+		spec.Model, spec.Tokens = model, 1000
+		spec.Parts = []string{"aa:500", fmt.Sprintf("b%d:400", rng.IntN(20)), out.id + ":100"}
+	}
+	req, err := spec.Request(ctx, "http://"+out.vm.listen)
 	if err != nil {
 		panic(err) // the soak's own addresses are always valid
 	}
-	req.GetBody = nil
-	req.Host = host
-	req.Header.Set("X-Request-Id", out.id)
-	req.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Api-Key", out.key)
-	if out.path == pathStream {
-		req.Header.Set("X-Model", model)
-		req.Header.Set("X-Token-Count", "1000,50")
-		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:500,b%d:400,%s:100", rng.IntN(20), out.id))
-	}
 	resp, err := transport.RoundTrip(req)
 	if err == nil {
-		out.status, out.signed = resp.StatusCode, resp.Header.Get("X-Response-Signature") != ""
+		out.status, out.signed = resp.StatusCode, platformlab.Signed(resp)
 		data, rerr := io.ReadAll(resp.Body)
 		out.body, out.broken = string(data), rerr != nil
 		_ = resp.Body.Close()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -106,8 +106,8 @@
 	gone, revoked := c.w.revoked[k.key]
 	c.w.mu.Unlock()
 	for _, r := range runs {
-		if r.Workspace == "" || r.Header.Get("Api-Key") != "" {
-			c.say("call %s ran for the workspace %q with the key %q", k.id, r.Workspace, r.Header.Get("Api-Key"))
+		if r.Workspace == "" || r.Key != "" {
+			c.say("call %s ran for the workspace %q with the key %q", k.id, r.Workspace, r.Key)
 		}
 		if r.Body != "body of "+k.id || r.URI != k.path+"x" {
 			c.say("call %s ran as %s with the body %q", k.id, r.URI, r.Body)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -83,8 +83,7 @@
 	}},
 	{"replica fails", func(w *world, rng *rand.Rand) {
 		w.misbehave(rng, func(rw http.ResponseWriter, _ *http.Request) bool {
-			rw.Header().Set("X-Response-Signature", "sig")
-			rw.WriteHeader(http.StatusInternalServerError)
+			platformlab.Fail(rw)
 			return true
 		})
 	}},
