--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -116,6 +116,9 @@
 	byHost   map[string][]*Route // longest prefix first
 	byKey    map[string]*Workspace
 	services map[string]*Service
+	// isolated names the workspaces that share no KV cache, joined in order. What the
+	// others share is void when this changes: a workspace that is isolated now may have
+	// made some of it.
 	isolated string
 }
 
@@ -181,11 +184,6 @@
 	return nil
 }
 
-// Isolated names the workspaces that share no KV cache, joined in order. What
-// the others share is void when this changes: a workspace that is isolated now
-// may have made some of it.
-func (c *Catalog) Isolated() string { return c.isolated }
-
 // Pick returns the service of a request by the route's weights; point is any
 // number, equally distributed.
 func (r *Route) Pick(point uint64) string {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -177,7 +177,7 @@
 	planner := &forward.Planner{Cache: d.Fleet.Cache, FetchRate: fetchRate}
 	d.Forward = &forward.Forwarder{
 		VM: s.VM, Domain: s.FailureDomain, Catalog: d.Catalog, Fleet: d.Fleet, Upstream: client,
-		Dialect: d.adapter.Dialect, Budgets: d.budgets, KV: planner, Weights: d.Weights, Readiness: &d.ready, Log: d.Log,
+		Dialect: d.adapter.Dialect, Budgets: d.budgets, KV: planner, Weights: d.Weights, Log: d.Log,
 		LearnWeights: func(id ids.Target, w ids.WeightsVersion) { d.Replicas.SetWeights(id, w, "answer") },
 		Tuning: forward.Tuning{
 			KeyTTL:      max(edge.KeyTTL.D()-keyMargin, 0),
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -23,7 +23,7 @@
 	var out []kvfeed.Source
 	for _, r := range d.Replicas.Records() {
 		if id := ids.Target(r.ID); r.Role == platform.RoleEngine && d.reads(id, engineReaders(c.Service(r.Service))) {
-			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr, Weights: r.Weights})
+			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr})
 		}
 	}
 	if kv := c.KVStore(); kv != nil && d.reads(forward.StoreTarget(kv.Addr), kv.FeedReaders) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -65,7 +65,7 @@
 	return changed
 }
 
-// Ready implements forward.Readiness.
+// Ready tells whether this VM takes work, and why not.
 func (r *readiness) Ready() (bool, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,28 +87,22 @@
 
 // Stats are counters of the request path.
 type Stats struct {
-	Requests, Refused, Failed, Broken, Attempts, Retries, Resumes, BudgetEmpty atomic.Int64
-	Fetches, Saves, Events                                                     atomic.Int64
-}
-
-// Readiness tells whether this VM takes work.
-type Readiness interface {
-	Ready() (ok bool, reason string)
+	Requests, Refused, Failed, Broken, Attempts, Retries, BudgetEmpty atomic.Int64
+	Fetches, Saves, Events                                            atomic.Int64
 }
 
 // Forwarder serves opaque calls. Its fields are set before it serves.
 type Forwarder struct {
-	VM        ids.VM
-	Domain    ids.FailureDomain
-	Catalog   *catalog.Current
-	Fleet     *fleet.Fleet
-	Upstream  *upstream.Client
-	Dialect   Dialect
-	Budgets   *retry.Services
-	KV        *Planner
-	Weights   WantedWeights
-	Readiness Readiness
-	Log       *eventlog.Log
+	VM       ids.VM
+	Domain   ids.FailureDomain
+	Catalog  *catalog.Current
+	Fleet    *fleet.Fleet
+	Upstream *upstream.Client
+	Dialect  Dialect
+	Budgets  *retry.Services
+	KV       *Planner
+	Weights  WantedWeights
+	Log      *eventlog.Log
 	// LearnWeights is told what weights a replica says it has.
 	LearnWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning       Tuning
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -137,10 +137,6 @@
 
 const signed, notRun = "Signed: yes\r\n", "Not-Run: yes\r\n"
 
-type alwaysReady struct{}
-
-func (alwaysReady) Ready() (bool, string) { return true, "" }
-
 type noWeights struct{}
 
 func (noWeights) Wanted(ids.Model, time.Time) (ids.WeightsVersion, uint64) { return "", 0 }
@@ -173,7 +169,7 @@
 	fl.Refresh()
 	f := &Forwarder{
 		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(200 * time.Millisecond), Dialect: plainDialect{},
-		Budgets: retry.NewServices(1, 100), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{}, Readiness: alwaysReady{},
+		Budgets: retry.NewServices(1, 100), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
 		LearnWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxBodies: 1 << 20, MaxInFlight: 100},
 	}
 	f.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Routes: []catalog.Route{r}}))
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -37,10 +37,9 @@
 
 // Source is one feed.
 type Source struct {
-	ID      ids.Target // an engine, or the name of a store
-	Addr    string
-	Weights ids.WeightsVersion // of an engine, as known now
-	Store   bool
+	ID    ids.Target // an engine, or the name of a store
+	Addr  string
+	Store bool
 }
 
 // Feeds reads all feeds that this VM is to read. Its fields are set before Run.
