Release the lease for orders for good, and let the successor wait for the margin too

Found by reading: after Release, the duty's next Try found the VM's own instance in the record and renewed it, so a stopping VM held the lease until it ended, and the release was of no use. Had it been, the successor would have waited 2.7 s, less than the 3 s that must lie between two holders' orders: the margin, which adds up otherwise, was left out.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -82,6 +82,7 @@
 	held     Record
 	version  objectapi.Revision
 	until    time.Time // zero: not held
+	released bool      // for good: this VM stops
 	seen     objectapi.Revision
 	seenAt   time.Time // when the record was first seen at this version
 	duration time.Duration
@@ -114,6 +115,9 @@
 // Try acquires or renews the lease, or watches it. A duty calls it a few times in
 // each duration. An error is one of the store; the lease then runs out by itself.
 func (l *Lease) Try(ctx context.Context) error {
+	if l.isReleased() {
+		return nil
+	}
 	began := l.now()
 	obj, err := l.store.Get(ctx, l.key)
 	if errors.Is(err, objectapi.ErrNotFound) {
@@ -131,7 +135,7 @@
 	}
 	l.lose()
 	if rec.Released {
-		rec.Duration = 0
+		rec.Duration = l.tuning.Margin // the holder may have acted until it released
 	}
 	if former := l.tuning.SuccessorOfSelf && rec.Holder == l.vm; !former && !l.watch(obj.Version, rec.Duration, began) {
 		return nil
@@ -185,15 +189,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held, l.version = rec, obj.Version
+	if l.released {
+		return nil // it was given up while this write was under way; it runs out
+	}
 	l.until = began.Add(l.tuning.Duration - l.tuning.Margin)
 	return nil
 }
 
-// Release gives a held lease up, so that a successor has to wait for WaitOut only.
+func (l *Lease) isReleased() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.released
+}
+
+// Release gives the lease up for good, so that a successor has to wait for Margin and
+// WaitOut only. This VM never acquires it again.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	rec, version, held := l.held, l.version, !l.until.IsZero()
-	l.until = time.Time{}
+	l.until, l.released = time.Time{}, true
 	l.mu.Unlock()
 	if !held {
 		return nil
