--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,7 @@
 	budgets *retry.Services
 	news    *news.Exchange
 	vms     vmList
+	doubt   follow.Doubt
 	behind  atomic.Uint64 // a newer version that a peer has proven
 	ready   readiness
 	servers []*http.Server
@@ -185,11 +186,11 @@
 			MaxInFlight: int64(s.MaxInFlight),
 		},
 	}
-	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Log: d.Log}
+	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Contact: d.contact, Log: d.Log}
 	d.Lease = lease.New(d.adapter.Store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
 		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Loads: d.Fleet, Log: d.Log, Ordering: d.ordering,
-		Hurry: time.Duration(float64(edge.WeightsWithin.D()) * hurryShare),
+		Hurry: time.Duration(float64(edge.WeightsWithin.D()) * hurryShare), Gone: d.ended,
 	}
 	d.Orders = &orders.Reconciler{
 		Wishes: d.Rollout, Sender: d.Rollout, Lease: d.Lease, Engines: d.Rollout,
@@ -211,6 +212,19 @@
 	}
 }
 
+// contact notes whether a replica answers the calls that read its cache feed.
+func (d *Daemon) contact(id ids.Target, alive bool) {
+	d.Fleet.Members.Contact(id, alive, time.Now())
+}
+
+// ended notes that a replica has ended, though its entry is still listed.
+func (d *Daemon) ended(id ids.Target) {
+	d.Fleet.Members.Leaves(id, platform.SoleIncarnation)
+	d.Forward.Upstream.Drop(id)
+	d.Fleet.MarkDirty()
+	d.Log.Belief("replica-ended").Str("target", string(id)).Str("reason", "another incarnation answers at its address").Send()
+}
+
 // Start listens and starts all duties.
 func (d *Daemon) Start(context.Context) error {
 	d.started = time.Now()
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -17,6 +17,7 @@
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/timing"
 )
@@ -48,6 +49,8 @@
 	Cache   *cacheview.Index
 	KV      *forward.Planner
 	Sources func() []Source
+	// Contact is told whether an engine answers its feed's calls.
+	Contact func(id ids.Target, alive bool)
 	Log     *eventlog.Log
 
 	mu      sync.Mutex
@@ -64,8 +67,9 @@
 	// feedPause between two calls gathers entries, so that a busy engine costs one
 	// call a pause and not one an entry.
 	feedPause = 150 * time.Millisecond
-	// feedTimeout bounds a call beyond its wait.
-	feedTimeout = time.Second
+	// feedTimeout bounds a call beyond its wait. An engine that is silent for longer is
+	// in trouble; under load it answers these calls as ever.
+	feedTimeout = 500 * time.Millisecond
 	// failPause follows a call that failed.
 	failPause = time.Second
 )
@@ -115,6 +119,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.Contact(s.ID, err == nil)
 		if err != nil {
 			if !lost {
 				lost = true
@@ -157,7 +162,7 @@
 	if !ok {
 		return
 	}
-	life := cacheview.LifeOf(engineIncarnation, w)
+	life := cacheview.LifeOf(platform.SoleIncarnation, w)
 	id := kvcache.LevelID(wall, ev.Model, ev.Part)
 	if ev.Stored {
 		f.Cache.Holds(s.ID, life, []prefix.Level{{ID: id}})
@@ -165,6 +170,3 @@
 		f.Cache.Drop(s.ID, life, id)
 	}
 }
-
-// engineIncarnation is that of all replicas whose id names one incarnation.
-const engineIncarnation ids.Incarnation = 1
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,10 @@
 	RoleService Role = "service" // a plain service: a target
 )
 
+// SoleIncarnation is that of a target whose id names one incarnation: the next one
+// has another id.
+const SoleIncarnation ids.Incarnation = 1
+
 // State is the platform's word on a VM.
 type State string
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,10 +56,15 @@
 	CutOff
 )
 
+// ErrGone says that another incarnation answers at a replica's address: the replica
+// has ended and carries out nothing any more.
+var ErrGone = errors.New("the replica has ended")
+
 // Engines are the calls to model replicas.
 type Engines interface {
 	Read(ctx context.Context, id ids.Target, addr string) (State, error)
-	// Order sends a command. Any error leaves open whether it is carried out.
+	// Order sends a command. Any error but ErrGone leaves open whether it is carried
+	// out.
 	Order(ctx context.Context, c Command) error
 }
 
@@ -97,6 +104,11 @@
 	// Ordering is called when a replica is about to get an order, and when it has
 	// been carried out.
 	Ordering func(id ids.Target, w ids.WeightsVersion, done bool)
+	// Gone is called for a replica that has ended, though it may still be listed.
+	Gone func(id ids.Target)
+
+	mu     sync.Mutex
+	failed map[ids.Target]time.Time // when the last order to a replica came to nothing
 }
 
 var (
@@ -124,15 +136,41 @@
 			continue
 		}
 		id := ids.Target(rec.ID)
+		state := r.stateOf(id)
+		if state == routing.Leaving {
+			continue
+		}
 		work, _ := r.Loads.WorkOf(id)
 		out = append(out, orders.Actual{
-			Target: id, Model: rec.Model, Addr: rec.Addr, State: max(r.Loads.StateOf(id), routing.Suspect), Weights: rec.Weights,
-			Load: work.InFlight,
+			Target: id, Model: rec.Model, Addr: rec.Addr, State: state, Weights: rec.Weights, Load: work.InFlight,
 		})
 	}
 	return out
 }
 
+// retryPause is how long a replica gets no order after one that came to nothing: one
+// that is down is back after some seconds, and each try takes an engine's place in
+// the rollout and a priced look at its state.
+const retryPause = time.Second
+
+// stateOf returns a replica's state for package orders, which sends nothing to dead
+// ones: a replica that fails calls gets its weights all the same, unless an order to
+// it has just failed.
+func (r *Rollout) stateOf(id ids.Target) routing.State {
+	r.mu.Lock()
+	failedAt := r.failed[id]
+	r.mu.Unlock()
+	state := r.Loads.StateOf(id)
+	switch {
+	case state == routing.Leaving:
+		return state
+	case time.Since(failedAt) < retryPause:
+		return routing.Dead
+	default:
+		return max(state, routing.Suspect)
+	}
+}
+
 // Paces of a rollout, as one in how many engines may be out of service.
 const (
 	// paceIdle: an engine first finishes its runs and then loads; loads of more than
@@ -204,6 +242,30 @@
 
 // Send implements orders.Sender.
 func (r *Rollout) Send(ctx context.Context, o orders.Order, _ lease.Token) error {
+	err := r.bring(ctx, o)
+	r.note(o.Target, err)
+	return err
+}
+
+// note remembers that an order came to nothing.
+func (r *Rollout) note(id ids.Target, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failed == nil {
+		r.failed = map[ids.Target]time.Time{}
+	}
+	for other, at := range r.failed {
+		if time.Since(at) > retryPause {
+			delete(r.failed, other)
+		}
+	}
+	if err != nil {
+		r.failed[id] = time.Now()
+	}
+}
+
+// bring brings a replica to its wanted weights.
+func (r *Rollout) bring(ctx context.Context, o orders.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, carryOut)
 	defer cancel()
 	c := Command{Target: o.Target, Addr: o.Addr, Weights: o.Want.Weights, Holder: r.VM}
@@ -277,6 +339,10 @@
 		line = line.Str("error", err.Error())
 	}
 	line.Send()
+	if errors.Is(err, ErrGone) {
+		r.Gone(c.Target)
+		return err
+	}
 	return nil // the state that is read next tells what became of it
 }
 
@@ -309,6 +375,9 @@
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	s, err := r.Calls.Read(call, c.Target, c.Addr)
+	if errors.Is(err, ErrGone) {
+		r.Gone(c.Target)
+	}
 	if err != nil {
 		return s, eris.Wrapf(err, "read the state of %s", c.Target)
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/orders"
+	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
@@ -51,3 +55,44 @@
 		t.Fatalf("got %v, want them to finish", m)
 	}
 }
+
+// goneEngines answer that another incarnation sits at a replica's address.
+type goneEngines struct{ reads, orders int }
+
+func (e *goneEngines) Read(context.Context, ids.Target, string) (State, error) {
+	e.reads++
+	return State{}, ErrGone
+}
+
+func (e *goneEngines) Order(context.Context, Command) error {
+	e.orders++
+	return ErrGone
+}
+
+type oneReplica struct{}
+
+func (oneReplica) Records() []platform.Record {
+	return []platform.Record{{ID: "e1", Role: platform.RoleEngine, Model: "m", Weights: "1"}}
+}
+func (oneReplica) SetWeights(ids.Target, ids.WeightsVersion, string) {}
+
+// TestNoOrderToAnEndedReplica checks that a replica that has ended is reported and
+// gets no order in the next rounds, though it is still listed. Before, such replicas
+// were given order after order until their entries ran out, and took the places of
+// the living in the rollout (bac scale-2).
+func TestNoOrderToAnEndedReplica(t *testing.T) {
+	var gone []ids.Target
+	calls := &goneEngines{}
+	r := &Rollout{
+		Calls: calls, Replicas: oneReplica{}, Loads: &fakeLoads{looks: []loadview.PeerLoad{{}}},
+		Gone: func(id ids.Target) { gone = append(gone, id) },
+	}
+	err := r.Send(t.Context(), orders.Order{Target: "e1", Want: orders.Want{Weights: "2"}}, lease.Token{})
+	if !errors.Is(err, ErrGone) || len(gone) != 1 || gone[0] != "e1" {
+		t.Fatalf("got %v, gone %v", err, gone)
+	}
+	wants := map[ids.Target]orders.Want{"e1": {Weights: "2"}}
+	if plan := orders.Plan(wants, r.Engines(), 1); len(plan) != 0 || calls.orders != 0 {
+		t.Fatalf("got the plan %v after %d orders", plan, calls.orders)
+	}
+}
