Notice connections and watches that have gone silent

Change: all connections that this process makes probe their idle end (1 s, twice) and give up unacknowledged data after 2.5 s (internal/sockets); watches wait for 5 s at most; when one follower's call fails, all followers of the store list anew (follow.Doubt), so the configuration's short watch stands for the others.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -44,9 +44,9 @@
 func (d *Daemon) dutyTable() map[string]func(context.Context) {
 	return map[string]func(context.Context){
 		"follow-config":   d.follower(d.adapter.PrefixConfig, d.catalogs(), d.configWait, nil),
-		"follow-replicas": d.follower(d.adapter.PrefixReplicas, d.Replicas, nil, d.gather),
-		"follow-weights":  d.follower(d.adapter.PrefixWeights, d.Weights, nil, nil),
-		"follow-vms":      d.follower(prefixVMs, &d.vms, nil, d.gather),
+		"follow-replicas": d.follower(d.adapter.PrefixReplicas, d.Replicas, watchWait, d.gather),
+		"follow-weights":  d.follower(d.adapter.PrefixWeights, d.Weights, watchWait, nil),
+		"follow-vms":      d.follower(prefixVMs, &d.vms, watchWait, d.gather),
 		"ask-proofs":      d.askProofs,
 		"register":        d.register,
 		"readiness":       d.judge,
@@ -62,8 +62,12 @@
 	}
 }
 
+// watchWait is how long a watch waits that proves nothing. It bounds how long a watch
+// that has gone silent stays unnoticed.
+func watchWait() time.Duration { return 5 * time.Second }
+
 func (d *Daemon) follower(prefix string, h follow.Handler, wait, gather func() time.Duration) func(context.Context) {
-	f := &follow.Follower{Store: d.adapter.Store, Prefix: prefix, Handler: h, Log: d.Log, Wait: wait, Gather: gather}
+	f := &follow.Follower{Store: d.adapter.Store, Prefix: prefix, Handler: h, Log: d.Log, Wait: wait, Gather: gather, Doubt: &d.doubt}
 	return f.Run
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,8 +2,9 @@
 // then watches it, through outages.
 //
 // Every failed call, and every watch that can't be continued, leads to a new
-// list: a watch that broke may have missed a change. What is learned goes to a
-// Handler; the time at which a call was sent goes along, since only what was
+// list: a watch that broke may have missed a change. A watch may also go silent
+// without breaking, so the failure of one makes all others of the same store list
+// anew (Doubt), and no watch waits long. What is learned goes to a Handler; the time at which a call was sent goes along, since only what was
 // confirmed before that is known to be included in its answer.
 package follow
 
@@ -46,6 +47,8 @@
 	// Gather tells how long to wait after a change for others, so that a row of them
 	// costs one call. Nil: not at all.
 	Gather func() time.Duration
+	// Doubt is shared by the followers of one store. Nil: this one stands alone.
+	Doubt *Doubt
 
 	after objectapi.Revision // zero: list first
 	lost  bool
@@ -66,7 +69,12 @@
 			continue
 		}
 		f.after = 0
+		if errors.Is(err, errDoubted) {
+			continue
+		}
+		f.Doubt.raise()
 		if errors.Is(err, objectapi.ErrCompacted) {
+			f.Log.Belief("history-gone").Str("dependency", "store "+f.Prefix).Send()
 			continue // the store is well, only its history is gone
 		}
 		f.failed(err)
@@ -90,7 +98,13 @@
 	if f.Wait != nil {
 		ctx = objectapi.WithWait(ctx, f.Wait())
 	}
-	events, rev, err := f.Store.Watch(ctx, f.Prefix, f.after)
+	watch, stop := f.Doubt.until(ctx)
+	events, rev, err := f.Store.Watch(watch, f.Prefix, f.after)
+	doubted := errors.Is(context.Cause(watch), errDoubted)
+	stop()
+	if err != nil && doubted {
+		return errDoubted
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,7 @@
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/sockets"
 )
 
 // Replica is one incarnation of a target and where it listens.
@@ -138,7 +139,7 @@
 		return cn, nil
 	}
 	c.Dials.Add(1)
-	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
+	d := sockets.Dialer(c.DialTimeout)
 	nc, err := d.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "dial", string(to.ID), "the replica can't be reached")
