Keep slow replicas in use; learn how slow they are

Cause: under load a request that got nothing within 1.5 objectives counted as a failure of its replica; three in a row opened the breaker, whose time doubles.

Change: silence counts towards the breaker only if nothing at all was heard of the replica since the request was sent; else it makes the replica dearer. Reading an engine's cache feed is a sign of life, and failing to a reason for suspicion. The ratio of measured to predicted time to the first token is learned per replica and slows its assumed speed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -228,6 +228,7 @@
 		in.QueueTokens = float32(sc.loads[i].QueueTokens)
 		in.SlotWait = snap.places[i].wait(sc.loads[i].InFlight)
 		in.InFlight = int32(sc.loads[i].InFlight)
+		in.PrefillRate /= float32(sc.loads[i].Pace)
 	}
 	for _, t := range tried {
 		for i := range snap.statuses {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -87,7 +87,7 @@
 	switch {
 	case ctx.Err() != nil, time.Until(r.ends) < leastLeft, r.sends >= maxSends:
 		return false
-	case err.Code == outcome.CodeNoTarget:
+	case err.Code == outcome.CodeNoTarget, err.Step == stepShed:
 		return false
 	case err.Outcome != outcome.NotRun && !r.repeatable():
 		return false
@@ -139,12 +139,14 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stall  *stallTimer
+	sent   time.Time
+	begun  bool // the replica's first event, or its answer, has come
 	kvSent bool // the planner counts this send among those that compute
 }
 
 func (r *run) try(ctx context.Context, c *choice, work *loadview.Work) *try {
 	tctx, cancel := context.WithCancelCause(ctx)
-	t := &try{r: r, c: c, work: work, ctx: tctx, cancel: cancel}
+	t := &try{r: r, c: c, work: work, ctx: tctx, cancel: cancel, sent: time.Now()}
 	t.stall = newStallTimer(t.silent)
 	return t
 }
@@ -182,6 +184,21 @@
 	return t.whole(a)
 }
 
+// started notes the replica's first event, or its answer: a sign of life, and a measure
+// of how long it took against what was predicted.
+func (t *try) started() {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	now := time.Now()
+	t.work.FirstToken()
+	t.r.f.Fleet.Members.Heard(t.c.target.ID, now)
+	if t.r.call.Prompt != nil && t.r.route.Prompts {
+		t.r.f.Fleet.Load.Measured(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
+	}
+}
+
 // computed notes that the replica is done with the prompt's shared parts, once.
 func (t *try) computed(held bool) {
 	if t.kvSent {
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -46,11 +46,10 @@
 	return pause * pauseFactor
 }
 
-// silent is called when the replica has been silent for too long. Once it has
-// been, it counts as failing, so that other calls avoid it; this call leaves it
-// only if it may go on elsewhere.
+// silent is called when the replica has been silent for too long. Other calls avoid
+// it then; this call leaves it only if it may go on elsewhere.
 func (t *try) silent() {
-	t.r.f.Fleet.Members.Failed(t.c.target.ID, time.Now())
+	t.r.f.Fleet.Members.Silent(t.c.target.ID, t.sent, time.Now())
 	t.r.f.Fleet.MarkDirty()
 	if t.r.repeatable() && t.r.f.Budgets.Of(t.r.service).Left() >= 1 {
 		t.cancel(errStalled)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,7 +42,7 @@
 		if err != nil {
 			return t.broken(err)
 		}
-		t.work.FirstToken()
+		t.started()
 		t.computed(true)
 		if r.stream.passed(&ev) {
 			continue
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -22,7 +22,7 @@
 		return t.broken(err)
 	}
 	t.stall.stop()
-	t.work.FirstToken()
+	t.started()
 	r := t.r
 	length := unknownLength
 	if n < wholeBytes && r.req.Method != http.MethodHead {
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -27,6 +27,7 @@
 	bound    int      // of those in flight, requests that can't go on at another target
 	sent     []sent   // newest last
 	peers    PeerLoad // of all peers together
+	pace     pace
 }
 
 type sent struct {
@@ -155,7 +156,8 @@
 type Load struct {
 	QueueTokens float64
 	OwnInFlight int
-	InFlight    int // own and, as far as they tell, all peers'
+	InFlight    int     // own and, as far as they tell, all peers'
+	Pace        float64 // how many times longer than predicted first tokens take; at least 1
 }
 
 // Report is a target's last word on its load.
@@ -203,5 +205,6 @@
 	tokens -= r.Rate * r.Age.Seconds()
 	return Load{
 		QueueTokens: max(tokens, o.pending+o.peers.Pending, 0), OwnInFlight: o.inFlight, InFlight: o.inFlight + o.peers.InFlight,
+		Pace: o.pace.now(now),
 	}
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -56,6 +56,18 @@
 		table.Failed(target, now)
 	case "ok":
 		table.Succeeded(target)
+	case "silent": // a request sent some time ago got nothing
+		var span string
+		d.ScanArgs(t, "after", &span)
+		waited, err := time.ParseDuration(span)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.Silent(target, now.Add(-waited), now)
+	case "heard":
+		table.Heard(target, now)
+	case "contact":
+		table.Contact(target, !d.HasArg("lost"), now)
 	case "try":
 		return fmt.Sprintln("trial:", table.Trying(target, now))
 	case "refuses":
