Refuse calls that would be late at every engine, at once and with a time to come back

Change: a prompt whose predicted time to the first event is beyond 0.8 objectives at the best engine is refused with 503 and Retry-After of 0.6 to 1.2 s, ranks of 0 only beyond 3. The prediction counts what is fetched at its own speed. Also: what the store holds is learned from its feed only (a save that the full link dropped was believed done for good), and a prefix that nobody is known to hold is asked of its home, then of the store.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -46,6 +46,7 @@
 type Metrics struct {
 	Requests    int64              `json:"requests"`
 	Refused     int64              `json:"refused"`
+	Shed        int64              `json:"shed"` // of those refused, because engines were too busy
 	Failed      int64              `json:"failed"`
 	Broken      int64              `json:"streams_broken"`
 	InFlight    int64              `json:"in_flight"`
@@ -70,7 +71,7 @@
 	runtime.ReadMemStats(&mem)
 	f, s := d.Forward, &d.Forward.Stats
 	return Metrics{
-		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
+		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
 		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -26,6 +26,7 @@
 	levels []prefix.Level // shared parts
 	work   int32          // tokens that the replica is expected to compute
 	salt   string
+	home   string // address of the replica that computes shared parts which nobody is known to hold; empty: the target
 	fetch  string
 	save   string
 }
@@ -62,10 +63,24 @@
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		wall := r.catalog.Wall(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, wall)
+		c.home = homeOf(&c, snap, sc.Routing.Home())
 		f.KV.plan(&c, &req, snap, sc, r.kvStore(), wall, p.Model, parts)
 	}
 	r.logDecision(snap, &d, sc, &c)
-	return c, nil
+	return c, r.shed(c.wait)
+}
+
+// homeOf returns the address of the home, unless that is the choice itself or has
+// other weights.
+func homeOf(c *choice, snap *fleet.Snapshot, home int) string {
+	if home < 0 || home >= len(snap.View.Targets) {
+		return ""
+	}
+	t := &snap.View.Targets[home]
+	if t.ID == c.target.ID || t.Weights != c.target.Weights {
+		return ""
+	}
+	return t.Addr
 }
 
 func (r *run) kvStore() *catalog.KVStore { return r.catalog.KVStore() }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,8 +87,8 @@
 
 // Stats are counters of the request path.
 type Stats struct {
-	Requests, Refused, Failed, Broken, Attempts, Retries, BudgetEmpty atomic.Int64
-	Fetches, Saves, Events                                            atomic.Int64
+	Requests, Refused, Shed, Failed, Broken, Attempts, Retries, BudgetEmpty atomic.Int64
+	Fetches, Saves, Events                                                  atomic.Int64
 }
 
 // Forwarder serves opaque calls. Its fields are set before it serves.
--- a/internal/forward/kv.go
+++ b/internal/forward/kv.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"maps"
 	"sync"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/catalog"
@@ -21,6 +23,7 @@
 
 	mu      sync.Mutex
 	pending map[prefix.ID]*pending // by the deepest shared level
+	saves   map[prefix.ID]time.Time
 }
 
 // pending is a prefix that a replica computes for this VM's requests.
@@ -29,6 +32,11 @@
 	sends  int
 }
 
+// saveWait is how long a save that this VM asked for may take until the store's feed
+// tells of it. One that was not told of by then is asked for again: a store whose link
+// is full drops saves.
+const saveWait = 2 * time.Second
+
 // minMove is the least that is worth a fetch or a save, in tokens: below it the
 // look-up costs as much as computing.
 const minMove = 64
@@ -46,9 +54,11 @@
 }
 
 // plan fills in c.fetch and c.save. A prefix that another replica with the same
-// weights holds is fetched from there, and from the store otherwise. Where the
-// choice is believed to hold all of it, the store is named all the same, if it has
-// it: the belief may be wrong, and a replica fetches only what it lacks.
+// weights holds is fetched from there, and from the store otherwise. Where nobody is
+// believed to hold more, the prefix's home is asked, to which other VMs send it, and
+// then the store: a look-up that finds nothing takes a millisecond, and a replica
+// fetches only what it lacks. Where the choice is believed to hold all of it, the
+// store is named all the same: the belief may be wrong.
 func (p *Planner) plan(c *choice, req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch, store *catalog.KVStore, wall string, m ids.Model, parts []kvcache.Part) {
 	if len(req.Levels) == 0 {
 		return
@@ -64,14 +74,44 @@
 	}
 	stored := p.inStore(store, c.salt, m, parts)
 	if c.fetch == "" && stored >= minMove {
-		c.fetch = store.Addr
 		c.work = max(min(c.work, req.Tokens-stored), 0)
 	}
-	if stored < shared {
+	if c.fetch == "" && stored < shared && held < shared {
+		c.fetch = c.home
+	}
+	if c.fetch == "" {
+		c.fetch = store.Addr
+	}
+	if stored < shared && p.maySave(c.salt, m, parts) {
 		c.save = store.Addr
 	}
 }
 
+// maySave tells whether to ask for a save: not while one that this VM asked for may
+// still be under way.
+func (p *Planner) maySave(salt string, m ids.Model, parts []kvcache.Part) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.saves[StoreLevel(salt, m, parts[len(parts)-1].ID)]
+	return time.Since(last) > saveWait
+}
+
+// saving notes that a save was asked for. The lock is held.
+func (p *Planner) saving(salt string, m ids.Model, parts []kvcache.Part) {
+	now := time.Now()
+	if p.saves == nil {
+		p.saves = map[prefix.ID]time.Time{}
+	}
+	if len(p.saves) >= maxSaves {
+		maps.DeleteFunc(p.saves, func(_ prefix.ID, at time.Time) bool { return now.Sub(at) > saveWait })
+	}
+	p.saves[StoreLevel(salt, m, parts[len(parts)-1].ID)] = now
+}
+
+// maxSaves is how many saves are remembered before old ones are swept out: two
+// seconds' worth of a busy VM.
+const maxSaves = 256
+
 // held is how much of the prompt the choice is believed to hold.
 func (p *Planner) held(c *choice, snap *fleet.Snapshot, sc *fleet.Scratch) int32 {
 	for i := range snap.View.Targets {
@@ -113,17 +153,17 @@
 	return end
 }
 
-// sent records what a send leaves behind: the replica computes the shared parts,
-// and the store will hold them if it is told to save them there.
+// sent records what a send leaves behind: the replica computes the shared parts, and
+// saves them to the store if it was told to.
 func (p *Planner) sent(c *choice, m ids.Model, parts []kvcache.Part) {
-	if c.save != "" {
-		p.StoreHolds(c.save, c.salt, m, parts)
-	}
 	if len(c.levels) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.save != "" {
+		p.saving(c.salt, m, parts)
+	}
 	if p.pending == nil {
 		p.pending = map[prefix.ID]*pending{}
 	}
--- /dev/null
+++ b/internal/forward/kv_test.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+const storeAddr = "10.0.0.9:1"
+
+// planned asks a fresh plan for a prompt of one shared part, for the given choice.
+func planned(p *Planner, choiceID string, home int) choice {
+	parts := []kvcache.Part{{ID: "p1", Tokens: 800}}
+	req := routing.Request{Levels: kvcache.Levels("shared", "m", parts), Tokens: 1000}
+	snap := &fleet.Snapshot{View: routing.View{Targets: []routing.Target{
+		{ID: "a", Addr: "10.0.0.1:1", Service: "svc"}, {ID: "b", Addr: "10.0.0.2:1", Service: "svc"},
+	}}}
+	sc := &fleet.Scratch{Inputs: []routing.Input{{State: routing.Live}, {State: routing.Live}}}
+	c := choice{levels: req.Levels, salt: "1/shared", work: 1000}
+	for _, t := range snap.View.Targets {
+		if string(t.ID) == choiceID {
+			c.target = t
+		}
+	}
+	c.home = homeOf(&c, snap, home)
+	p.plan(&c, &req, snap, sc, &catalog.KVStore{Addr: storeAddr}, "shared", "m", parts)
+	p.sent(&c, "m", parts)
+	return c
+}
+
+// TestUnheldPrefixIsAskedOfItsHome checks where a replica looks for a prefix that
+// nobody is known to hold: away from home at its home, at home in the store.
+func TestUnheldPrefixIsAskedOfItsHome(t *testing.T) {
+	p := &Planner{Cache: cacheview.New(1024, nil)}
+	if c := planned(p, "b", 0); c.fetch != "10.0.0.1:1" {
+		t.Fatalf("away from home it is fetched from %q, want from home", c.fetch)
+	}
+	if c := planned(p, "a", 0); c.fetch != storeAddr {
+		t.Fatalf("at home it is fetched from %q, want from the store", c.fetch)
+	}
+}
+
+// TestSaveIsNoProof checks that a save which was asked for is not taken for done: the
+// store's feed tells. It is not asked for again at once either.
+func TestSaveIsNoProof(t *testing.T) {
+	p := &Planner{Cache: cacheview.New(1024, nil)}
+	if c := planned(p, "a", 0); c.save != storeAddr {
+		t.Fatalf("the first call saves to %q", c.save)
+	}
+	c := planned(p, "a", 0)
+	if c.save != "" {
+		t.Fatal("the save was asked for twice within its time")
+	}
+	if c.work != 1000 {
+		t.Fatalf("%d tokens are to be computed, want all: the store has told of none", c.work)
+	}
+	p.StoreHolds(storeAddr, "1/shared", "m", []kvcache.Part{{ID: "p1"}})
+	if c := planned(p, "a", 0); c.work != 200 || c.save != "" {
+		t.Fatalf("%d tokens are to be computed, saved to %q, after the store told of the part", c.work, c.save)
+	}
+}
--- /dev/null
+++ b/internal/forward/shed.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// Shedding. Engines that get more work than they can do serve everybody late: what
+// runs fills their memory, shared parts of prompts give way and are computed again,
+// and that makes more work still. A call that would be late at the best engine, and
+// is not of the most urgent rank, is refused at once instead, with a time to come
+// back: one that comes back when the engines have caught up is on time, and those that
+// were let in are, too.
+const (
+	// shedFactor times the objective is the predicted time to the first event from
+	// which a call is refused. What is predicted leaves out the steps in between and the way: at 1.25 and
+	// 1.0 more was late, at 1.6 the engines stayed overloaded (docs/design/platform.md).
+	shedFactor = 0.8
+	// shedUrgentFactor is that for calls of the most urgent rank.
+	shedUrgentFactor = 3
+	// shedPause is when a refused call should come back, and shedJitter how much more,
+	// at random, so that they don't come back together. Queues of an engine are worked
+	// off at tens of thousands of tokens a second: a second is as much as one holds.
+	shedPause  = 600 * time.Millisecond
+	shedJitter = 600 * time.Millisecond
+)
+
+// stepShed is the step of such a refusal.
+const stepShed = "shed"
+
+// shed refuses a call that would be late, or returns nil.
+func (r *run) shed(predicted time.Duration) *outcome.Error {
+	if r.call.Prompt == nil || !r.route.Prompts || r.route.Objective <= 0 || r.mayRan || r.begun {
+		return nil
+	}
+	factor := shedFactor
+	if priority(r.route, r.workspace) == 0 {
+		factor = shedUrgentFactor
+	}
+	if predicted < time.Duration(float64(r.route.Objective)*factor) {
+		return nil
+	}
+	r.f.Stats.Shed.Add(1)
+	return outcome.New(outcome.NotRun, outcome.CodeOverloaded, stepShed, "", "the engines are too busy to answer in time").
+		After(shedPause + rand.N(shedJitter))
+}
--- /dev/null
+++ b/internal/forward/shed_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+)
+
+// TestLateCallIsRefusedAtOnce checks that a call which all engines would answer late
+// is refused at once, truly and with a time to come back, and that the most urgent
+// rank is let in longer. Engines that took everything served nobody in time for 14 s
+// after two of nine had failed (scale-1 of both sites).
+func TestLateCallIsRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		priority int
+		queued   time.Duration // of work before the call
+		status   int
+	}{
+		{"idle", 1, 0, http.StatusOK},
+		{"would be late", 1, 400 * time.Millisecond, http.StatusServiceUnavailable},
+		{"urgent", 0, 400 * time.Millisecond, http.StatusOK},
+		{"urgent and far too late", 0, time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStandIn(t, "a", ok("fine"))
+			r := route(catalog.Idempotent, 2)
+			r.Prompts, r.Priority = true, c.priority
+			tf := newFleet(t, r, s)
+			tf.f.Fleet.AssumeRate(10_000)
+			tf.f.Fleet.Refresh()
+			work := tf.f.Fleet.Load.Sent("a", int32(c.queued.Seconds()*10_000), time.Now())
+			defer work.End()
+			resp, body, err := tf.ask(t, "Model", "m")
+			if err != nil || resp.StatusCode != c.status {
+				t.Fatalf("got %v, %q, %v, want %d", resp, body, err, c.status)
+			}
+			refused := c.status != http.StatusOK
+			if refused && (resp.Header.Get("Retry-After") == "" || len(s.requests()) > 0) {
+				t.Fatalf("the refusal has the headers %v after %d sends", resp.Header, len(s.requests()))
+			}
+		})
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -194,7 +194,7 @@
 	if d.Index >= 0 {
 		d.Cost = s.costs[d.Index]
 		d.Cached = in[d.Index].Cached
-		d.PredictedTTFT = queueWait(&in[d.Index]) + prefillTime(r, &in[d.Index])
+		d.PredictedTTFT = queueWait(&in[d.Index]) + FetchScorer{}.Cost(r, &v.Targets[d.Index], &in[d.Index], e)
 	}
 	return d
 }
@@ -208,6 +208,9 @@
 	s.Filtered = [reasonCount]int{}
 }
 
+// Home returns the index of the last decision's home for shared levels; -1: none.
+func (s *Scratch) Home() int { return s.eligible.Home }
+
 // Costs returns the costs of the last decision, in the order of its view.
 func (s *Scratch) Costs() []float32 { return s.costs }
 
