--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -16,7 +16,7 @@
 const (
 	// shedFactor times the objective is the predicted time to the first event from
 	// which a call is refused. What is predicted leaves out the steps in between and the way: at 1.25 and
-	// 1.0 more was late, at 1.6 the engines stayed overloaded (docs/design/platform.md).
+	// 1.6 the engines stayed overloaded for longer (docs/design/platform.md).
 	shedFactor = 0.8
 	// shedUrgentFactor is that for calls of the most urgent rank.
 	shedUrgentFactor = 3
