Read the store once a failure domain in large fleets

Weighed: fewer watches with longer gathering (blind for longer, still grows with the fleet), datagrams (a configuration does not fit one), a relay.

Change: package mirror. The VMs of a domain have a fixed order; the first reads the store, the others read from the first before them that answers, by one gRPC question of 0.4 s for all key spaces, and from the store when none does. Copies have everything up to a revision and never go back, whoever is heard first. Proofs of freshness travel with the answers, so the datagrams that asked for proofs are gone. Fleets of up to 12 VMs read the store directly as before, all of them with the short watch of the configuration.

Failed on the way: positions by store revision made VMs call peers "behind" whose key space had merely not changed (1,446 of 1,932 switches), and judging contact by the proof's age left healthy peers, since a proof is as old as two waits.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -18,6 +18,7 @@
 	Ready         bool                      `json:"ready"`
 	Reason        string                    `json:"reason,omitempty"`
 	Catalog       uint64                    `json:"catalog"`
+	StoreSource   string                    `json:"store_source"` // "store", or the VM that this one reads from
 	ProofAge      string                    `json:"proof_age"`
 	Fence         uint64                    `json:"fence,omitempty"` // while this VM gives orders
 	InFlight      int64                     `json:"in_flight"`
@@ -29,7 +30,7 @@
 	now := time.Now()
 	ready, reason := d.ready.Ready()
 	s := Status{
-		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason,
+		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
 	}
 	if c := d.Catalog.Get(); c != nil {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/news"
@@ -24,7 +23,7 @@
 	// candidates is how many VMs look often, so that one takes over soon; farEvery is
 	// how often the rest does, for the case that all of them are gone.
 	candidates = 5
-	farEvery   = 6 * time.Second
+	farEvery   = 20 * time.Second
 	// roundEvery is how often the holder compares what is and what is wanted.
 	roundEvery = 100 * time.Millisecond
 )
@@ -43,34 +42,21 @@
 // context ends.
 func (d *Daemon) dutyTable() map[string]func(context.Context) {
 	return map[string]func(context.Context){
-		"follow-config":   d.follower(d.adapter.PrefixConfig, d.catalogs(), d.configWait, nil),
-		"follow-replicas": d.follower(d.adapter.PrefixReplicas, d.Replicas, watchWait, d.gather),
-		"follow-weights":  d.follower(d.adapter.PrefixWeights, d.Weights, watchWait, nil),
-		"follow-vms":      d.follower(prefixVMs, &d.vms, watchWait, d.gather),
-		"ask-proofs":      d.askProofs,
-		"register":        d.register,
-		"readiness":       d.judge,
-		"refresh":         every(refreshEvery, func() { d.Fleet.Refresh() }),
-		"trim":            every(trimEvery, func() { d.Forward.Upstream.Trim(time.Now()) }),
-		"sweep":           every(sweepEvery, d.Replicas.Sweep),
-		"log":             every(logEvery, d.Log.Tell),
-		"feeds":           d.feeds.Run,
-		"hear-news":       d.news.Hear,
-		"tell-news":       d.news.Tell,
-		"lease":           d.keepLease,
-		"orders":          d.giveOrders,
+		"read-store": d.reader.Run,
+		"register":   d.register,
+		"readiness":  d.judge,
+		"refresh":    every(refreshEvery, func() { d.Fleet.Refresh() }),
+		"trim":       every(trimEvery, func() { d.Forward.Upstream.Trim(time.Now()) }),
+		"sweep":      every(sweepEvery, d.Replicas.Sweep),
+		"log":        every(logEvery, d.Log.Tell),
+		"feeds":      d.feeds.Run,
+		"hear-news":  d.news.Hear,
+		"tell-news":  d.news.Tell,
+		"lease":      d.keepLease,
+		"orders":     d.giveOrders,
 	}
 }
 
-// watchWait is how long a watch waits that proves nothing. It bounds how long a watch
-// that has gone silent stays unnoticed.
-func watchWait() time.Duration { return 5 * time.Second }
-
-func (d *Daemon) follower(prefix string, h follow.Handler, wait, gather func() time.Duration) func(context.Context) {
-	f := &follow.Follower{Store: d.adapter.Store, Prefix: prefix, Handler: h, Log: d.Log, Wait: wait, Gather: gather, Doubt: &d.doubt}
-	return f.Run
-}
-
 func every(period time.Duration, f func()) func(context.Context) {
 	return func(ctx context.Context) {
 		for timing.Sleep(ctx, period) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,11 +5,12 @@
 //
 // # What a VM knows and from whom
 //
-// Each VM follows the store by itself: configuration, replicas, weights, and the
-// list of entry VMs. It needs no other VM to serve, so a failure domain that is
-// cut off goes on with what it has, and a VM that starts needs the store alone.
-// Watches that wait are one call however long, so the calls grow with the number
-// of VMs and with the number of changes, not with their product.
+// In a small fleet each VM follows the store by itself: configuration, replicas,
+// weights, and the list of entry VMs. In a large one a VM of each failure domain does,
+// and the others read from it (package mirror), so that the calls grow with the number
+// of domains. A VM falls back to the store when no peer serves, so none needs another,
+// a domain that is cut off goes on with what it has, and a VM that starts needs the
+// store alone.
 //
 // # Readiness
 //
@@ -25,11 +26,11 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
+	"google.golang.org/grpc"
 
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/catalog"
@@ -43,6 +44,7 @@
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/mirror"
 	"github.com/threadwall/threadwall/internal/news"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/orders"
@@ -94,14 +96,16 @@
 	budgets *retry.Services
 	news    *news.Exchange
 	vms     vmList
-	doubt   follow.Doubt
-	behind  atomic.Uint64 // a newer version that a peer has proven
+	reader  *mirror.Reader
+	mirrors *mirror.Server
 	ready   readiness
 	servers []*http.Server
-	cancel  context.CancelFunc
-	duties  sync.WaitGroup
-	failed  func()
-	started time.Time
+	// peerServer serves entry VMs.
+	peerServer *grpc.Server
+	cancel     context.CancelFunc
+	duties     sync.WaitGroup
+	failed     func()
+	started    time.Time
 }
 
 // Module wires a daemon for fx. Settings and options must be supplied.
@@ -157,7 +161,7 @@
 		Log: eventlog.New(o.LogTo, map[string]string{"vm": string(s.VM)}),
 		Fleet: fleet.New(membership.New(s.VM, tuning), cacheview.New(beliefCapacity, nil),
 			loadview.New(), policy, nil),
-		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse),
+		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D()),
 	}
 	d.Fleet.AssumeRate(prefillRate)
 	d.build()
@@ -198,9 +202,9 @@
 	}
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
-		Prove: d.proof, Proven: d.proven,
 	}
 	d.vms.d = d
+	d.buildReader()
 	d.ready.set(false, "starting")
 }
 
@@ -250,6 +254,10 @@
 		cancel()
 		return err
 	}
+	if err := d.serveMirrors(); err != nil {
+		cancel()
+		return err
+	}
 	for name, duty := range d.dutyTable() {
 		d.run(name, func() error { duty(ctx); return nil })
 	}
@@ -305,6 +313,7 @@
 		d.Log.Belief("drain-ended").Int64("in_flight", d.Forward.InFlight()).Str("error", err.Error()).Send()
 	}
 	d.cancel()
+	d.peerServer.Stop()
 	for _, s := range d.servers {
 		_ = s.Close() // the process ends
 	}
@@ -316,6 +325,7 @@
 // Kill ends the daemon at once, as a kill of its process would.
 func (d *Daemon) Kill() {
 	d.cancel()
+	d.peerServer.Stop()
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- /dev/null
+++ b/internal/edge/store.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"github.com/threadwall/threadwall/internal/follow"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/mirror"
+	"github.com/threadwall/threadwall/internal/mirrorpb"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+const (
+	// directFleet is up to how many VMs each reads the store by itself. Beyond, what the
+	// platform charges for watches that a change wakes is more than what a VM that is
+	// blind for a second can lose.
+	directFleet = 12
+	// relayWait is how long the watch of the configuration waits at a VM that reads the
+	// store for others: they leave a VM whose last contact is a second old.
+	relayWait = 600 * time.Millisecond
+	// watchWait is how long a watch waits that proves nothing. It bounds how long one
+	// that has gone silent stays unnoticed.
+	watchWait = 5 * time.Second
+	// gatherEach is how long changes of replicas are gathered, for each entry VM:
+	// changes come in rows, and each wakes a watch.
+	gatherEach = 8 * time.Millisecond
+	// gatherMost bounds that; a replica that leaves must be noticed within two seconds.
+	gatherMost = 150 * time.Millisecond
+	// regainAfter is the age of what is known of the store from which it counts as lost.
+	regainAfter = 2 * time.Second
+)
+
+// buildReader builds what reads the store, for this VM and for others.
+func (d *Daemon) buildReader() {
+	bell := &mirror.Bell{}
+	space := func(prefix string, next follow.Handler) *mirror.Space {
+		return &mirror.Space{Prefix: prefix, Next: next, Bell: bell}
+	}
+	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, Log: d.Log}
+	spaces := []*mirror.Space{
+		space(d.adapter.PrefixConfig, catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
+		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
+	}
+	d.mirrors = &mirror.Server{Spaces: spaces, Bell: bell}
+	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Direct: d.readStore, Log: d.Log}
+}
+
+// readStore follows the store until ctx ends.
+func (d *Daemon) readStore(ctx context.Context) {
+	var doubt follow.Doubt
+	var all sync.WaitGroup
+	defer all.Wait()
+	for _, s := range d.mirrors.Spaces {
+		at, known := s.At()
+		f := &follow.Follower{
+			Store: d.adapter.Store, Prefix: s.Prefix, Handler: s, Log: d.Log, Doubt: &doubt,
+			Wait: d.wait(s.Prefix), Gather: d.gatherer(s.Prefix), Regaining: known && time.Since(at.Sent) > regainAfter,
+		}
+		all.Go(func() { f.Run(ctx) })
+	}
+}
+
+// wait tells how long the watch of a key space waits.
+func (d *Daemon) wait(prefix string) func() time.Duration {
+	return func() time.Duration {
+		switch {
+		case prefix != d.adapter.PrefixConfig:
+			return watchWait
+		case d.vms.count() > directFleet:
+			return min(relayWait, d.Settings.Edge.ProofEvery.D())
+		default:
+			return d.Settings.Edge.ProofEvery.D()
+		}
+	}
+}
+
+// gatherer tells how long changes of a key space are gathered; the configuration and
+// weights take effect at once.
+func (d *Daemon) gatherer(prefix string) func() time.Duration {
+	if prefix != d.adapter.PrefixReplicas && prefix != prefixVMs {
+		return nil
+	}
+	return func() time.Duration { return min(time.Duration(d.vms.count())*gatherEach, gatherMost) }
+}
+
+// before returns the VMs that this one reads from, in the order of its failure domain.
+func (c *vmList) before() []mirror.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.at) <= directFleet {
+		return nil
+	}
+	domain := c.d.Settings.FailureDomain
+	key := ids.Target("store reader of " + string(domain))
+	own := routing.VMWeight(key, c.d.Settings.VM)
+	var out []mirror.Peer
+	for _, r := range c.at {
+		if r.FailureDomain == domain && routing.VMWeight(key, r.VM) > own {
+			out = append(out, mirror.Peer{VM: r.VM, Addr: r.PeerAddr})
+		}
+	}
+	slices.SortFunc(out, func(a, b mirror.Peer) int {
+		return cmp.Compare(routing.VMWeight(key, b.VM), routing.VMWeight(key, a.VM))
+	})
+	return out
+}
+
+// serveMirrors lets peers read what this VM has read of the store.
+func (d *Daemon) serveMirrors() error {
+	listener, err := net.Listen("tcp", d.Settings.PeerListen)
+	if err != nil {
+		return eris.Wrapf(err, "listen for peers on %s", d.Settings.PeerListen)
+	}
+	d.peerServer = grpc.NewServer()
+	mirrorpb.RegisterMirrorServer(d.peerServer, d.mirrors)
+	d.run("serve-peers", func() error { return d.peerServer.Serve(listener) })
+	return nil
+}
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -75,15 +75,15 @@
 var _ follow.Handler = (*vmList)(nil)
 
 // Listed implements follow.Handler.
-func (c *vmList) Listed(objects []objectapi.Object, _ time.Time, _ bool) {
+func (c *vmList) Listed(objects []objectapi.Object, at follow.At, _ bool) {
 	c.mu.Lock()
 	c.at = map[string]vmRecord{}
 	c.mu.Unlock()
-	c.Changed(objects, time.Time{})
+	c.Changed(objects, at)
 }
 
 // Changed implements follow.Handler.
-func (c *vmList) Changed(events []objectapi.Object, _ time.Time) {
+func (c *vmList) Changed(events []objectapi.Object, _ follow.At) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range events {
@@ -108,17 +108,13 @@
 }
 
 // Unchanged implements follow.Handler.
-func (c *vmList) Unchanged(time.Time) {}
+func (c *vmList) Unchanged(follow.At) {}
 
-// names returns all VMs.
-func (c *vmList) names() []ids.VM {
+// count is how many VMs are listed.
+func (c *vmList) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]ids.VM, 0, len(c.at))
-	for _, r := range c.at {
-		out = append(out, r.VM)
-	}
-	return out
+	return len(c.at)
 }
 
 // rank is how many VMs come before this one for a target, by rendezvous.
--- a/internal/follow/catalogs.go
+++ b/internal/follow/catalogs.go
@@ -1,8 +1,6 @@
 package follow
 
 import (
-	"time"
-
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -21,27 +19,27 @@
 var _ Handler = (*Catalogs)(nil)
 
 // Listed implements Handler.
-func (c *Catalogs) Listed(objects []objectapi.Object, sent time.Time, _ bool) {
+func (c *Catalogs) Listed(objects []objectapi.Object, at At, _ bool) {
 	for _, o := range objects {
 		if o.Key == c.Key {
 			c.take(o)
-			c.Current.Prove(sent)
+			c.Current.Prove(at.Sent)
 		}
 	}
 }
 
 // Changed implements Handler.
-func (c *Catalogs) Changed(events []objectapi.Object, sent time.Time) {
+func (c *Catalogs) Changed(events []objectapi.Object, at At) {
 	for _, o := range events {
 		if o.Key == c.Key && !o.Deleted {
 			c.take(o)
 		}
 	}
-	c.Current.Prove(sent)
+	c.Current.Prove(at.Sent)
 }
 
 // Unchanged implements Handler.
-func (c *Catalogs) Unchanged(sent time.Time) { c.Current.Prove(sent) }
+func (c *Catalogs) Unchanged(at At) { c.Current.Prove(at.Sent) }
 
 func (c *Catalogs) take(o objectapi.Object) {
 	d, err := c.Decode(o.Value)
--- a/internal/follow/doubt_test.go
+++ b/internal/follow/doubt_test.go
@@ -49,9 +49,9 @@
 
 type noHandler struct{}
 
-func (noHandler) Listed([]objectapi.Object, time.Time, bool) {}
-func (noHandler) Changed([]objectapi.Object, time.Time)      {}
-func (noHandler) Unchanged(time.Time)                        {}
+func (noHandler) Listed([]objectapi.Object, At, bool) {}
+func (noHandler) Changed([]objectapi.Object, At)      {}
+func (noHandler) Unchanged(At)                        {}
 
 // TestOneLostWatchMakesAllListAnew lets a watch go silent without breaking, as the
 // store's did when its history was dropped (bac scale-2: a version of weights stayed
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,14 +19,25 @@
 	"github.com/threadwall/threadwall/internal/timing"
 )
 
+// At is how far something that was learned reaches.
+type At struct {
+	// Revision is that of the store: all changes up to it are included.
+	Revision objectapi.Revision
+	// Sent is when the call was sent that brought it, on this VM's monotonic clock:
+	// whatever the store had confirmed by then is included.
+	Sent time.Time
+	// Answered is when the answer came: the store was in reach then.
+	Answered time.Time
+}
+
 // Handler takes in what a Follower learns. Calls come one after the other.
 type Handler interface {
 	// Listed gives all objects. regained tells that calls had failed before.
-	Listed(objects []objectapi.Object, sent time.Time, regained bool)
+	Listed(objects []objectapi.Object, at At, regained bool)
 	// Changed gives changes since the last call, in order.
-	Changed(events []objectapi.Object, sent time.Time)
+	Changed(events []objectapi.Object, at At)
 	// Unchanged says that nothing had changed when a call was sent.
-	Unchanged(sent time.Time)
+	Unchanged(at At)
 }
 
 // Pauses between failed calls. They grow by doubling, with jitter, so that a store
@@ -47,6 +58,8 @@
 	// Gather tells how long to wait after a change for others, so that a row of them
 	// costs one call. Nil: not at all.
 	Gather func() time.Duration
+	// Regaining tells that the store was away before Run, as far as this VM knows.
+	Regaining bool
 	// Doubt is shared by the followers of one store. Nil: this one stands alone.
 	Doubt *Doubt
 
@@ -58,6 +71,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
+	f.lost, f.since = f.Regaining, time.Now()
 	for ctx.Err() == nil {
 		err := f.once(ctx)
 		if ctx.Err() != nil {
@@ -92,7 +106,7 @@
 			return err
 		}
 		f.after = max(rev, 1)
-		f.Handler.Listed(objects, sent, f.lost)
+		f.Handler.Listed(objects, At{Revision: f.after, Sent: sent, Answered: time.Now()}, f.lost)
 		return nil
 	}
 	if f.Wait != nil {
@@ -110,12 +124,12 @@
 	}
 	f.after = max(rev, f.after)
 	if len(events) > 0 {
-		f.Handler.Changed(events, sent)
+		f.Handler.Changed(events, At{Revision: f.after, Sent: sent, Answered: time.Now()})
 		if f.Gather != nil {
 			timing.Sleep(ctx, f.Gather())
 		}
 	} else {
-		f.Handler.Unchanged(sent)
+		f.Handler.Unchanged(At{Revision: f.after, Sent: sent, Answered: time.Now()})
 	}
 	return nil
 }
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -57,7 +57,7 @@
 }
 
 // Listed implements Handler.
-func (r *Replicas) Listed(objects []objectapi.Object, sent time.Time, regained bool) {
+func (r *Replicas) Listed(objects []objectapi.Object, _ At, regained bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if regained {
@@ -82,7 +82,7 @@
 }
 
 // Changed implements Handler.
-func (r *Replicas) Changed(events []objectapi.Object, _ time.Time) {
+func (r *Replicas) Changed(events []objectapi.Object, _ At) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range events {
@@ -100,7 +100,7 @@
 }
 
 // Unchanged implements Handler.
-func (r *Replicas) Unchanged(time.Time) { r.Sweep() }
+func (r *Replicas) Unchanged(At) { r.Sweep() }
 
 // Key is where the record's object lies.
 func (r *record) Key() string { return r.Record.Key }
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -41,7 +41,7 @@
 const firstSightAge = 0.7
 
 // Listed implements Handler.
-func (w *Weights) Listed(objects []objectapi.Object, _ time.Time, _ bool) {
+func (w *Weights) Listed(objects []objectapi.Object, _ At, _ bool) {
 	w.take(objects)
 	w.mu.Lock()
 	w.started = true
@@ -49,10 +49,10 @@
 }
 
 // Changed implements Handler.
-func (w *Weights) Changed(events []objectapi.Object, _ time.Time) { w.take(events) }
+func (w *Weights) Changed(events []objectapi.Object, _ At) { w.take(events) }
 
 // Unchanged implements Handler.
-func (w *Weights) Unchanged(time.Time) {}
+func (w *Weights) Unchanged(At) {}
 
 func (w *Weights) take(objects []objectapi.Object) {
 	now := time.Now()
--- /dev/null
+++ b/internal/mirror/client.go
@@ -0,0 +1,161 @@
+package mirror
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/threadwall/threadwall/internal/follow"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/mirrorpb"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/sockets"
+)
+
+// Peer is a VM to read from.
+type Peer struct {
+	VM   ids.VM
+	Addr string // ip:port
+}
+
+// Times of a reader. A replica that leaves must be known within two seconds of its word
+// to the store: freshAge and one question together stay below.
+const (
+	// freshAge is how long ago the store may last have answered a speaker.
+	freshAge = time.Second
+	// questionWait is how long a question waits for a change.
+	questionWait = 400 * time.Millisecond
+	// questionTimeout bounds a question beyond its wait.
+	questionTimeout = 400 * time.Millisecond
+	dialTimeout     = 300 * time.Millisecond
+	// maxAnswer bounds an answer, in bytes: a whole configuration and its documents.
+	maxAnswer = 16 << 20
+)
+
+// client asks one peer.
+type client struct {
+	conn   *grpc.ClientConn
+	spaces []*Space
+	have   []position // of the peer's copies, one a space
+}
+
+func dial(p Peer, spaces []*Space) (*client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+p.Addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer)),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			return sockets.Dialer(dialTimeout).DialContext(ctx, "tcp4", addr)
+		}))
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", p.VM)
+	}
+	return &client{conn: conn, spaces: spaces, have: make([]position, len(spaces))}, nil
+}
+
+func (c *client) close() { _ = c.conn.Close() } // nothing is under way
+
+// errStale is a speaker that has had no contact with the store for too long.
+var errStale = eris.New("the peer has lost the store")
+
+// read asks once and takes the answer in.
+func (c *client) read(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+questionTimeout)
+	defer cancel()
+	r := &mirrorpb.ReadRequest{WaitMs: uint32(wait.Milliseconds())}
+	for i, s := range c.spaces {
+		r.Have = append(r.Have, &mirrorpb.Position{Prefix: s.Prefix, Copy: c.have[i].copyID, Change: c.have[i].change})
+	}
+	sent := time.Now()
+	answer, err := mirrorpb.NewMirrorClient(c.conn).Read(ctx, r)
+	if err != nil {
+		return eris.Wrap(err, "ask a peer for what the store holds")
+	}
+	if len(answer.Parts) != len(c.spaces) {
+		return eris.Errorf("%d parts answer a question about %d key spaces", len(answer.Parts), len(c.spaces))
+	}
+	if err := c.judge(answer); err != nil {
+		return err
+	}
+	for i, p := range answer.Parts {
+		c.take(c.spaces[i], p, sent)
+		c.have[i] = position{p.Copy, p.Change}
+	}
+	return nil
+}
+
+// judge tells whether an answer may be used.
+func (c *client) judge(answer *mirrorpb.ReadAnswer) error {
+	youngest := uint64(freshAge.Microseconds()) + 1
+	for i, p := range answer.Parts {
+		if p.Prefix != c.spaces[i].Prefix {
+			return eris.Errorf("a part about %q answers a question about %q", p.Prefix, c.spaces[i].Prefix)
+		}
+		youngest = min(youngest, p.ContactUs)
+	}
+	if youngest > uint64(freshAge.Microseconds()) {
+		return errStale
+	}
+	return nil
+}
+
+// take passes a part on to its space.
+func (c *client) take(s *Space, p *mirrorpb.Part, sent time.Time) {
+	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(time.Now(), p.ContactUs)}
+	objects := make([]objectapi.Object, 0, len(p.Objects))
+	for _, o := range p.Objects {
+		objects = append(objects, objectapi.Object{Key: o.Key, Value: o.Value, Version: objectapi.Revision(o.Version), Deleted: o.Deleted})
+	}
+	switch {
+	case p.Whole:
+		s.Listed(objects, at, p.Regained)
+	case len(objects) > 0:
+		s.Changed(objects, at)
+	default:
+		s.Unchanged(at)
+	}
+}
+
+// before is a moment so many microseconds before another.
+func before(t time.Time, us uint64) time.Time { return t.Add(-time.Duration(us) * time.Microsecond) }
+
+// avoidance remembers which peers failed.
+type avoidance struct {
+	mu    sync.Mutex
+	until map[ids.VM]time.Time
+	fails map[ids.VM]int
+}
+
+const (
+	// avoidFirst is how long a peer is left alone after it failed; the time doubles with
+	// each failure in a row up to avoidFirst << avoidDoublings.
+	avoidFirst     = 2 * time.Second
+	avoidDoublings = 4
+)
+
+func (a *avoidance) failed(vm ids.VM, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.until == nil {
+		a.until, a.fails = map[ids.VM]time.Time{}, map[ids.VM]int{}
+	}
+	a.until[vm] = now.Add(avoidFirst << min(a.fails[vm], avoidDoublings))
+	a.fails[vm]++
+}
+
+func (a *avoidance) succeeded(vm ids.VM) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.until, vm)
+	delete(a.fails, vm)
+}
+
+func (a *avoidance) avoids(vm ids.VM, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Before(a.until[vm])
+}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -42,8 +42,6 @@
 	Life  int64  `json:"life"`            // when that life began, in milliseconds of the VM's clock
 	Loads []Load `json:"loads,omitempty"` // all targets with work; others have none
 	Order *Order `json:"order,omitempty"`
-	Ask   *Ask   `json:"ask,omitempty"`
-	Proof *Proof `json:"proof,omitempty"`
 }
 
 // Load is a VM's work at one target.
@@ -61,18 +59,6 @@
 	Done    bool               `json:"done,omitempty"`
 }
 
-// Ask asks a peer how fresh its configuration is.
-type Ask struct {
-	Number uint64 `json:"n"` // of the question, by who asks
-}
-
-// Proof answers an Ask: this version was the newest so long before the answer.
-type Proof struct {
-	Number  uint64        `json:"n"`
-	Version uint64        `json:"v"`
-	Age     time.Duration `json:"age"`
-}
-
 // Bounds.
 const (
 	// shortest is the least pause between two rounds: about the time to a first token.
@@ -96,19 +82,13 @@
 	Load          *loadview.Tracker
 	// Ordered is called for each order that a peer tells of.
 	Ordered func(o Order)
-	// Prove returns this VM's proof for a peer; ok is false if it has none.
-	Prove func() (p Proof, ok bool)
-	// Proven is called for an answer to a question of this VM that was sent at asked.
-	Proven func(p Proof, asked time.Time)
 
 	mu    sync.Mutex
 	peers []Peer
 	conn  *net.UDPConn
 	life  int64
 	seq   atomic.Uint64
-	told  int                  // targets in the last round
-	asks  map[uint64]time.Time // questions without an answer, by when they were sent
-	asked uint64
+	told  int // targets in the last round
 
 	Sent, Heard, Rejected atomic.Int64
 }
@@ -157,7 +137,7 @@
 	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
-		n, from, err := x.conn.ReadFromUDP(buf)
+		n, _, err := x.conn.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return
 		}
@@ -165,27 +145,20 @@
 			x.Rejected.Add(1)
 			continue
 		}
-		x.take(buf[:n], from)
+		x.take(buf[:n])
 	}
 }
 
-func (x *Exchange) take(data []byte, from *net.UDPAddr) {
+func (x *Exchange) take(data []byte) {
 	var m Message
 	if err := json.Unmarshal(data, &m); err != nil || m.VM == "" || m.VM == x.VM {
 		x.Rejected.Add(1)
 		return
 	}
 	x.Heard.Add(1)
-	switch {
-	case m.Order != nil:
+	if m.Order != nil {
 		x.Ordered(*m.Order)
 		return
-	case m.Ask != nil:
-		x.answer(*m.Ask, from)
-		return
-	case m.Proof != nil:
-		x.proven(*m.Proof)
-		return
 	}
 	loads := make(map[ids.Target]loadview.PeerLoad, len(m.Loads))
 	for _, l := range m.Loads {
@@ -227,17 +200,14 @@
 	}
 }
 
-// send sends a message to all peers.
-func (x *Exchange) send(m Message) { x.sendTo(m, x.list()) }
-
-// sendTo sends a message to some peers. A failed send is a lost datagram.
-func (x *Exchange) sendTo(m Message, to []Peer) {
+// send sends a message to all peers. A failed send is a lost datagram.
+func (x *Exchange) send(m Message) {
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
 		x.Rejected.Add(1)
 		return
 	}
-	for _, p := range to {
+	for _, p := range x.list() {
 		addr, err := net.ResolveUDPAddr("udp4", p.Addr)
 		if err != nil {
 			x.Rejected.Add(1)
