Count the retry budget over a window instead of refilling it drop by drop

Cause: when a failure domain is cut off all its streams end at once, and a VM's share (5.6 retries of 8 VMs) was gone in 50 ms, while the operators' bound allows the burst and a fifth of the requests of ten seconds.

Change: a budget counts requests and retries of its window; the bound holds for every window (drawn test), and what a window of requests allows may be used at once. Lending between VMs was weighed: it needs an answer before a retry, and this covers the case without one. New setting retry_window, rendered from the platform's bound.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 	d.Node.Init()
 	runner := &services.Runner{
 		Fleet: d.Fleet, Ledger: claims.NewLedger(d.Store, s.VM, d.Settler, nil), Events: d.Events,
-		Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst), Domain: s.FailureDomain,
+		Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil), Domain: s.FailureDomain,
 	}
 	runner.Init(s.DialTimeout.D())
 	d.Gateway = &gateway.Gateway{
@@ -135,7 +135,7 @@
 		Readiness: &d.ready, MaxBody: s.MaxBodyBytes, Log: d.Log,
 		Dispatcher: &dispatch.Dispatcher{
 			Fleet: d.Fleet, Engine: d.Engine, Events: d.Events, Gate: d.Limiter,
-			Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
+			Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil),
 			VM:     s.VM, Domain: s.FailureDomain, Idle: s.IdleTimeout.D(), Stats: &dispatch.Stats{},
 		},
 	}
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -169,7 +169,7 @@
 	fl.Refresh()
 	f := &Forwarder{
 		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(200 * time.Millisecond), Dialect: plainDialect{},
-		Budgets: retry.NewServices(1, 100), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
+		Budgets: retry.NewServices(1, 100, time.Second), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
 		LearnWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxBodies: 1 << 20, MaxInFlight: 100},
 	}
 	f.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Routes: []catalog.Route{r}}))
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,87 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// TestBudgetHoldsInAnyWindow draws requests and retries, and checks for every window
+// that ends with a retry that no more were allowed than its requests and the burst
+// cover. (A window that ends elsewhere has no more retries than the one that ends with
+// its last retry, which began earlier.)
+func TestBudgetHoldsInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const ratio, window = 0.2, 10 * time.Second
+		burst := float64(rapid.IntRange(0, 6).Draw(rt, "burst"))
+		now := time.Unix(0, 0)
+		b := NewBudget(ratio, burst, window, func() time.Time { return now })
+		var requests, retries []time.Time
+		count := func(all []time.Time) (n int) {
+			for _, at := range all {
+				if now.Sub(at) <= window {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 20, 300, 2500}).Draw(rt, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "request") {
+				b.Deposit()
+				requests = append(requests, now)
+				continue
+			}
+			if !b.Withdraw() {
+				continue
+			}
+			retries = append(retries, now)
+			if got, most := float64(count(retries)), ratio*float64(count(requests))+burst; got > most {
+				rt.Fatalf("%v retries in the last window, %v are covered", got, most)
+			}
+		}
+	})
+}
+
+// TestBudgetCoversADomainThatGoes checks that what a window of requests allows may be
+// used at one moment, and that it comes back with the window.
+func TestBudgetCoversADomainThatGoes(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(0.2, 5, 10*time.Second, func() time.Time { return now })
+	for range 100 {
+		b.Deposit()
+		now = now.Add(95 * time.Millisecond)
+	}
+	allowed := 0
+	for b.Withdraw() {
+		allowed++
+	}
+	if allowed != 25 {
+		t.Fatalf("%d retries at once, want 25", allowed)
+	}
+	now = now.Add(11 * time.Second)
+	if left := b.Left(); left != 5 {
+		t.Fatalf("%v retries are left after a quiet window, want the burst", left)
+	}
+}
+
+// TestServicesShareTheBurst checks that the VMs' parts of a burst add up to it.
+func TestServicesShareTheBurst(t *testing.T) {
+	s := NewServices(0.2, 40, 10*time.Second)
+	s.SetVMs(8)
+	if left := s.Of("svc").Left(); left != 5 {
+		t.Fatalf("one of 8 VMs may retry %v times, want 5", left)
+	}
+	s.SetVMs(4)
+	if left := s.Of("svc").Left(); left != 10 {
+		t.Fatalf("one of 4 VMs may retry %v times, want 10", left)
+	}
+}
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -3,28 +3,30 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Services keeps one budget for each service, as this VM's share of one that all
 // VMs have in common. Safe for concurrent use.
 //
-// In any span of time all VMs together make at most ratio retries a request plus
+// In any window all VMs together make at most ratio retries a request plus
 // burst: each VM counts only the requests that it took in itself, and its part of
 // the burst is divided by how many VMs there are. A VM that is cut off keeps its
 // part, so a partition can't raise the sum.
 type Services struct {
-	ratio float64
-	burst float64
-	vms   atomic.Int64
+	ratio  float64
+	burst  float64
+	window time.Duration
+	vms    atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*Budget
 }
 
 // NewServices returns budgets of ratio retries a request, and burst more over all
-// VMs.
-func NewServices(ratio, burst float64) *Services {
-	s := &Services{ratio: ratio, burst: burst, budgets: map[string]*Budget{}}
+// VMs, in any window of time.
+func NewServices(ratio, burst float64, window time.Duration) *Services {
+	s := &Services{ratio: ratio, burst: burst, window: window, budgets: map[string]*Budget{}}
 	s.vms.Store(1)
 	return s
 }
@@ -49,7 +51,7 @@
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = NewBudget(s.ratio, s.share())
+		b = NewBudget(s.ratio, s.share(), s.window, nil)
 		s.budgets[service] = b
 	}
 	return b
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -31,6 +31,9 @@
 	RetryRatio float64 `json:"retry_ratio,omitempty" validate:"min=0,max=1"`
 	// RetryBurst is how many more they may make at once. Default 10.
 	RetryBurst float64 `json:"retry_burst,omitempty" validate:"min=0"`
+	// RetryWindow is the time in which both are counted: in any window so long no more
+	// are made. Default 10s.
+	RetryWindow durations.Duration `json:"retry_window,omitempty"`
 	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
 	Grace durations.Duration `json:"grace,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
@@ -48,6 +51,7 @@
 func (e Edge) withDefaults() Edge {
 	e.WeightsWithin = durations.Duration(e.WeightsWithin.Or(10 * time.Second))
 	e.OrderTurn = durations.Duration(e.OrderTurn.Or(3 * time.Second))
+	e.RetryWindow = durations.Duration(e.RetryWindow.Or(10 * time.Second))
 	e.Grace = durations.Duration(e.Grace.Or(10 * time.Second))
 	proof := defaultProofEvery
 	if e.KeyTTL > 0 {
--- a/internal/yardstick/run.go
+++ b/internal/yardstick/run.go
@@ -158,7 +158,7 @@
 	d := &decider{
 		f: fleet.New(membership.New(ids.VM("vm"), membership.DefaultTuning), cacheview.New(64<<10, x.now),
 			loadview.New(), x.p.Router(), x.now),
-		budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
+		budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, x.now),
 		domain: x.w.domain(i),
 	}
 	if x.w.Gate != nil && !x.p.Knowledge.NoGate {
