Use all stores of KV cache, and leave one that does not answer alone

Cause: the grown deployments have three stores in three failure domains; only the first one declared was used, so that two thirds of room and links lay idle. A store that is down cost each replica that was sent to it some hundred milliseconds.

Change: a prefix has one store by rendezvous, the same on all VMs; a store whose feed is not answered is left out for 3 s at a time, and the VMs that read its feed tell the others.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/threadwall/threadwall/internal/ids"
 )
 
@@ -120,6 +122,8 @@
 	// others share is void when this changes: a workspace that is isolated now may have
 	// made some of it.
 	isolated string
+	// KVStores are the stores of kept KV cache.
+	KVStores []*KVStore
 }
 
 // New indexes a declaration.
@@ -137,6 +141,9 @@
 	}
 	for i := range d.Services {
 		c.services[d.Services[i].Name] = &d.Services[i]
+		if kv := d.Services[i].KVStore; kv != nil {
+			c.KVStores = append(c.KVStores, kv)
+		}
 	}
 	var isolated []string
 	for i := range d.Workspaces {
@@ -174,14 +181,18 @@
 // Service returns a service by name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
-// KVStore returns the store of kept KV cache, or nil.
-func (c *Catalog) KVStore() *KVStore {
-	for i := range c.Services {
-		if kv := c.Services[i].KVStore; kv != nil {
-			return kv
+// KVStoreOf returns the store that keeps the KV cache of a prefix: of those that are
+// usable the one with the highest rendezvous weight, so that all VMs agree and the
+// stores share the load. Nil: there is none.
+func (c *Catalog) KVStoreOf(prefix uint64, usable func(addr string) bool) *KVStore {
+	var best *KVStore
+	bestWeight := uint64(0)
+	for _, kv := range c.KVStores {
+		if w := xxh3.HashStringSeed(kv.Addr, prefix); usable(kv.Addr) && (best == nil || w > bestWeight) {
+			best, bestWeight = kv, w
 		}
 	}
-	return nil
+	return best
 }
 
 // Pick returns the service of a request by the route's weights; point is any
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -202,6 +202,7 @@
 	}
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
+		StoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, time.Now()) },
 	}
 	d.vms.d = d
 	d.buildReader()
@@ -216,9 +217,18 @@
 	}
 }
 
-// contact notes whether a replica answers the calls that read its cache feed.
-func (d *Daemon) contact(id ids.Target, alive bool) {
-	d.Fleet.Members.Contact(id, alive, time.Now())
+// contact notes whether a replica or a store answers the calls that read its cache feed.
+// Of a store that doesn't the peers are told, since few VMs read its feed.
+func (d *Daemon) contact(s kvfeed.Source, alive bool) {
+	now := time.Now()
+	if !s.Store {
+		d.Fleet.Members.Contact(s.ID, alive, now)
+		return
+	}
+	d.Forward.KV.StoreDown(s.Addr, !alive, now)
+	if !alive {
+		d.news.TellStoreDown(s.Addr)
+	}
 }
 
 // ended notes that a replica has ended, though its entry is still listed.
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -26,8 +26,10 @@
 			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr})
 		}
 	}
-	if kv := c.KVStore(); kv != nil && d.reads(forward.StoreTarget(kv.Addr), kv.FeedReaders) {
-		out = append(out, kvfeed.Source{ID: forward.StoreTarget(kv.Addr), Addr: kv.Addr, Store: true})
+	for _, kv := range c.KVStores {
+		if id := forward.StoreTarget(kv.Addr); d.reads(id, kv.FeedReaders) {
+			out = append(out, kvfeed.Source{ID: id, Addr: kv.Addr, Store: true})
+		}
 	}
 	return out
 }
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -75,7 +75,7 @@
 		wall := r.catalog.Wall(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, wall)
 		c.home = homeOf(&c, snap, sc.Routing.Home())
-		f.KV.plan(&c, &req, snap, sc, r.kvStore(), wall, p.Model, parts)
+		f.KV.plan(&c, &req, snap, sc, r.kvStore(req.Levels), wall, p.Model, parts)
 	}
 	r.logDecision(snap, &d, sc, &c)
 	return c, r.shed(&c)
@@ -96,7 +96,13 @@
 	return t.Addr
 }
 
-func (r *run) kvStore() *catalog.KVStore { return r.catalog.KVStore() }
+// kvStore returns the store for a prompt; nil: none.
+func (r *run) kvStore(levels []prefix.Level) *catalog.KVStore {
+	if len(levels) == 0 {
+		return nil
+	}
+	return r.catalog.KVStoreOf(uint64(levels[len(levels)-1].ID), r.f.KV.usable)
+}
 
 func (r *run) logDecision(snap *fleet.Snapshot, d *routing.Decision, sc *fleet.Scratch, c *choice) {
 	in := &sc.Inputs[d.Index]
--- a/internal/forward/kv.go
+++ b/internal/forward/kv.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	pending map[prefix.ID]*pending // by the deepest shared level
 	saves   map[prefix.ID]time.Time
+	down    map[string]time.Time // stores that don't answer, by address, and until when they are left alone
 }
 
 // pending is a prefix that a replica computes for this VM's requests.
@@ -32,6 +33,31 @@
 	sends  int
 }
 
+// downFor is how long a store is left alone after a VM told that it does not answer. A
+// replica that asks a dead store loses some hundred milliseconds.
+const downFor = 3 * time.Second
+
+// StoreDown records that a store does not answer, or does again.
+func (p *Planner) StoreDown(addr string, down bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !down {
+		delete(p.down, addr)
+		return
+	}
+	if p.down == nil {
+		p.down = map[string]time.Time{}
+	}
+	p.down[addr] = now.Add(downFor)
+}
+
+// usable tells whether a store may be asked.
+func (p *Planner) usable(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !time.Now().Before(p.down[addr])
+}
+
 // saveWait is how long a save that this VM asked for may take until the store's feed
 // tells of it. One that was not told of by then is asked for again: a store whose link
 // is full drops saves.
--- a/internal/forward/kv_test.go
+++ b/internal/forward/kv_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/catalog"
@@ -44,6 +45,38 @@
 	}
 }
 
+// TestStoresShareThePrefixes checks that prefixes are spread over the stores of kept KV
+// cache, and that those of a store which does not answer go to the others meanwhile. Of
+// three stores only the first was used (solano grown).
+func TestStoresShareThePrefixes(t *testing.T) {
+	c := catalog.New(catalog.Declaration{Services: []catalog.Service{
+		{Name: "kv1", KVStore: &catalog.KVStore{Addr: "s1"}}, {Name: "kv2", KVStore: &catalog.KVStore{Addr: "s2"}},
+		{Name: "kv3", KVStore: &catalog.KVStore{Addr: "s3"}},
+	}})
+	p := &Planner{}
+	count := func() map[string]int {
+		n := map[string]int{}
+		for prefix := range uint64(300) {
+			n[c.KVStoreOf(prefix, p.usable).Addr]++
+		}
+		return n
+	}
+	if n := count(); n["s1"] < 60 || n["s2"] < 60 || n["s3"] < 60 {
+		t.Fatalf("the stores get %v of 300 prefixes", n)
+	}
+	p.StoreDown("s2", true, time.Now())
+	if n := count(); n["s2"] != 0 || n["s1"] < 100 {
+		t.Fatalf("while s2 is down the stores get %v", n)
+	}
+	p.StoreDown("s2", false, time.Now())
+	if n := count(); n["s2"] < 60 {
+		t.Fatalf("after s2 is back the stores get %v", n)
+	}
+	if catalog.New(catalog.Declaration{}).KVStoreOf(1, p.usable) != nil {
+		t.Fatal("there is a store where none was declared")
+	}
+}
+
 // TestSaveIsNoProof checks that a save which was asked for is not taken for done: the
 // store's feed tells. It is not asked for again at once either.
 func TestSaveIsNoProof(t *testing.T) {
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -49,8 +49,8 @@
 	Cache   *cacheview.Index
 	KV      *forward.Planner
 	Sources func() []Source
-	// Contact is told whether an engine answers its feed's calls.
-	Contact func(id ids.Target, alive bool)
+	// Contact is told whether an engine or a store answers its feed's calls.
+	Contact func(s Source, alive bool)
 	Log     *eventlog.Log
 
 	mu      sync.Mutex
@@ -119,7 +119,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.Contact(s.ID, err == nil)
+		f.Contact(s, err == nil)
 		if err != nil {
 			if !lost {
 				lost = true
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -42,6 +42,8 @@
 	Life  int64  `json:"life"`            // when that life began, in milliseconds of the VM's clock
 	Loads []Load `json:"loads,omitempty"` // all targets with work; others have none
 	Order *Order `json:"order,omitempty"`
+	// StoreDown is the address of a store of KV cache that does not answer.
+	StoreDown string `json:"store_down,omitempty"`
 }
 
 // Load is a VM's work at one target.
@@ -84,6 +86,8 @@
 	Load          *loadview.Tracker
 	// Ordered is called for each order that a peer tells of.
 	Ordered func(o Order)
+	// StoreDown is called for each store of KV cache that a peer gets no answer from.
+	StoreDown func(addr string)
 
 	mu    sync.Mutex
 	peers []Peer
@@ -162,6 +166,10 @@
 		x.Ordered(*m.Order)
 		return
 	}
+	if m.StoreDown != "" {
+		x.StoreDown(m.StoreDown)
+		return
+	}
 	loads := make(map[ids.Target]loadview.PeerLoad, len(m.Loads))
 	for _, l := range m.Loads {
 		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
@@ -202,6 +210,11 @@
 	}
 }
 
+// TellStoreDown tells all peers that a store of KV cache does not answer.
+func (x *Exchange) TellStoreDown(addr string) {
+	x.send(Message{VM: x.VM, Life: x.life, StoreDown: addr})
+}
+
 // send sends a message to all peers. A failed send is a lost datagram.
 func (x *Exchange) send(m Message) {
 	data, err := json.Marshal(m)
