Reload settings at SIGHUP

Cause: SIGHUP was taken and ignored, so changed bounds waited for a restart and nothing in the log said so.

Change: the file is read again; the life of keys, the time for older weights and the retry bounds take effect at once, a line names these and what waits for a start; a bad file changes nothing and is told. A key life below the margin of 300 ms had meant "any age"; it is the shortest age now.

--- a/cmd/threadwalld/edge.go
+++ b/cmd/threadwalld/edge.go
@@ -17,16 +17,18 @@
 // is for stacks, sockets and what the runtime needs beside it.
 const heapShare = 0.6
 
-// runEdge runs the daemon of a VM that serves opaque requests.
-func runEdge(s settings.Settings) error {
+// runEdge runs the daemon of a VM that serves opaque requests. The settings at path are
+// read again at SIGHUP.
+func runEdge(s settings.Settings, path string) error {
 	debug.SetMemoryLimit(int64(float64(s.Edge.MemoryMB<<20) * heapShare))
-	// SIGHUP says that the settings have changed. All of them take effect at a start,
-	// so there is nothing to do but to stay alive.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	app := fx.New(
 		fx.NopLogger,
-		fx.Supply(s, edge.Options{Adapter: platform.New(s), LogTo: os.Stdout}),
+		fx.Supply(s, edge.Options{
+			Adapter: platform.New(s), LogTo: os.Stdout, Hangup: hangup,
+			Reload: func() (settings.Settings, error) { return settings.Load(path) },
+		}),
 		fx.StopTimeout(s.Edge.Grace.D()+stopMargin),
 		edge.Module,
 	)
--- a/cmd/threadwalld/main.go
+++ b/cmd/threadwalld/main.go
@@ -40,12 +40,13 @@
 const gcPercent = 300
 
 func run(_ context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String("settings"))
+	path := c.String("settings")
+	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
 	if s.Edge != nil {
-		return runEdge(s)
+		return runEdge(s, path)
 	}
 	debug.SetGCPercent(gcPercent)
 	app := fx.New(
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -44,6 +44,7 @@
 	return map[string]func(context.Context){
 		"read-store": d.reader.Run,
 		"register":   d.register,
+		"reload":     d.reloads,
 		"readiness":  d.judge,
 		"refresh":    every(refreshEvery, func() { d.Fleet.Refresh() }),
 		"trim":       every(trimEvery, func() { d.Forward.Upstream.Trim(time.Now()) }),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -76,6 +77,9 @@
 type Options struct {
 	Adapter Adapter
 	LogTo   io.Writer
+	// Hangup delivers the signals at which Reload reads the settings again. Nil: none.
+	Hangup <-chan os.Signal
+	Reload func() (settings.Settings, error)
 }
 
 // Daemon is one VM's daemon.
@@ -92,6 +96,8 @@
 	Rollout  *rollout.Rollout
 
 	adapter Adapter
+	options Options
+	current settings.Settings // as last read; Settings are those of the start
 	feeds   *kvfeed.Feeds
 	budgets *retry.Services
 	news    *news.Exchange
@@ -145,10 +151,12 @@
 	neverSilent = 10_000 * time.Hour
 )
 
+var errNoEdge = eris.New("the settings have no section edge")
+
 // New builds a daemon. Nothing runs before Start.
 func New(s settings.Settings, o Options) (*Daemon, error) {
 	if s.Edge == nil {
-		return nil, eris.New("the settings have no section edge")
+		return nil, errNoEdge
 	}
 	tuning := membership.DefaultTuning
 	tuning.Grace = neverSilent
@@ -157,7 +165,7 @@
 		policy = routing.NewRoundRobin()
 	}
 	d := &Daemon{
-		Settings: s, adapter: o.Adapter, Catalog: &catalog.Current{},
+		Settings: s, adapter: o.Adapter, options: o, current: s, Catalog: &catalog.Current{},
 		Log: eventlog.New(o.LogTo, map[string]string{"vm": string(s.VM)}),
 		Fleet: fleet.New(membership.New(s.VM, tuning), cacheview.New(beliefCapacity, nil),
 			loadview.New(), policy, nil),
@@ -178,18 +186,19 @@
 	d.Replicas = &follow.Replicas{
 		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: d.gone(client), ReturnGrace: returnGrace, Log: d.Log,
 	}
-	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Within: edge.WeightsWithin.D() - weightsMargin, Log: d.Log}
+	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Log: d.Log}
+	d.Weights.SetWithin(edge.WeightsWithin.D() - weightsMargin)
 	planner := &forward.Planner{Cache: d.Fleet.Cache, FetchRate: fetchRate}
 	d.Forward = &forward.Forwarder{
 		VM: s.VM, Domain: s.FailureDomain, Catalog: d.Catalog, Fleet: d.Fleet, Upstream: client,
 		Dialect: d.adapter.Dialect, Budgets: d.budgets, KV: planner, Weights: d.Weights, Log: d.Log,
 		LearnWeights: func(id ids.Target, w ids.WeightsVersion) { d.Replicas.SetWeights(id, w, "answer") },
 		Tuning: forward.Tuning{
-			KeyTTL:      max(edge.KeyTTL.D()-keyMargin, 0),
 			MaxBodies:   int64(float64(edge.MemoryMB<<20) * bodyShare),
 			MaxInFlight: int64(s.MaxInFlight),
 		},
 	}
+	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Contact: d.contact, Log: d.Log}
 	d.Lease = lease.New(d.adapter.Store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
--- /dev/null
+++ b/internal/edge/reload_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/threadwall/threadwall/internal/durations"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/settings"
+)
+
+// lockedBuffer is an output that a test reads.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// TestReload checks that a reload puts into force what may change while the daemon runs,
+// says what waits for a start, and changes nothing when the file is bad.
+func TestReload(t *testing.T) {
+	first := settings.Settings{VM: "a", Listen: "127.0.0.1:1", Edge: &settings.Edge{
+		KeyTTL: durations.Duration(5 * time.Second), RetryBurst: 10, RetryWindow: durations.Duration(10 * time.Second),
+	}}
+	second := first
+	second.Listen = "127.0.0.1:2"
+	second.Edge = &settings.Edge{KeyTTL: durations.Duration(2 * time.Second), RetryBurst: 20, RetryWindow: first.Edge.RetryWindow}
+	var out lockedBuffer
+	next, bad := second, error(nil)
+	d, err := New(first, Options{
+		Adapter: Adapter{Store: objectapi.NewMemory()}, LogTo: &out,
+		Reload: func() (settings.Settings, error) { return next, bad },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad = eris.New("a comma is missing")
+	d.reload()
+	if ttl := d.Forward.KeyTTL.Load(); ttl != int64(5*time.Second-keyMargin) {
+		t.Fatalf("a bad file set the age of proofs to %v", time.Duration(ttl))
+	}
+	bad = nil
+	d.reload()
+	if ttl, left := d.Forward.KeyTTL.Load(), d.budgets.Of("svc").Left(); ttl != int64(2*time.Second-keyMargin) || left != 20*budgetUse {
+		t.Fatalf("proofs may be %v old, %v retries are allowed", time.Duration(ttl), left)
+	}
+	d.Log.Close()
+	for _, want := range []string{`"event":"reload-rejected"`, `"in_force":["key_ttl","retry_burst"]`, `"at_next_start":["listen"]`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log lacks %s: %s", want, out.String())
+		}
+	}
+	if keyAge(0) != 0 || keyAge(time.Millisecond) <= 0 {
+		t.Error("a short life of keys is taken for none")
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -98,7 +98,7 @@
 
 // lacking says what this VM needs before it may serve; empty: nothing.
 func (d *Daemon) lacking() string {
-	ttl := d.Forward.Tuning.KeyTTL
+	ttl := time.Duration(d.Forward.KeyTTL.Load())
 	switch {
 	case d.Catalog.Get() == nil:
 		return "no configuration: the store could not be read"
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -19,11 +19,10 @@
 // Weights keeps which weights operators want of each model, and since when.
 type Weights struct {
 	Decode func(value []byte) (NamedWeights, error)
-	// Within is how long after a version was named older ones may still be used.
-	Within time.Duration
 	Log    *eventlog.Log
 
 	mu      sync.RWMutex
+	within  time.Duration
 	models  map[ids.Model][]named
 	started bool
 }
@@ -40,6 +39,13 @@
 // started, as a part of Within: it may have been named just before, or long ago.
 const firstSightAge = 0.7
 
+// SetWithin sets how long after a version was named older ones may still be used.
+func (w *Weights) SetWithin(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.within = d
+}
+
 // Listed implements Handler.
 func (w *Weights) Listed(objects []objectapi.Object, _ At, _ bool) {
 	w.take(objects)
@@ -62,7 +68,7 @@
 		w.models = map[ids.Model][]named{}
 	}
 	if !w.started {
-		now = now.Add(-time.Duration(float64(w.Within) * firstSightAge))
+		now = now.Add(-time.Duration(float64(w.within) * firstSightAge))
 	}
 	for _, o := range objects {
 		if o.Deleted {
@@ -124,7 +130,7 @@
 	defer w.mu.RUnlock()
 	all := w.models[m]
 	for _, n := range all {
-		if now.Sub(n.at) > w.Within {
+		if now.Sub(n.at) > w.within {
 			least = n.version
 		}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -106,8 +106,11 @@
 	// LearnWeights is told what weights a replica says it has.
 	LearnWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning       Tuning
-	Stats        Stats
-	Latency      Histogram
+	// KeyTTL is how old the proof of the catalog may be when a call with an API key is
+	// sent, a time.Duration. Zero: any age.
+	KeyTTL  atomic.Int64
+	Stats   Stats
+	Latency Histogram
 
 	// Draining is set when the VM shuts down: answers then ask callers to come
 	// back on another connection.
@@ -120,9 +123,6 @@
 
 // Tuning holds the bounds of the request path. Settings fill it.
 type Tuning struct {
-	// KeyTTL is how old the proof of the catalog may be when a call with an API key
-	// is sent. Zero: any age.
-	KeyTTL time.Duration
 	// MaxBodies bounds the callers' bodies in memory, in bytes.
 	MaxBodies int64
 	// MaxInFlight bounds calls in flight.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -192,7 +192,7 @@
 	r := route(catalog.Once, 1)
 	r.Public = false
 	tf := newFleet(t, r, s)
-	tf.f.Tuning.KeyTTL = time.Second
+	tf.f.KeyTTL.Store(int64(time.Second))
 	tf.f.Catalog.Adopt(catalog.New(catalog.Declaration{
 		Version: 2, Routes: []catalog.Route{r},
 		Workspaces: []catalog.Workspace{{Name: "w1", Keys: []string{"k1"}}},
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -109,7 +109,7 @@
 
 // sure tells whether the catalog was proven to be the newest a short while ago.
 func (r *run) sure() bool {
-	ttl := r.f.Tuning.KeyTTL
+	ttl := time.Duration(r.f.KeyTTL.Load())
 	return ttl == 0 || r.f.Catalog.ProofAge(time.Now()) < ttl
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,12 +16,12 @@
 // the whole window covers that, where one that refills drop by drop does not. Safe for
 // concurrent use.
 type Budget struct {
-	ratio  float64
 	window time.Duration
 	now    func() time.Time
 	start  time.Time
 
 	mu    sync.Mutex
+	ratio float64
 	burst float64
 	// Counts by slot, newest at number % len. The window is covered by slots parts for
 	// requests, and by one more for retries, so that it is never taken for longer than
@@ -66,11 +66,11 @@
 	return true
 }
 
-// SetBurst changes how many retries are allowed beyond the fraction.
-func (b *Budget) SetBurst(burst float64) {
+// SetBounds changes the fraction, and how many retries are allowed beyond it.
+func (b *Budget) SetBounds(ratio, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.burst = burst
+	b.ratio, b.burst = ratio, burst
 }
 
 // Left returns how many retries are allowed now.
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,36 +13,45 @@
 // the burst is divided by how many VMs there are. A VM that is cut off keeps its
 // part, so a partition can't raise the sum.
 type Services struct {
-	ratio  float64
-	burst  float64
 	window time.Duration
-	vms    atomic.Int64
 
 	mu      sync.Mutex
+	ratio   float64
+	burst   float64
+	vms     int
 	budgets map[string]*Budget
 }
 
 // NewServices returns budgets of ratio retries a request, and burst more over all
 // VMs, in any window of time.
 func NewServices(ratio, burst float64, window time.Duration) *Services {
-	s := &Services{ratio: ratio, burst: burst, window: window, budgets: map[string]*Budget{}}
-	s.vms.Store(1)
-	return s
+	return &Services{ratio: ratio, burst: burst, window: window, vms: 1, budgets: map[string]*Budget{}}
 }
 
 // SetVMs tells how many VMs share the budgets.
 func (s *Services) SetVMs(n int) {
-	if s.vms.Swap(int64(max(n, 1))) == int64(max(n, 1)) {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.vms = max(n, 1)
+	s.update()
+}
+
+// SetBounds changes what is allowed.
+func (s *Services) SetBounds(ratio, burst float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ratio, s.burst = ratio, burst
+	s.update()
+}
+
+// update passes the bounds on to the budgets. The lock is held.
+func (s *Services) update() {
 	for _, b := range s.budgets {
-		b.SetBurst(s.share())
+		b.SetBounds(s.ratio, s.share())
 	}
 }
 
-func (s *Services) share() float64 { return s.burst / float64(s.vms.Load()) }
+func (s *Services) share() float64 { return s.burst / float64(s.vms) }
 
 // Of returns a service's budget.
 func (s *Services) Of(service string) *Budget {
