--- a/internal/forward/kv_test.go
+++ b/internal/forward/kv_test.go
@@ -50,7 +50,8 @@
 // three stores only the first was used (solano grown).
 func TestStoresShareThePrefixes(t *testing.T) {
 	c := catalog.New(catalog.Declaration{Services: []catalog.Service{
-		{Name: "kv1", KVStore: &catalog.KVStore{Addr: "s1"}}, {Name: "kv2", KVStore: &catalog.KVStore{Addr: "s2"}},
+		{Name: "kv1", KVStore: &catalog.KVStore{Addr: "s1"}},
+		{Name: "kv2", KVStore: &catalog.KVStore{Addr: "s2"}},
 		{Name: "kv3", KVStore: &catalog.KVStore{Addr: "s3"}},
 	}})
 	p := &Planner{}
