Keep proofs young in fleets where one VM reads the store for the others; let the soak run such fleets

Change: waits and questions are parts of proof_every; the size from which a fleet works so is the setting direct_fleet.

--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -19,12 +19,10 @@
 )
 
 const (
-	// directFleet is up to how many VMs each reads the store by itself. Beyond, what the
-	// platform charges for watches that a change wakes is more than what a VM that is
-	// blind for a second can lose.
-	directFleet = 12
 	// relayWait is how long the watch of the configuration waits at a VM that reads the
-	// store for others: they leave a VM whose last contact is a second old.
+	// store for others, at most: they leave a VM whose last contact is a second old. A
+	// proof is as old as two waits at the VM that reads, and as two questions more at the
+	// others; all four together stay within two of ProofEvery, as everywhere.
 	relayWait = 600 * time.Millisecond
 	// watchWait is how long a watch waits that proves nothing. It bounds how long one
 	// that has gone silent stays unnoticed.
@@ -33,7 +31,7 @@
 	// changes come in rows, and each wakes a watch.
 	gatherEach = 8 * time.Millisecond
 	// gatherMost bounds that; a replica that leaves must be noticed within two seconds.
-	gatherMost = 150 * time.Millisecond
+	gatherMost = 300 * time.Millisecond
 	// regainAfter is the age of what is known of the store from which it counts as lost.
 	regainAfter = 2 * time.Second
 )
@@ -50,7 +48,7 @@
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
 	}
 	d.mirrors = &mirror.Server{Spaces: spaces, Bell: bell}
-	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Direct: d.readStore, Log: d.Log}
+	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Direct: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4}
 }
 
 // readStore follows the store until ctx ends.
@@ -74,8 +72,8 @@
 		switch {
 		case prefix != d.adapter.PrefixConfig:
 			return watchWait
-		case d.vms.count() > directFleet:
-			return min(relayWait, d.Settings.Edge.ProofEvery.D())
+		case d.vms.count() > d.Settings.Edge.DirectFleet:
+			return min(relayWait, d.Settings.Edge.ProofEvery.D()/2)
 		default:
 			return d.Settings.Edge.ProofEvery.D()
 		}
@@ -95,7 +93,7 @@
 func (c *vmList) before() []mirror.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.at) <= directFleet {
+	if len(c.at) <= c.d.Settings.Edge.DirectFleet {
 		return nil
 	}
 	domain := c.d.Settings.FailureDomain
--- /dev/null
+++ b/internal/edge/store_test.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/durations"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/settings"
+)
+
+// TestProofsOutlastTheirWay checks for short and long lives of keys, and for VMs that
+// read the store or a peer, that a proof is renewed before it is too old to send a call
+// with a key. With key lives of 2 s, VMs that read from a peer refused calls for some
+// tenths of a second again and again though nothing was wrong (soak, seeds 7000 and 7002).
+func TestProofsOutlastTheirWay(t *testing.T) {
+	for _, ttl := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, time.Minute} {
+		for _, vms := range []int{1, 40} {
+			s := settings.Settings{VM: "vm0", FailureDomain: "z", Edge: &settings.Edge{
+				KeyTTL: durations.Duration(ttl), ProofEvery: durations.Duration(ttl * 3 / 10), DirectFleet: 12,
+			}}
+			d, err := New(s, Options{Adapter: Adapter{Store: objectapi.NewMemory(), PrefixConfig: "config/"}, LogTo: io.Discard})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.vms.at = map[string]vmRecord{}
+			for i := range vms {
+				d.vms.at[fmt.Sprint(i)] = vmRecord{VM: ids.VM(fmt.Sprint("vm", i)), FailureDomain: "z"}
+			}
+			oldest := 2 * d.wait("config/")()
+			if vms > s.Edge.DirectFleet {
+				oldest += 2 * d.reader.Wait
+			}
+			if limit := time.Duration(keyAge(ttl)); oldest > limit*19/20 {
+				t.Errorf("keys that live %v, %d VMs: a proof gets %v old, at most %v are allowed", ttl, vms, oldest, limit)
+			}
+			d.Log.Close()
+		}
+	}
+}
+
+// TestOrderOfReaders checks that the VMs of a failure domain agree on who reads the store
+// for whom: the first reads it itself, and nobody reads from a VM behind it.
+func TestOrderOfReaders(t *testing.T) {
+	const vms = 20
+	before := map[ids.VM][]ids.VM{}
+	for i := range vms {
+		s := settings.Settings{VM: ids.VM(fmt.Sprint("vm", i)), FailureDomain: "z", Edge: &settings.Edge{DirectFleet: 12}}
+		d, err := New(s, Options{Adapter: Adapter{Store: objectapi.NewMemory()}, LogTo: io.Discard})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.vms.at = map[string]vmRecord{}
+		for j := range vms {
+			d.vms.at[fmt.Sprint(j)] = vmRecord{VM: ids.VM(fmt.Sprint("vm", j)), FailureDomain: "z"}
+		}
+		for _, p := range d.vms.before() {
+			before[s.VM] = append(before[s.VM], p.VM)
+		}
+		d.Log.Close()
+	}
+	places := map[int]ids.VM{}
+	for vm, all := range before {
+		places[len(all)] = vm
+	}
+	if len(before) != vms-1 { // the first has none before it
+		t.Fatalf("%d VMs read the store themselves", vms-len(before))
+	}
+	for vm, all := range before {
+		for i, p := range all[1:] {
+			if places[i+1] != p {
+				t.Fatalf("%s reads from %v, the order is %v", vm, all, places)
+			}
+		}
+	}
+}
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -28,7 +28,7 @@
 const (
 	// freshAge is how long ago the store may last have answered a speaker.
 	freshAge = time.Second
-	// questionWait is how long a question waits for a change.
+	// questionWait is how long a question waits for a change, at most.
 	questionWait = 400 * time.Millisecond
 	// questionTimeout bounds a question beyond its wait.
 	questionTimeout = 400 * time.Millisecond
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -18,7 +18,9 @@
 	Before func() []Peer
 	// Direct reads the store until its context ends.
 	Direct func(context.Context)
-	Log    *eventlog.Log
+	// Wait is how long a question waits for a change, at most. Zero: questionWait.
+	Wait time.Duration
+	Log  *eventlog.Log
 
 	avoid  avoidance
 	mu     sync.Mutex
@@ -112,8 +114,12 @@
 func (r *Reader) follow(ctx context.Context, c *client, p Peer) {
 	defer c.close()
 	r.setSource(string(p.VM), "it comes before this VM and has the store")
+	wait := questionWait
+	if r.Wait > 0 {
+		wait = min(wait, r.Wait)
+	}
 	for r.best(p) {
-		err := c.read(ctx, questionWait)
+		err := c.read(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -177,12 +177,18 @@
 	// about a fifth of a model's engines at a time slow each other down, so about as
 	// many finish runs while others load.
 	paceIdle = 2
-	paceBusy = 4
+	// paceIdleLarge is that of a large fleet. There the engines that load at a time are
+	// so many that they slow each other, and the rest is too small a part for long.
+	paceIdleLarge = 3
+	paceBusy      = 4
 	// paceFull: each engine out of service makes all others' callers late, and an
 	// answer on old weights loses less than a late one.
 	paceFull = 9
 )
 
+// largeFleet is from how many engines a fleet is large.
+const largeFleet = 16
+
 // Waits that tell the paces apart: a part of the usual objective of half a second.
 const (
 	waitBusy = 100 * time.Millisecond
@@ -206,6 +212,8 @@
 	}
 	mean := sum / time.Duration(max(n, 1))
 	switch {
+	case mean < waitBusy && n > largeFleet:
+		return paceIdleLarge
 	case mean < waitBusy:
 		return paceIdle
 	case mean < waitFull || since > r.Hurry:
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -34,6 +34,11 @@
 	// RetryWindow is the time in which both are counted: in any window so long no more
 	// are made. Default 10s.
 	RetryWindow durations.Duration `json:"retry_window,omitempty"`
+	// DirectFleet is up to how many entry VMs each reads the platform's store by itself.
+	// In larger fleets one VM of each failure domain reads it for the others: fewer
+	// calls, but a VM may learn of a change a second later when that one fails.
+	// Default 12.
+	DirectFleet int `json:"direct_fleet,omitempty" validate:"min=0"`
 	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
 	Grace durations.Duration `json:"grace,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
@@ -60,6 +65,7 @@
 	e.ProofEvery = durations.Duration(e.ProofEvery.Or(proof))
 	orDefault(&e.RetryRatio, 0.1)
 	orDefault(&e.RetryBurst, 10)
+	orDefault(&e.DirectFleet, 12)
 	orDefault(&e.MemoryMB, 256)
 	return e
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,8 +34,9 @@
 	stopped bool      // SIGTERM was sent, it has not started again
 }
 
-// newProcess writes settings for a VM and starts it.
-func newProcess(dir, program, name, storeAddr string) (*process, error) {
+// newProcess writes settings for a VM and starts it. In fleets beyond directFleet VMs
+// one reads the store for the others.
+func newProcess(dir, program, name, storeAddr string, directFleet int) (*process, error) {
 	store, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
@@ -54,7 +55,7 @@
 		"store": "http://" + store.Addr(), "store_timeout": "500ms",
 		"edge": map[string]any{
 			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
-			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(),
+			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet,
 		},
 	}
 	data, err := json.Marshal(s)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return report, err
 	}
-	w, err := newWorld(dir, o.Program, o.VMs)
+	w, err := newWorld(dir, o.Program, o.VMs, directFleet(o.Seed))
 	defer w.close()
 	w.calmServes = !o.Busy
 	if err != nil {
@@ -80,6 +80,14 @@
 	return report, os.RemoveAll(dir)
 }
 
+// directFleet lets one VM read the store for the others in every second seed.
+func directFleet(seed uint64) int {
+	if seed%2 == 0 {
+		return 1
+	}
+	return 100
+}
+
 // aftermath waits until all is well again, and notes what is not.
 func (w *world) aftermath(r *Report) {
 	if !await(recoverTime, w.readyAll) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -96,7 +96,7 @@
 }
 
 // newWorld starts everything: vms processes, engines and service replicas.
-func newWorld(dir, program string, vms int) (*world, error) {
+func newWorld(dir, program string, vms, directFleet int) (*world, error) {
 	w := &world{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, weights: 1}
 	w.config = config{
 		Version: 1,
@@ -122,7 +122,7 @@
 		}
 	}
 	for i := range vms {
-		p, err := newProcess(dir, program, fmt.Sprint("vm", i), strings.TrimPrefix(w.store.URL(), "http://"))
+		p, err := newProcess(dir, program, fmt.Sprint("vm", i), strings.TrimPrefix(w.store.URL(), "http://"), directFleet)
 		if err != nil {
 			return w, err
 		}
