Model how long a key that was taken away may work

spec/proof.pml: a VM that reads the store, one that reads from it, calls and answers that take any time, and a caller.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -37,3 +37,8 @@
 bites config -DNO_MONOTONE
 bites config -DNO_BASE
 bites config -DNO_FLOOR
+holds proof
+bites proof -DFROM_ANSWER
+bites proof -DFROM_NEWS
+bites proof -DNO_AGE
+bites proof -DEARLY_CHECK
