Let the readers of a cache feed tell the others that its engine is silent

Cause: in a large fleet 9 of 69 VMs read an engine's feed; the others learned that it is dark by three failed requests each.

Change: a VM names the engines whose feeds don't answer in its rounds of news; two peers that say so make a target suspect, for 2 s at a time, unless this VM had a sign of life from it within the last second. One VM alone may be cut off itself. What membership knows of silence has a file of its own.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -211,6 +211,10 @@
 	}
 	d.news = &news.Exchange{
 		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
+		Silent: d.feeds.Silent,
+		PeerSilent: func(id ids.Target, peer ids.VM) {
+			d.Fleet.Members.PeerLost(id, peer, time.Now())
+		},
 		StoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, time.Now()) },
 	}
 	d.vms.d = d
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +57,7 @@
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by address and id
+	silent  map[ids.Target]bool           // engines whose last call was not answered
 	wg      sync.WaitGroup
 }
 
@@ -111,6 +114,7 @@
 func (f *Feeds) follow(ctx context.Context, s Source) {
 	var life, since uint64
 	lost := false
+	defer f.note(s, true) // it is no longer read
 	timing.Sleep(ctx, rand.N(feedPause))
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
@@ -120,6 +124,7 @@
 			return
 		}
 		f.Contact(s, err == nil)
+		f.note(s, err == nil)
 		if err != nil {
 			if !lost {
 				lost = true
@@ -143,6 +148,27 @@
 	}
 }
 
+// note remembers which engines don't answer.
+func (f *Feeds) note(s Source, alive bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if alive || s.Store {
+		delete(f.silent, s.ID)
+		return
+	}
+	if f.silent == nil {
+		f.silent = map[ids.Target]bool{}
+	}
+	f.silent[s.ID] = true
+}
+
+// Silent returns the engines whose feeds this VM reads and that don't answer.
+func (f *Feeds) Silent() []ids.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.silent))
+}
+
 // emptied drops the beliefs about a speaker that has restarted.
 func (f *Feeds) emptied(s Source) {
 	f.Log.Belief("cache-emptied").Str("target", string(s.ID)).Send()
--- /dev/null
+++ b/internal/membership/contact.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Heard records a sign of life from the target.
+func (t *Table) Heard(id ids.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.heardAt = now
+	}
+}
+
+// Contact records whether a standing call of this VM to the target, such as the one
+// that reads its cache feed, is answered.
+func (t *Table) Contact(id ids.Target, alive bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	if m == nil {
+		return
+	}
+	m.unreachable = !alive
+	if alive {
+		m.heardAt = now
+	}
+}
+
+// PeerLost records that a peer's standing call to the target fails.
+func (t *Table) PeerLost(id ids.Target, peer ids.VM, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	if m == nil {
+		return
+	}
+	if m.lostBy == nil {
+		m.lostBy = map[ids.VM]time.Time{}
+	}
+	m.lostBy[peer] = now
+}
+
+const (
+	// peerWord is how long a peer's word that it lost a target counts; it repeats it
+	// while that lasts.
+	peerWord = 2 * time.Second
+	// peersToBelieve is how many peers must say so: one may be cut off itself.
+	peersToBelieve = 2
+	// ownWord is for how long a sign of life that this VM had itself goes before what
+	// peers say.
+	ownWord = time.Second
+)
+
+// lostByPeers tells whether peers say that the target is silent, and this VM knows no
+// better.
+func (m *target) lostByPeers(now time.Time) bool {
+	if len(m.lostBy) < peersToBelieve || now.Sub(m.heardAt) < ownWord {
+		return false
+	}
+	peers := 0
+	for _, at := range m.lostBy {
+		if now.Sub(at) < peerWord {
+			peers++
+		}
+	}
+	return peers >= peersToBelieve
+}
+
+// Silent records that a request of this VM, sent at the given time, got nothing from
+// the target for too long. A target that gave signs of life since is slow, or hangs
+// some requests: that makes it dearer, and nothing worse, since under load all
+// targets are slow, and fewer of them make the others slower still.
+func (t *Table) Silent(id ids.Target, sent, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	if m == nil {
+		return
+	}
+	m.failRate.add(1)
+	m.failRate.at = now
+	if m.heardAt.After(sent) {
+		return
+	}
+	m.fails++
+	m.lastFail = now
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -76,9 +76,10 @@
 	fails       int
 	lastFail    time.Time
 	failRate    failRate
-	heardAt     time.Time // this VM's last sign of life from it: an event, an answer, its feed
-	unreachable bool      // a standing call of this VM to it has failed
-	busyUntil   time.Time // it refused work and gets none before this
+	heardAt     time.Time            // this VM's last sign of life from it: an event, an answer, its feed
+	unreachable bool                 // a standing call of this VM to it has failed
+	lostBy      map[ids.VM]time.Time // peers whose standing call to it has failed, and when they last said so
+	busyUntil   time.Time            // it refused work and gets none before this
 	incarnation ids.Incarnation
 	weights     ids.WeightsVersion
 }
@@ -160,7 +161,7 @@
 		return
 	}
 	m.incarnation, m.weights = inc, w
-	m.bornAt, m.leaving, m.fails, m.unreachable = now, false, 0, false
+	m.bornAt, m.leaving, m.fails, m.unreachable, m.lostBy = now, false, 0, false, nil
 	m.report = Report{Incarnation: inc}
 }
 
@@ -230,50 +231,6 @@
 	}
 }
 
-// Heard records a sign of life from the target.
-func (t *Table) Heard(id ids.Target, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if m := t.targets[id]; m != nil {
-		m.heardAt = now
-	}
-}
-
-// Contact records whether a standing call of this VM to the target, such as the one
-// that reads its cache feed, is answered.
-func (t *Table) Contact(id ids.Target, alive bool, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.targets[id]
-	if m == nil {
-		return
-	}
-	m.unreachable = !alive
-	if alive {
-		m.heardAt = now
-	}
-}
-
-// Silent records that a request of this VM, sent at the given time, got nothing from
-// the target for too long. A target that gave signs of life since is slow, or hangs
-// some requests: that makes it dearer, and nothing worse, since under load all
-// targets are slow, and fewer of them make the others slower still.
-func (t *Table) Silent(id ids.Target, sent, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.targets[id]
-	if m == nil {
-		return
-	}
-	m.failRate.add(1)
-	m.failRate.at = now
-	if m.heardAt.After(sent) {
-		return
-	}
-	m.fails++
-	m.lastFail = now
-}
-
 // Failed records that an attempt on the target failed through the target's fault.
 func (t *Table) Failed(id ids.Target, now time.Time) {
 	t.mu.Lock()
@@ -371,7 +328,7 @@
 // silent judges by exception: the VM that probes a target reports when it falls
 // silent, so that a hundred healthy targets cost no messages.
 func (m *target) silent(tu Tuning, now time.Time) bool {
-	if m.unreachable {
+	if m.unreachable || m.lostByPeers(now) {
 		return true
 	}
 	if m.reportAt.IsZero() {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -66,6 +66,10 @@
 		table.Silent(target, now.Add(-waited), now)
 	case "heard":
 		table.Heard(target, now)
+	case "peer-lost":
+		var peer string
+		d.ScanArgs(t, "peer", &peer)
+		table.PeerLost(target, ids.VM(peer), now)
 	case "contact":
 		table.Contact(target, !d.HasArg("lost"), now)
 	case "try":
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -41,7 +41,9 @@
 	Seq   uint64 `json:"seq"`             // orders the loads of one life of a VM
 	Life  int64  `json:"life"`            // when that life began, in milliseconds of the VM's clock
 	Loads []Load `json:"loads,omitempty"` // all targets with work; others have none
-	Order *Order `json:"order,omitempty"`
+	// Silent are engines that don't answer the calls by which this VM reads their feeds.
+	Silent []ids.Target `json:"silent,omitempty"`
+	Order  *Order       `json:"order,omitempty"`
 	// StoreDown is the address of a store of KV cache that does not answer.
 	StoreDown string `json:"store_down,omitempty"`
 }
@@ -86,6 +88,10 @@
 	Load          *loadview.Tracker
 	// Ordered is called for each order that a peer tells of.
 	Ordered func(o Order)
+	// Silent returns the engines that this VM gets no answer from, and PeerSilent is
+	// called for each that a peer gets none from.
+	Silent     func() []ids.Target
+	PeerSilent func(id ids.Target, peer ids.VM)
 	// StoreDown is called for each store of KV cache that a peer gets no answer from.
 	StoreDown func(addr string)
 
@@ -175,6 +181,9 @@
 		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
 	}
 	x.Load.Peer(m.VM, m.Life, m.Seq, loads, time.Now())
+	for _, id := range m.Silent {
+		x.PeerSilent(id, m.VM)
+	}
 }
 
 // Tell sends this VM's loads round after round until ctx ends.
@@ -190,17 +199,18 @@
 	return max(shortest, time.Duration(len(x.list()))*time.Second/messagesPerSecond)
 }
 
-// round tells the loads once; after a round without any, nothing.
+// round tells loads and silent engines once; after a round without any, nothing.
 func (x *Exchange) round() {
 	var loads []Load
 	x.Load.Own(func(t ids.Target, l loadview.PeerLoad) {
 		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), Bound: l.Bound})
 	})
-	if len(loads) == 0 && x.told == 0 {
+	silent := x.Silent()
+	if len(loads) == 0 && x.told == 0 && len(silent) == 0 {
 		return
 	}
 	x.told = len(loads)
-	x.send(Message{VM: x.VM, Life: x.life, Seq: x.seq.Add(1), Loads: loads})
+	x.send(Message{VM: x.VM, Life: x.life, Seq: x.seq.Add(1), Loads: loads, Silent: silent})
 }
 
 // TellOrder tells all peers of an order.
