--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,7 +116,7 @@
 	// back on another connection.
 	Draining atomic.Bool
 
-	usual     usualWork
+	usual     usualCalls
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 }
