--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,7 +116,7 @@
 	// back on another connection.
 	Draining atomic.Bool
 
-	usual     usualCalls
+	usual     usualWork
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 }
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -19,12 +19,8 @@
 	// which a call is refused. What is predicted leaves out the steps in between and the way: at 1.25 and
 	// 1.6 the engines stayed overloaded for longer (docs/design/platform.md).
 	shedFactor = 0.8
-	// shedUrgentFactor is that for calls of the most urgent rank, and for those that have
-	// waited already: who came back when told is not turned away again for a little.
+	// shedUrgentFactor is that for calls of the most urgent rank.
 	shedUrgentFactor = 3
-	// waitedShare is the part of the time that callers of a route usually give below
-	// which a call has waited somewhere already.
-	waitedShare = 0.9
 	// shedPause is when a refused call should come back, and shedJitter how much more,
 	// at random, so that they don't come back together. Queues of an engine are worked
 	// off at tens of thousands of tokens a second: a second is as much as one holds.
@@ -42,11 +38,10 @@
 	if r.call.Prompt == nil || !r.route.Prompts || r.route.Objective <= 0 || r.mayRan || r.begun {
 		return nil
 	}
-	own, deadline := r.f.usual.observe(r.route.Name, (c.wait-c.queue).Seconds()*float64(c.rate), r.call.Deadline)
+	own := r.f.usual.observe(r.route.Name, (c.wait-c.queue).Seconds()*float64(c.rate))
 	predicted := c.queue + seconds(float32(own)/c.rate)
 	factor := shedFactor
-	waited := r.call.Deadline > 0 && r.call.Deadline < time.Duration(float64(deadline)*waitedShare)
-	if waited || priority(r.route, r.workspace) == 0 {
+	if priority(r.route, r.workspace) == 0 {
 		factor = shedUrgentFactor
 	}
 	if predicted < time.Duration(float64(r.route.Objective)*factor) {
@@ -58,18 +53,11 @@
 		After(shedPause + rand.N(shedJitter))
 }
 
-// usualCalls keeps what calls of a route are usually like, by the route's name. Safe for
-// concurrent use.
-type usualCalls struct {
+// usualWork keeps what prompts of a route usually make an engine do, by the route's
+// name, in tokens computed. Safe for concurrent use.
+type usualWork struct {
 	mu     sync.Mutex
-	routes map[string]*usualCall
-}
-
-// usualCall is the work that a route's prompts usually make an engine do, in tokens
-// computed, and the longest time that callers give.
-type usualCall struct {
-	tokens   float64
-	deadline time.Duration
+	tokens map[string]float64
 }
 
 const (
@@ -79,19 +67,18 @@
 	maxUsual = 4096
 )
 
-// observe takes one call in and returns what is usual.
-func (u *usualCalls) observe(route string, tokens float64, deadline time.Duration) (usualTokens float64, longest time.Duration) {
+// observe takes one call in and returns the usual work.
+func (u *usualWork) observe(route string, own float64) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.routes == nil || len(u.routes) >= maxUsual {
-		u.routes = map[string]*usualCall{}
+	if u.tokens == nil || len(u.tokens) >= maxUsual {
+		u.tokens = map[string]float64{}
 	}
-	c := u.routes[route]
-	if c == nil {
-		c = &usualCall{tokens: tokens}
-		u.routes[route] = c
+	usual, known := u.tokens[route]
+	if !known {
+		usual = own
 	}
-	c.tokens += usualGain * (tokens - c.tokens)
-	c.deadline = max(c.deadline, deadline)
-	return c.tokens, c.deadline
+	usual += usualGain * (own - usual)
+	u.tokens[route] = usual
+	return usual
 }
--- a/internal/forward/shed_test.go
+++ b/internal/forward/shed_test.go
@@ -28,32 +28,6 @@
 	}
 }
 
-// TestWhoCameBackIsLetIn checks that a call which has waited already, by the time that
-// its caller still gives, is not refused for a little lateness once more.
-func TestWhoCameBackIsLetIn(t *testing.T) {
-	f := &Forwarder{}
-	ask := func(deadline, queue time.Duration) bool {
-		r := &run{f: f, call: Call{Prompt: &Prompt{}, Deadline: deadline}, route: &catalog.Route{
-			Name: "r", Prompts: true, Objective: time.Second, Priority: 1,
-		}}
-		return r.shed(&choice{rate: 50_000, queue: queue, wait: queue + 50*time.Millisecond}) == nil
-	}
-	for _, c := range []struct {
-		deadline, queue time.Duration
-		in              bool
-	}{
-		{4 * time.Second, 0, true},
-		{4 * time.Second, time.Second, false},
-		{3 * time.Second, time.Second, true},
-		{3 * time.Second, 4 * time.Second, false},
-		{0, time.Second, false}, // it does not say
-	} {
-		if in := ask(c.deadline, c.queue); in != c.in {
-			t.Errorf("a call with %v left before a queue of %v: let in is %v", c.deadline, c.queue, in)
-		}
-	}
-}
-
 // TestLateCallIsRefusedAtOnce checks that a call which all engines would answer late
 // is refused at once, truly and with a time to come back, and that the most urgent
 // rank is let in longer. Engines that took everything served nobody in time for 14 s
