Mend what reading the change found: what is missing after a switch, doubt that nobody takes back, equal draws

- A reader that switched to a VM whose last list had followed a loss of the store, however long ago, waited 2 s for entries that were missing from its copy: a replica that was gone could get work for longer than it may.
The mark now lasts for 2 s.
- A VM that no longer reads an engine's feed kept it as unreachable, if it was so at that moment, for good.
- All VMs counted their seeds from one, so that VMs which start together drew the same targets.
- The decide line says what was predicted and at which rate.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/zeebo/xxh3"
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
@@ -172,6 +173,7 @@
 		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D()),
 	}
 	d.Fleet.AssumeRate(prefillRate)
+	d.Fleet.SeedFrom(xxh3.HashString(string(s.VM)))
 	d.build()
 	return d, nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -180,6 +180,10 @@
 // PolicyName returns the name of the policy in force.
 func (f *Fleet) PolicyName() string { return f.policy.Name }
 
+// SeedFrom sets where Seed begins. VMs that begin at the same number draw the same
+// targets at the same time. It is called before the first decision.
+func (f *Fleet) SeedFrom(n uint64) { f.counter.Store(n) }
+
 // Seed returns a number that differs from decision to decision.
 func (f *Fleet) Seed() uint64 { return f.counter.Add(1) }
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -109,7 +109,7 @@
 	r.f.Log.Request("decide", string(r.call.ID)).Str("service", r.service).Str("target", string(c.target.ID)).
 		Str("weights", string(c.target.Weights)).Int("attempt", r.sends+1).
 		Float32("cost_s", d.Cost).Int32("cached", d.Cached).Int32("best_cached", d.BestCached).
-		Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
+		Int64("predicted_ms", c.wait.Milliseconds()).Float32("rate", c.rate).Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
 		Int64("view_age_ms", snap.Age(time.Now()).Milliseconds()).Int("eligible", sc.Routing.Filtered[routing.Passed]).
 		Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
 }
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -114,7 +114,7 @@
 func (f *Feeds) follow(ctx context.Context, s Source) {
 	var life, since uint64
 	lost := false
-	defer f.note(s, true) // it is no longer read
+	defer f.leave(s)
 	timing.Sleep(ctx, rand.N(feedPause))
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
@@ -148,6 +148,13 @@
 	}
 }
 
+// leave ends the reading of a feed: whether its speaker answers is no longer this VM's to
+// tell, so it must not stay in doubt for that.
+func (f *Feeds) leave(s Source) {
+	f.note(s, true)
+	f.Contact(s, true)
+}
+
 // note remembers which engines don't answer.
 func (f *Feeds) note(s Source, alive bool) {
 	f.mu.Lock()
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -51,6 +51,11 @@
 // fleet. A reader that is further behind gets everything anew.
 const maxBatches = 256
 
+// regainedFor is how long after the store's return entries that had lapsed meanwhile may
+// come back. A reader that comes later must not wait for what is missing from the copy:
+// a replica whose entry is gone would get work for longer than it may.
+const regainedFor = 2 * time.Second
+
 // Space is a copy of one key space. It passes on to Next what it takes in. Safe for
 // concurrent use.
 type Space struct {
@@ -64,10 +69,10 @@
 	objects  map[string]objectapi.Object
 	at       follow.At
 	listed   bool
-	regained bool   // the last list followed a loss of the store
-	copyID   uint64 // names this copy to readers; zero: there is none yet
-	change   uint64 // number of the last change
-	base     uint64 // batches begin after it
+	regained time.Time // when a list last followed a loss of the store
+	copyID   uint64    // names this copy to readers; zero: there is none yet
+	change   uint64    // number of the last change
+	base     uint64    // batches begin after it
 	batches  []batch
 }
 
@@ -89,7 +94,10 @@
 	for _, o := range objects {
 		s.objects[o.Key] = o
 	}
-	s.listed, s.regained = true, regained
+	s.listed = true
+	if regained {
+		s.regained = time.Now()
+	}
 	s.change++
 	s.base, s.batches = s.change, nil // a list is passed on as one
 	s.reach(at)
@@ -201,7 +209,7 @@
 	}
 	n.to, n.at = position{s.copyID, s.change}, s.at
 	if have.copyID != s.copyID || have.change < s.base {
-		n.whole, n.regained, n.objects = true, s.regained, slices.Collect(maps.Values(s.objects))
+		n.whole, n.regained, n.objects = true, time.Since(s.regained) < regainedFor, slices.Collect(maps.Values(s.objects))
 		return n, true
 	}
 	for _, b := range s.batches {
--- a/internal/mirror/space_test.go
+++ b/internal/mirror/space_test.go
@@ -165,6 +165,20 @@
 	})
 }
 
+// TestRegainedIsSaidForAWhileOnly checks that a reader which comes long after the store's
+// return takes what is missing from a list as gone, and one that comes soon does not.
+func TestRegainedIsSaidForAWhileOnly(t *testing.T) {
+	s := &Space{Prefix: "p/", Next: &holder{}, Bell: &Bell{}}
+	s.Listed(nil, follow.At{Revision: 1}, true)
+	if n, _ := s.since(position{}); !n.whole || !n.regained {
+		t.Fatalf("right after the store's return a reader gets %+v", n)
+	}
+	s.regained = s.regained.Add(-regainedFor)
+	if n, _ := s.since(position{}); !n.whole || n.regained {
+		t.Fatalf("long after it a reader gets %+v", n)
+	}
+}
+
 // TestFarBehindGetsAll checks that a reader whose position is no longer covered by the
 // kept changes gets everything, and so does one that knows another life of the speaker.
 func TestFarBehindGetsAll(t *testing.T) {
