--- a/internal/forward/kv_test.go
+++ b/internal/forward/kv_test.go
@@ -8,6 +8,7 @@
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
@@ -69,6 +70,12 @@
 	if n := count(); n["s2"] != 0 || n["s1"] < 100 {
 		t.Fatalf("while s2 is down the stores get %v", n)
 	}
+	r := &run{f: &Forwarder{KV: p}, catalog: c}
+	for id := range prefix.ID(300) {
+		if kv := r.kvStore([]prefix.Level{{ID: id}}); kv.Addr == "s2" {
+			t.Fatalf("a call with the prefix %d is told of the store that is down", id)
+		}
+	}
 	p.StoreDown("s2", false, time.Now())
 	if n := count(); n["s2"] < 60 {
 		t.Fatalf("after s2 is back the stores get %v", n)
