--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -15,9 +15,9 @@
 // back: one that comes back when the engines have caught up is on time, and those that
 // were let in are, too.
 const (
-	// shedFactor times the objective is the predicted time to the first event from
-	// which a call is refused. What is predicted leaves out the steps in between and the way: at 1.25 and
-	// 1.6 the engines stayed overloaded for longer (docs/design/platform.md).
+	// shedFactor times the objective is the predicted time to the first event from which
+	// a call is refused. What is predicted leaves out the steps in between and the way:
+	// with 1.25 and 1.6 the engines stayed overloaded for longer (docs/design/overload.md).
 	shedFactor = 0.8
 	// shedUrgentFactor is that for calls of the most urgent rank.
 	shedUrgentFactor = 3
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -63,8 +63,8 @@
 	r.Log.Belief("store-source").Str("source", source).Str("reason", reason).Send()
 }
 
-// direct reads the store until a peer has been found. It begins with
-// the store, so that a VM whose peer has failed is not blind while it looks for another.
+// direct reads the store until a peer has been found. It begins with the store, so that
+// a VM whose peer has failed is not blind while it looks for another.
 func (r *Reader) direct(ctx context.Context) (*client, Peer) {
 	r.setSource(storeSource, "no peer that comes before this VM serves")
 	dctx, cancel := context.WithCancel(ctx)
