Count bytes between failure domains, late answers and refusals by cause

A VM could not tell what its bytes between failure domains are for, nor why answers are late: both are among the largest losses on the new customer's machines. Package traffic counts payload by purpose and by whether the other end is in another domain; forward counts answers by why they were late and refusals by code and step; each end line says when the answer was sent and first came, and decide lines name the shared levels and the home.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -54,6 +54,7 @@
 		"trim":       every(trimEvery, func() { d.Forward.Upstream.Trim(time.Now()) }),
 		"sweep":      every(sweepEvery, d.Replicas.Sweep),
 		"log":        every(logEvery, d.Log.Tell),
+		"usage":      every(usageEvery, d.tellUsage),
 		"feeds":      d.feeds.Run,
 		"hear-news":  d.news.Hear,
 		"tell-news":  d.news.Tell,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,7 @@
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/traffic"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -65,6 +66,9 @@
 	Dialect forward.Dialect
 	Engines rollout.Engines
 	Feeds   kvfeed.Reader
+	// Meter counts the bytes of Engines and Feeds, and of all else that this VM
+	// exchanges with targets and peers. Nil: nothing does.
+	Meter *traffic.Meter
 
 	DecodeConfig  func(value []byte) (catalog.Declaration, error)
 	DecodeReplica func(o objectapi.Object) (platform.Record, error)
@@ -185,6 +189,10 @@
 func (d *Daemon) build() {
 	s, edge := d.Settings, d.Settings.Edge
 	client := upstream.NewClient(s.DialTimeout.D())
+	client.Meter = d.adapter.Meter
+	if d.adapter.Meter != nil {
+		d.adapter.Meter.Far = d.far
+	}
 	d.Replicas = &follow.Replicas{
 		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: d.gone(client), ReturnGrace: returnGrace, Log: d.Log,
 	}
@@ -213,7 +221,7 @@
 		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), Pace: d.Rollout.Pace,
 	}
 	d.news = &news.Exchange{
-		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered,
+		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered, Meter: d.adapter.Meter,
 		Silent: d.feeds.Silent, Named: d.named,
 		HeardNamed: func(n news.Named) {
 			d.Weights.Heard(follow.Age{Model: n.Model, Version: n.Version, Age: time.Duration(n.AgeMs) * time.Millisecond}, time.Now())
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -48,7 +48,7 @@
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
 	}
 	d.mirrors = &mirror.Server{Spaces: spaces, Bell: bell}
-	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Direct: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4}
+	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Direct: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter}
 }
 
 // readStore follows the store until ctx ends.
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -110,6 +110,18 @@
 // Unchanged implements follow.Handler.
 func (c *vmList) Unchanged(follow.At) {}
 
+// domainOf returns the failure domain of the VM whose peers speak to it at addr.
+func (c *vmList) domainOf(addr string) (ids.FailureDomain, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.at {
+		if r.PeerAddr == addr {
+			return r.FailureDomain, true
+		}
+	}
+	return "", false
+}
+
 // count is how many VMs are listed.
 func (c *vmList) count() int {
 	c.mu.Lock()
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
@@ -116,9 +117,26 @@
 		Float32("cost_s", d.Cost).Int32("cached", d.Cached).Int32("best_cached", d.BestCached).
 		Int64("predicted_ms", c.wait.Milliseconds()).Float32("rate", c.rate).Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
 		Int64("view_age_ms", snap.Age(time.Now()).Milliseconds()).Int("eligible", sc.Routing.Filtered[routing.Passed]).
-		Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
+		Str("levels", levelText(c.levels)).Str("home", c.home).Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
 }
 
+// levelText names the shared levels of a prompt in logs, as id:tokens up to its end.
+func levelText(levels []prefix.Level) string {
+	b := make([]byte, 0, levelTextRoom*len(levels))
+	for i, l := range levels {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, uint64(l.ID), 36)
+		b = append(b, ':')
+		b = strconv.AppendInt(b, int64(l.Tokens), 10)
+	}
+	return string(b)
+}
+
+// levelTextRoom is the usual size of one level in a log, in bytes.
+const levelTextRoom = 20
+
 func (r *run) logNoTarget(sc *fleet.Scratch) {
 	line := r.f.Log.Request("no-target", string(r.call.ID)).Str("service", r.service)
 	for reason, n := range sc.Routing.FilteredByName() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,6 +116,9 @@
 	Latency Histogram
 	// Prediction tells by how much predicted times to the first event were wrong.
 	Prediction PredictionErrors
+	// Late tells whether and why answers were late, and Refusals why there were none.
+	Late     LateCounts
+	Refusals RefusalCounts
 
 	// Draining is set when the VM shuts down: answers then ask callers to come
 	// back on another connection.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -35,6 +35,7 @@
 	begun    bool // something of the answer was passed on
 	status   int  // the status that was passed on
 	stream   streamState
+	progress progress
 }
 
 // retryWhenReady is when a caller should come back to a VM that lacks something it
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -41,6 +41,7 @@
 	} else {
 		r.f.Stats.Failed.Add(1)
 	}
+	r.f.Refusals.add(e)
 	h := r.w.Header()
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(max(e.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
@@ -74,6 +75,10 @@
 	if r.catalog != nil {
 		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.f.Catalog.ProofAge(r.received).Milliseconds())
 	}
+	if p := &r.progress; !p.first.IsZero() {
+		line = line.Int64("first_ms", p.first.Sub(r.received).Milliseconds()).Int64("sent_ms", p.sent.Sub(r.received).Milliseconds()).
+			Int64("pause_ms", p.pause.Milliseconds()).Str("late", r.lateCause().String())
+	}
 	if e == nil {
 		line.Str("outcome", outcome.Ran.String()).Send()
 		return
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -32,6 +32,7 @@
 	for {
 		err := r.attempt(ctx)
 		if err == nil {
+			r.f.Late.counts[r.lateCause()].Add(1)
 			r.logEnd(r.status, nil)
 			return
 		}
@@ -63,6 +64,7 @@
 		return
 	}
 	r.f.Stats.Broken.Add(1)
+	r.f.Refusals.add(e)
 	r.logEnd(r.status, e)
 	panic(http.ErrAbortHandler) // the caller must not take the answer for whole
 }
@@ -169,6 +171,7 @@
 		t.kvSent = true
 	}
 	t.countMoves()
+	r.progress.sent, r.progress.work = t.sent, seconds(float32(t.c.work)/max(t.c.rate, 1))
 	t.stall.start(t.firstWait())
 	a, err := r.f.Upstream.Send(t.ctx, upstream.Replica{ID: t.c.target.ID, Addr: t.c.target.Addr}, t.request())
 	if err != nil {
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/upstream"
@@ -24,6 +25,7 @@
 	t.stall.stop()
 	t.started()
 	r := t.r
+	r.progress.event(time.Now())
 	length := unknownLength
 	if n < wholeBytes && r.req.Method != http.MethodHead {
 		length = buf.Len()
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -15,6 +15,7 @@
 	"github.com/threadwall/threadwall/internal/mirrorpb"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/sockets"
+	"github.com/threadwall/threadwall/internal/traffic"
 )
 
 // Peer is a VM to read from.
@@ -44,12 +45,16 @@
 	have   []position // of the peer's copies, one a space
 }
 
-func dial(p Peer, spaces []*Space) (*client, error) {
+func dial(p Peer, spaces []*Space, meter *traffic.Meter) (*client, error) {
 	conn, err := grpc.NewClient("passthrough:///"+p.Addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer)),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-			return sockets.Dialer(dialTimeout).DialContext(ctx, "tcp4", addr)
+			nc, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp4", addr)
+			if err != nil {
+				return nil, err
+			}
+			return meter.Conn(nc, traffic.Mirror, traffic.Mirror), nil
 		}))
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", p.VM)
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/timing"
+	"github.com/threadwall/threadwall/internal/traffic"
 )
 
 // Reader keeps this VM's spaces up to date, from a peer or from the store. Its fields
@@ -20,7 +21,9 @@
 	Direct func(context.Context)
 	// Wait is how long a question waits for a change, at most. Zero: questionWait.
 	Wait time.Duration
-	Log  *eventlog.Log
+	// Meter counts the bytes that are read from peers. Nil: nothing does.
+	Meter *traffic.Meter
+	Log   *eventlog.Log
 
 	avoid  avoidance
 	mu     sync.Mutex
@@ -92,7 +95,7 @@
 		if r.avoid.avoids(p.VM, time.Now()) {
 			continue
 		}
-		c, err := dial(p, r.Spaces)
+		c, err := dial(p, r.Spaces, r.Meter)
 		if err == nil {
 			err = c.read(ctx, 0)
 			if err == nil {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -27,6 +27,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/timing"
+	"github.com/threadwall/threadwall/internal/traffic"
 )
 
 // Peer is another entry VM.
@@ -108,6 +109,8 @@
 	HeardNamed func(n Named)
 	// StoreDown is called for each store of KV cache that a peer gets no answer from.
 	StoreDown func(addr string)
+	// Meter counts the bytes that are sent. Nil: nothing does.
+	Meter *traffic.Meter
 
 	mu    sync.Mutex
 	peers []Peer
@@ -285,5 +288,6 @@
 			continue
 		}
 		x.Sent.Add(1)
+		x.Meter.Add(traffic.News, p.FailureDomain != x.FailureDomain, len(data))
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -34,6 +34,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/sockets"
+	"github.com/threadwall/threadwall/internal/traffic"
 )
 
 // Replica is one incarnation of a target and where it listens.
@@ -66,6 +67,8 @@
 type Client struct {
 	// DialTimeout bounds connecting. It is set before the first send.
 	DialTimeout time.Duration
+	// Meter counts the bytes of calls. Nil: nothing does. It is set before the first send.
+	Meter *traffic.Meter
 
 	mu    sync.Mutex
 	pools map[ids.Target]*pool
@@ -144,6 +147,7 @@
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "dial", string(to.ID), "the replica can't be reached")
 	}
+	nc = c.Meter.Conn(nc, traffic.Requests, traffic.Answers)
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), pool: p}, nil
 }
 
