--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -17,6 +17,7 @@
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/verdict"
 )
 
 // Tuning holds the bounds of the overload gate.
@@ -143,26 +144,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	over := l.usage.overShare(ws, now)
-	if limit := l.bound(priority, over); predicted > limit {
+	waits := verdict.Waits{Soft: l.tuning.SoftWait, Hard: l.tuning.HardWait, Step: l.tuning.PriorityStep}
+	if limit := waits.Longest(priority, over); predicted > limit {
 		return refuse(outcome.CodeOverloaded, "the engines are full", predicted-limit+retryCapacity)
 	}
 	l.usage.add(ws, float64(tokens), now)
 	return nil
 }
-
-// bound is the longest predicted wait that is taken in. A workspace at or below
-// its fair share gets HardWait; one above it less and less, down to SoftWait at
-// twice its share.
-func (l *Limiter) bound(priority int, over float64) time.Duration {
-	hard := float64(l.tuning.HardWait)
-	for range max(priority, -priority) {
-		if priority > 0 {
-			hard *= l.tuning.PriorityStep
-		} else {
-			hard /= l.tuning.PriorityStep
-		}
-	}
-	soft := min(float64(l.tuning.SoftWait), hard)
-	excess := min(max(over-1, 0), 1)
-	return time.Duration(hard - (hard-soft)*excess)
-}
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -9,6 +9,7 @@
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/traffic"
 )
 
@@ -66,9 +67,10 @@
 	Latency     *forward.Histogram        `json:"latency"`
 	Prediction  *forward.PredictionErrors `json:"prediction"`
 	Rollout     RolloutMetrics            `json:"rollout"`
-	Late        *forward.LateCounts       `json:"late"`     // answers, by why they were late
-	Refusals    *forward.RefusalCounts    `json:"refusals"` // and failures, by code and step
-	Bytes       *traffic.Meter            `json:"bytes"`    // exchanged, by purpose
+	Late        *forward.LateCounts       `json:"late"`        // answers, by why they were late
+	Refusals    *forward.RefusalCounts    `json:"refusals"`    // and failures, by code and step
+	Bytes       *traffic.Meter            `json:"bytes"`       // exchanged, by purpose
+	StoreCalls  *objectapi.Counted        `json:"store_calls"` // by method and kind
 	HeapBytes   int64                     `json:"heap_bytes"`
 	Goroutines  int                       `json:"goroutines"`
 }
@@ -117,7 +119,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(time.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Bytes: d.adapter.Meter,
+		Late: &f.Late, Refusals: &f.Refusals, Bytes: d.adapter.Meter, StoreCalls: d.store,
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -103,6 +103,7 @@
 	adapter Adapter
 	options Options
 	current settings.Settings // as last read; Settings are those of the start
+	store   *objectapi.Counted
 	feeds   *kvfeed.Feeds
 	budgets *retry.Services
 	news    *news.Exchange
@@ -176,6 +177,7 @@
 		Log: eventlog.New(o.LogTo, map[string]string{"vm": string(s.VM)}),
 		Fleet: fleet.New(membership.New(s.VM, tuning), cacheview.New(beliefCapacity, nil),
 			loadview.New(), policy, nil),
+		store:   &objectapi.Counted{Store: o.Adapter.Store},
 		budgets: retry.NewServices(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D()),
 	}
 	d.Fleet.AssumeRate(prefillRate)
@@ -212,7 +214,7 @@
 	}
 	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log}
-	d.Lease = lease.New(d.adapter.Store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
+	d.Lease = lease.New(d.store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
 		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Loads: d.Fleet, Log: d.Log, Ordering: d.ordering,
 		Hurry: time.Duration(float64(edge.WeightsWithin.D()) * hurryShare), Gone: d.ended,
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -142,15 +142,15 @@
 			return t.FailureDomain, true
 		}
 	}
-	kv := d.store(func(kv *catalog.KVStore) bool { return forward.StoreTarget(kv.Addr) == id })
+	kv := d.kvStore(func(kv *catalog.KVStore) bool { return forward.StoreTarget(kv.Addr) == id })
 	if kv == nil {
 		return "", false
 	}
 	return kv.FailureDomain, true
 }
 
-// store returns the first store of KV cache that fits; nil: none does.
-func (d *Daemon) store(fits func(*catalog.KVStore) bool) *catalog.KVStore {
+// kvStore returns the first store of KV cache that fits; nil: none does.
+func (d *Daemon) kvStore(fits func(*catalog.KVStore) bool) *catalog.KVStore {
 	c := d.Catalog.Get()
 	if c == nil {
 		return nil
@@ -168,7 +168,7 @@
 			return t.ID, true
 		}
 	}
-	kv := d.store(func(kv *catalog.KVStore) bool {
+	kv := d.kvStore(func(kv *catalog.KVStore) bool {
 		return uint32(routing.HashTarget(forward.StoreTarget(kv.Addr))) == short
 	})
 	if kv == nil {
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -59,7 +59,7 @@
 	for _, s := range d.mirrors.Spaces {
 		at, known := s.At()
 		f := &follow.Follower{
-			Store: d.adapter.Store, Prefix: s.Prefix, Handler: s, Log: d.Log, Doubt: &doubt,
+			Store: d.store, Prefix: s.Prefix, Handler: s, Log: d.Log, Doubt: &doubt,
 			Wait: d.wait(s.Prefix), Gather: d.gatherer(s.Prefix), Regaining: known && time.Since(at.Sent) > regainAfter,
 		}
 		all.Go(func() { f.Run(ctx) })
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -41,5 +41,5 @@
 	if d.adapter.Meter != nil {
 		line = line.Object("bytes_beyond", d.adapter.Meter)
 	}
-	line.Object("late", &d.Forward.Late).Object("refused", &d.Forward.Refusals).Send()
+	line.Object("store_calls", d.store).Object("late", &d.Forward.Late).Object("refused", &d.Forward.Refusals).Send()
 }
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -50,18 +50,18 @@
 }
 
 func (d *Daemon) writeEntry(ctx context.Context, key string, value []byte) error {
-	_, err := d.adapter.Store.Create(ctx, key, value)
+	_, err := d.store.Create(ctx, key, value)
 	if !errors.Is(err, objectapi.ErrExists) {
 		return err
 	}
-	o, err := d.adapter.Store.Get(ctx, key)
+	o, err := d.store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
 	if slices.Equal(o.Value, value) {
 		return nil
 	}
-	_, err = d.adapter.Store.Update(ctx, key, value, o.Version)
+	_, err = d.store.Update(ctx, key, value, o.Version)
 	return eris.Wrap(err, "update this VM's entry")
 }
 
--- a/internal/forward/kv.go
+++ b/internal/forward/kv.go
@@ -12,6 +12,7 @@
 	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/verdict"
 )
 
 // Planner decides from where a replica fetches what it lacks of a prompt, and what
@@ -63,13 +64,6 @@
 // is full drops saves.
 const saveWait = 2 * time.Second
 
-// minMove is the least that is worth a fetch or a save, in tokens. A transfer waits its turn
-// on both links behind those of whole prompts, which take 50 to 130 ms each. With 64, prompts
-// with 200 shared tokens waited up to 450 ms for moves that save 5 ms of computing. In time of
-// all prompts asked: 0.692 with 64, 0.700 with 512 (15 days with faults, s.e. of the
-// difference 0.003).
-const minMove = 512
-
 // storeLife stands for a store's life: its parts outlive weights versions, which
 // stand in the ids instead.
 var storeLife = cacheview.LifeOf(1, "")
@@ -82,47 +76,24 @@
 	return kvcache.LevelID("store/"+salt, m, part)
 }
 
-// plan fills in c.fetch and c.save. A prefix that another replica with the same
-// weights holds is fetched from there, and from the store otherwise. Where nobody is
-// believed to hold more, the prefix's home is asked, to which other VMs send it, and
-// then the store: a look-up that finds nothing takes a millisecond, and a replica
-// fetches only what it lacks. Where the choice is believed to hold all of it, the
-// store is named all the same: the belief may be wrong.
+// plan fills in c.fetch, c.save and c.work.
 func (p *Planner) plan(c *choice, req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch, store *catalog.KVStore, wall string, m ids.Model, parts []kvcache.Part) {
 	if len(req.Levels) == 0 {
 		return
 	}
-	shared := req.Levels[len(req.Levels)-1].Tokens
-	held := p.held(c, snap, sc)
-	if from, tokens := p.holder(c, snap, sc); tokens-held >= minMove {
-		c.fetch = from
-		c.work = max(req.Tokens-tokens, 0)
-	}
-	if store == nil || shared < minMove {
-		return
-	}
-	stored := p.inStore(store, c.salt, m, parts)
-	if c.fetch == "" && stored >= minMove {
-		c.work = max(min(c.work, req.Tokens-stored), 0)
+	prompt := verdict.Prompt{Tokens: req.Tokens, Shared: req.Levels[len(req.Levels)-1].Tokens}
+	at := verdict.Places{Held: p.held(c, snap, sc), Home: c.home}
+	at.Holder.Addr, at.Holder.Tokens = p.holder(c, snap, sc)
+	if store != nil {
+		at.Store = verdict.Source{Addr: store.Addr, Tokens: p.inStore(store, c.salt, m, parts)}
 	}
-	if c.fetch == "" && stored < shared && held < shared {
-		c.fetch = c.home
-	}
-	if c.fetch == "" {
-		c.fetch = store.Addr
-	}
-	if savable(req.Tokens-shared, shared-stored) && p.maySave(c.salt, m, parts) {
+	moves := verdict.Move(prompt, at)
+	c.fetch, c.work = moves.Fetch, moves.Work
+	if moves.Save && p.maySave(c.salt, m, parts) {
 		c.save = store.Addr
 	}
 }
 
-// savable tells whether a prompt is one to save along with, by the tokens of its own part
-// and those that the store lacks. An engine saves the own part, too: it takes as much of the
-// link and of the store's memory, and nobody ever asks for it. Parts that several prompts
-// share come again with a shorter own part. When every prompt was taken, half of the store
-// held own parts, shared ones gave way after 8 s, and half of the saves found the link taken.
-func savable(own, missing int32) bool { return missing >= minMove && own <= missing }
-
 // maySave tells whether to ask for a save: not while one that this VM asked for may
 // still be under way.
 func (p *Planner) maySave(salt string, m ids.Model, parts []kvcache.Part) bool {
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,86 @@
+package verdict
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLate checks who is refused behind which queue, and when the refused should come back.
+func TestLate(t *testing.T) {
+	const aim = 600 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		a       Arrival
+		queue   time.Duration
+		refused bool
+	}{
+		{"idle", Arrival{Objective: aim, Usual: 3000}, 0, false},
+		{"in time", Arrival{Objective: aim, Usual: 3000}, 400 * time.Millisecond, false},
+		{"late", Arrival{Objective: aim, Usual: 3000}, 430 * time.Millisecond, true},
+		{"usually long prompts", Arrival{Objective: aim, Usual: 25_000}, 0, true},
+		{"urgent", Arrival{Objective: aim, Usual: 3000, Urgent: true}, time.Second, false},
+		{"urgent and far too late", Arrival{Objective: aim, Usual: 3000, Urgent: true}, 2 * time.Second, true},
+		{"no objective", Arrival{Usual: 3000}, time.Minute, false},
+	} {
+		r, refused := Late(c.a, Best{Queue: c.queue, Rate: 50_000})
+		if refused != c.refused {
+			t.Errorf("%s: refused %v, predicted %v", c.name, refused, r.Predicted)
+		}
+		if refused && (r.ComeBack < comeBack || r.Predicted < c.queue) {
+			t.Errorf("%s: %+v", c.name, r)
+		}
+	}
+	early, _ := Late(Arrival{Objective: aim, Draw: 0}, Best{Queue: time.Second})
+	late, _ := Late(Arrival{Objective: aim, Draw: 0.999}, Best{Queue: time.Second})
+	if late.ComeBack-early.ComeBack < comeBackSpread*9/10 {
+		t.Errorf("refused callers come back together: after %v and %v", early.ComeBack, late.ComeBack)
+	}
+}
+
+// TestMove plans what goes along with prompts like those of the load: long ones with 6,300
+// shared tokens of 9,190, and short ones with 198 of 826.
+func TestMove(t *testing.T) {
+	long, short := Prompt{Tokens: 9190, Shared: 6300}, Prompt{Tokens: 826, Shared: 198}
+	store := func(tokens int32) Source { return Source{Addr: "store", Tokens: tokens} }
+	for _, c := range []struct {
+		name string
+		p    Prompt
+		at   Places
+		want Moves
+	}{
+		{"held elsewhere", long, Places{Holder: Source{"b", 6300}}, Moves{Fetch: "b", Work: 2890}},
+		{"a part is held here", long, Places{Held: 2520, Holder: Source{"b", 6300}, Store: store(6300)}, Moves{Fetch: "b", Work: 2890}},
+		{"nowhere", long, Places{Home: "h", Store: store(0)}, Moves{Fetch: "h", Save: true, Work: 9190}},
+		{"nowhere, this is its home", long, Places{Store: store(0)}, Moves{Fetch: "store", Save: true, Work: 9190}},
+		{"in the store", long, Places{Home: "h", Store: store(6300)}, Moves{Fetch: "store", Work: 2890}},
+		{"a part in the store", long, Places{Home: "h", Store: store(2520)}, Moves{Fetch: "h", Save: true, Work: 6670}},
+		{"held here", long, Places{Held: 6300, Store: store(6300)}, Moves{Fetch: "store", Work: 2890}},
+		{"held here, not in the store", long, Places{Held: 6300, Store: store(0)}, Moves{Fetch: "store", Save: true, Work: 2890}},
+		{"own part too long to save along", Prompt{Tokens: 20_000, Shared: 6300}, Places{Held: 6300, Store: store(0)}, Moves{Fetch: "store", Work: 13_700}},
+		{"the store lacks little", long, Places{Held: 6300, Store: store(6000)}, Moves{Fetch: "store", Work: 2890}},
+		{"no store", long, Places{Home: "h"}, Moves{Work: 9190}},
+		{"short, held elsewhere", short, Places{Holder: Source{"b", 198}, Home: "h", Store: store(198)}, Moves{Work: 826}},
+		{"short, held here", short, Places{Held: 198, Store: store(0)}, Moves{Work: 628}},
+	} {
+		if got := Move(c.p, c.at); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestLongest checks the waits that workspaces are let in with.
+func TestLongest(t *testing.T) {
+	w := Waits{Soft: 1500 * time.Millisecond, Hard: 6 * time.Second, Step: 1.25}
+	for _, c := range []struct {
+		priority int
+		over     float64
+		want     time.Duration
+	}{
+		{0, 0.5, 6 * time.Second}, {0, 1, 6 * time.Second}, {0, 1.5, 3750 * time.Millisecond}, {0, 3, 1500 * time.Millisecond},
+		{1, 1, 7500 * time.Millisecond}, {-1, 1, 4800 * time.Millisecond},
+	} {
+		if got := w.Longest(c.priority, c.over); got != c.want {
+			t.Errorf("priority %d, %v times its share: %v, want %v", c.priority, c.over, got, c.want)
+		}
+	}
+}
