--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -36,6 +36,7 @@
 	status   int  // the status that was passed on
 	stream   streamState
 	progress progress
+	proofAge time.Duration // of the catalog, when the call was judged by it
 }
 
 // retryWhenReady is when a caller should come back to a VM that lacks something it
@@ -87,6 +88,7 @@
 // authorize finds the route and the workspace.
 func (r *run) authorize() *outcome.Error {
 	sure := r.sure()
+	r.proofAge = r.f.Catalog.ProofAge(time.Now())
 	r.route = r.catalog.Match(r.req.Host, r.req.URL.EscapedPath())
 	if r.route == nil {
 		return r.unless(sure, outcome.New(outcome.NotRun, outcome.CodeUnknownService, "route", "", "there is nothing at this host and path"))
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -73,7 +73,7 @@
 		line = line.Str("route", r.route.Name).Str("kind", r.route.Kind.String())
 	}
 	if r.catalog != nil {
-		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.f.Catalog.ProofAge(r.received).Milliseconds())
+		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.proofAge.Milliseconds())
 	}
 	if p := &r.progress; !p.first.IsZero() {
 		line = line.Int64("first_ms", p.first.Sub(r.received).Milliseconds()).Int64("sent_ms", p.sent.Sub(r.received).Milliseconds()).
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -76,8 +76,12 @@
 		over     float64
 		want     time.Duration
 	}{
-		{0, 0.5, 6 * time.Second}, {0, 1, 6 * time.Second}, {0, 1.5, 3750 * time.Millisecond}, {0, 3, 1500 * time.Millisecond},
-		{1, 1, 7500 * time.Millisecond}, {-1, 1, 4800 * time.Millisecond},
+		{0, 0.5, 6 * time.Second},
+		{0, 1, 6 * time.Second},
+		{0, 1.5, 3750 * time.Millisecond},
+		{0, 3, 1500 * time.Millisecond},
+		{1, 1, 7500 * time.Millisecond},
+		{-1, 1, 4800 * time.Millisecond},
 	} {
 		if got := w.Longest(c.priority, c.over); got != c.want {
 			t.Errorf("priority %d, %v times its share: %v, want %v", c.priority, c.over, got, c.want)
