--- a/internal/cacheview/changes.go
+++ b/internal/cacheview/changes.go
@@ -99,7 +99,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, e := range x.slots {
-		if s := &x.targets[e.target]; e.id != 0 && s.epoch == e.epoch && tell[e.target] {
+		if e.id == 0 || !tell[e.target] {
+			continue // a free slot names no target
+		}
+		if s := &x.targets[e.target]; s.epoch == e.epoch {
 			x.keep(Change{Target: s.name, Life: uint16(s.current), ID: e.id})
 		}
 	}
--- a/internal/cacheview/changes_test.go
+++ b/internal/cacheview/changes_test.go
@@ -65,3 +65,13 @@
 		t.Errorf("%d changes are kept and %d were left out", n, x.Stats().Untold)
 	}
 }
+
+// TestRetellOfNothing tells again what a VM knows that has heard of no target yet, as one
+// that starts while it is cut off: its process ended there.
+func TestRetellOfNothing(t *testing.T) {
+	x := New(256, nil)
+	x.Retell(func(ids.Target) bool { return true })
+	if n := len(x.TakeChanges()); n != 0 {
+		t.Errorf("%d changes are told of nothing", n)
+	}
+}
