--- /dev/null
+++ b/internal/news/fuzz_test.go
@@ -0,0 +1,41 @@
+package news
+
+import (
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// FuzzDecode reads datagrams that anybody may have sent: none ends the process, and what is
+// taken for news says the same after another turn on the wire.
+func FuzzDecode(f *testing.F) {
+	resolve := resolveIn("e1", "e2")
+	for _, m := range []Message{
+		{VM: "vm1"},
+		{VM: "vm1", Seq: 3, Life: 9, Loads: []Load{{Target: "e1", InFlight: 2, Pending: 9190, Bound: 1}}, Silent: []ids.Target{"e2"}},
+		{VM: "vm1", Caches: []cacheview.Change{{Target: "e1", Life: 5, ID: 1}, {Target: "e1", Life: 5, ID: 2, Gone: true}, {Target: "e2", Life: 6, Emptied: true}}},
+		{VM: "vm1", Order: &Order{Target: "e1", Weights: "7"}, Named: []Named{{Model: "m", Version: 7, AgeMs: 40}}, Lapsed: &Lapsed{Instance: "i", Fence: 2, Renewal: 7, QuietMs: 3200}},
+	} {
+		data, err := Encode(&m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Add([]byte{passOn, 0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decode(data, resolve)
+		if err != nil {
+			return
+		}
+		again, err := Encode(&m)
+		if err != nil {
+			t.Fatalf("%+v can't be told: %v", m, err)
+		}
+		if _, err := decode(again, resolve); err != nil {
+			t.Fatalf("%+v is not understood: %v", m, err)
+		}
+	})
+}
