--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -26,9 +26,9 @@
 // readers have all fallen silent is in doubt: its failure domain may be cut off.
 
 const (
-	// feedReaders is how many VMs read a feed: a second one, so that a word against a
+	// readersPerFeed is how many VMs read a feed: a second one, so that a word against a
 	// target has a witness and a reader that is gone is replaced at once.
-	feedReaders = 2
+	readersPerFeed = 2
 	// farFeedsAfter is how long after its start a VM begins to read feeds of other failure
 	// domains: by then it has heard of the VMs there.
 	farFeedsAfter = 2 * time.Second
@@ -75,7 +75,7 @@
 		return cmp.Compare(b.weight, a.weight)
 	})
 	var out []ids.VM
-	for _, c := range all[:min(len(all), feedReaders)] {
+	for _, c := range all[:min(len(all), readersPerFeed)] {
 		out = append(out, c.vm)
 	}
 	return out
--- a/internal/edge/feeds_test.go
+++ b/internal/edge/feeds_test.go
@@ -57,11 +57,11 @@
 	}
 	speak("far1")
 	speak("far2")
-	if got := d.vms.feedReaders("e1", "y"); len(got) != feedReaders {
+	if got := d.vms.feedReaders("e1", "y"); len(got) != readersPerFeed {
 		t.Errorf("%v read the feed when only VMs of other domains are heard", got)
 	}
 	speak("near2")
-	if got := d.vms.feedReaders("e1", "y"); got[0] != "near2" || len(got) != feedReaders {
+	if got := d.vms.feedReaders("e1", "y"); got[0] != "near2" || len(got) != readersPerFeed {
 		t.Errorf("%v read the feed, want the VM of the target's domain first", got)
 	}
 	speak("near1")
