Count an order as on its way before it looks at the lease

Found by reading: an order looked at the lease, and was counted as on its way only after that. A process that froze in between could tell its peers on waking that it gives no orders, and send this one; a successor that took over by the notice would have given orders within a turn of it. TestNotQuietBeforeTheLeaseIsChecked failed before. An order that was not sent no longer starts the quiet time anew.

--- a/internal/rollout/give.go
+++ b/internal/rollout/give.go
@@ -63,11 +63,13 @@
 	return !r.stopped
 }
 
-// leave ends what enter began.
-func (r *Rollout) leave() {
+// leave ends what enter began. sent is whether the order may have left.
+func (r *Rollout) leave(sent bool) {
 	r.mu.Lock()
 	r.onWay--
-	r.quietAt = time.Now()
+	if sent {
+		r.quietAt = time.Now()
+	}
 	r.mu.Unlock()
 	r.giving.Done()
 }
@@ -85,14 +87,17 @@
 
 // give sends the command while the lease holds.
 func (r *Rollout) give(ctx context.Context, c *Command, s State) error {
+	// It counts as on its way before it looks at the lease: a process that freezes between
+	// the look and the send must not say on waking that it gives no orders.
+	if !r.enter() {
+		return errNoLease
+	}
+	sent := false
+	defer func() { r.leave(sent) }()
 	token, err := r.token(ctx)
 	if err != nil {
 		return err
 	}
-	if !r.enter() {
-		return errNoLease
-	}
-	defer r.leave()
 	if c.Method == CutOff && !r.mayCutOff(c.Target) {
 		c.Method = r.lastResort(c, s.Weights[c.Model]) // calls came while the lease was waited for
 	}
@@ -101,6 +106,7 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	r.Stats.Orders.Add(1)
+	sent = true
 	err = r.Calls.Order(call, *c)
 	line := r.Log.Belief("order").Str("target", string(c.Target)).Str("weights", string(c.Weights)).Uint64("fence", c.Fence).
 		Uint64("expected", c.Expected).Str("method", c.Method.String()).Str("before", string(s.Weights[c.Model]))
--- a/internal/rollout/give_test.go
+++ b/internal/rollout/give_test.go
@@ -144,3 +144,27 @@
 		}
 	})
 }
+
+// TestNotQuietBeforeTheLeaseIsChecked looks at the holder while an order is between its
+// look at the lease and its send, where a process may freeze: it must not say that it has
+// stopped, since a successor would give orders beside the one that leaves on waking.
+func TestNotQuietBeforeTheLeaseIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(scenario{engines: 1})
+		h := w.newHolder(objectapi.NewMemory(), "vm-1")
+		r := h.orders.Sender.(*Rollout)
+		if err := h.lease.Try(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(leaseTerm - 600*time.Millisecond - orderTimeout + time.Millisecond) // too little is left: the order waits
+		go func() { _ = r.give(t.Context(), &Command{Target: "e000", Model: "m"}, w.engines["e000"].state()) }()
+		synctest.Wait()
+		if _, quiet := r.QuietSince(w.began); quiet {
+			t.Error("it says that it is quiet while an order looks at the lease")
+		}
+		time.Sleep(2 * leaseWait)
+		if since, quiet := r.QuietSince(w.began); !quiet || !since.Equal(w.began) {
+			t.Errorf("quiet %v since %v after an order that was not given, want since the start", quiet, since)
+		}
+	})
+}
