Replicas that start again under their id; entries that name no replica

Cause: an id was taken for one incarnation, so what was believed of a replica outlived its restart. The list kept "leaving" for as long as the id was known, membership kept breaker, busy time, doubt and failure rate, the load view kept peers' loads, cache beliefs and the feed's position lived on, and kept connections stayed in the pool. A feed whose numbers began anew was read on from the old position, so that what came before it was never taken in.

Ruled out: giving the incarnation a part in the target's id (all logs, news and the wire name replicas by their id); killing connections in use at a restart (a forged entry would break off living calls: they end by their own connection, with an unknown outcome).

Change: `born` is the incarnation (entry, report, feed; the largest one heard counts, in whatever source comes first; older ones are left out). A larger one forgets load, pace, failures, busy time, doubt, connections, orders that failed, beliefs and the feed's position. How an attempt at the incarnation before went says nothing about the new one. Orders that peers tell of name the incarnation. Replicas of services that the configuration doesn't name are not published.

Open: an order to the incarnation before that is carried out late, after the restart, where the numbers of accepted orders agree.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -172,12 +172,16 @@
 // ordering notes that a replica carries out an order, or has done so, and tells
 // the peers.
 func (d *Daemon) ordering(id ids.Target, w ids.WeightsVersion, done bool) {
-	d.ordered(news.Order{Target: id, Weights: w, Done: done})
-	d.news.TellOrder(news.Order{Target: id, Weights: w, Done: done})
+	o := news.Order{Target: id, Weights: w, Done: done, Incarnation: d.Fleet.Members.Incarnation(id)}
+	d.ordered(o)
+	d.news.TellOrder(o)
 }
 
 // ordered takes in that a replica carries out an order, or has done so.
 func (d *Daemon) ordered(o news.Order) {
+	if o.Incarnation != 0 && o.Incarnation < d.Fleet.Members.Incarnation(o.Target) {
+		return // the engine has started again since
+	}
 	if o.Done {
 		d.Replicas.SetWeights(o.Target, o.Weights, "news")
 		d.Fleet.Members.Ready(o.Target)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -168,6 +168,7 @@
 	}
 	tuning := membership.DefaultTuning
 	tuning.Grace = neverSilent
+	tuning.SlowStart = 0 // a replica that starts again is as good as one that is new
 	policy := routing.NewFetching()
 	if s.Policy == "round-robin" {
 		policy = routing.NewRoundRobin()
@@ -198,7 +199,7 @@
 		d.adapter.Meter.Far = d.far
 	}
 	d.Replicas = &follow.Replicas{
-		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: d.gone(client), ReturnGrace: returnGrace, Log: d.Log,
+		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, Gone: d.gone(client), Named: d.namesService, ReturnGrace: returnGrace, Log: d.Log,
 	}
 	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Clock: &follow.Clock{}, Log: d.Log}
 	d.Weights.SetWithin(edge.WeightsWithin.D() - weightsMargin)
@@ -213,7 +214,10 @@
 		},
 	}
 	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
-	d.feeds = &kvfeed.Feeds{Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log}
+	d.feeds = &kvfeed.Feeds{
+		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log,
+		Restarted: func(id ids.Target, inc ids.Incarnation) { d.Replicas.Restarted(id, inc, "feed") },
+	}
 	d.Lease = lease.New(d.store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
 	d.Rollout = &rollout.Rollout{
 		VM: s.VM, Lease: d.Lease, Replicas: d.Replicas, Named: d.Weights, Calls: d.adapter.Engines, Loads: d.Fleet, Log: d.Log, Ordering: d.ordering,
@@ -242,14 +246,22 @@
 	d.ready.set(false, "starting")
 }
 
-// gone forgets what is kept of a replica.
+// gone forgets what is kept of a replica that has ended or started again.
 func (d *Daemon) gone(client *upstream.Client) func(ids.Target) {
 	return func(id ids.Target) {
 		client.Drop(id)
 		d.Fleet.Load.Forget(id)
+		d.Rollout.Forget(id)
 	}
 }
 
+// namesService tells whether the configuration names a service. A VM without one has
+// nothing to send anywhere.
+func (d *Daemon) namesService(name string) bool {
+	c := d.Catalog.Get()
+	return c == nil || c.Service(name) != nil
+}
+
 // contact notes whether a replica or a store answers the calls that read its cache feed.
 // Of a store that doesn't the peers are told, since few VMs read its feed.
 func (d *Daemon) contact(s kvfeed.Source, alive bool) {
@@ -266,7 +278,7 @@
 
 // ended notes that a replica has ended, though its entry is still listed.
 func (d *Daemon) ended(id ids.Target) {
-	d.Fleet.Members.Leaves(id, platform.SoleIncarnation)
+	d.Fleet.Members.Leaves(id, d.Fleet.Members.Incarnation(id))
 	d.Forward.Upstream.Drop(id)
 	d.Fleet.MarkDirty()
 	d.Log.Belief("replica-ended").Str("target", string(id)).Str("reason", "another incarnation answers at its address").Send()
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -90,7 +90,7 @@
 	var out []kvfeed.Source
 	for _, r := range d.Replicas.Records() {
 		if id := ids.Target(r.ID); r.Role == platform.RoleEngine && d.reads(id, r.FailureDomain, engineReaders(c.Service(r.Service))) {
-			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr})
+			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr, Incarnation: r.Incarnation})
 		}
 	}
 	for _, kv := range c.KVStores {
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -17,12 +17,22 @@
 // new work for the rest of its incarnation. Only when the store was away may an
 // entry be missing though its replica lives: such a replica is kept for
 // ReturnGrace, in which a living one registers again.
+//
+// A replica may start again under its id. Its incarnation then grows, in whatever source
+// is heard first, and nothing that is believed of the incarnation before is kept. What a
+// slower source still says of that one is left out.
+//
+// An entry that can't be read names no replica to use: if it stands where a replica's
+// entry stood, that replica gets no work until it has written its own again.
 type Replicas struct {
 	Fleet *fleet.Fleet
 	// Decode reads one entry.
 	Decode func(o objectapi.Object) (platform.Record, error)
-	// Gone is called for each replica that is gone.
+	// Gone is called for each replica that is gone or has started again.
 	Gone func(id ids.Target)
+	// Named tells whether the configuration names a service. Replicas of other services
+	// are not published. Nil: all are.
+	Named func(service string) bool
 	// ReturnGrace is how long after the store's return a missing entry may come
 	// back.
 	ReturnGrace time.Duration
@@ -40,6 +50,7 @@
 type record struct {
 	platform.Record
 	missingAt time.Time // zero: it is listed
+	foreign   bool      // its entry can't be read
 	// weightsAt is when the weights were learned from another source than the
 	// entry, which is written about once a second.
 	weightsAt time.Time
@@ -110,25 +121,73 @@
 	n, err := r.Decode(o)
 	if err != nil {
 		r.Log.Belief("replica-rejected").Str("key", o.Key).Str("error", err.Error()).Send()
-		return "", false
+		return r.putForeign(o.Key)
 	}
 	id := ids.Target(n.ID)
 	old := r.records[id]
-	if old != nil && old.State == platform.StateLeaving {
-		n.State = platform.StateLeaving
+	if old != nil && n.Incarnation < old.Incarnation {
+		old.foreign, old.missingAt = false, time.Time{}
+		return id, true // it speaks of an incarnation that has ended
 	}
-	var weightsAt time.Time
-	if old != nil && n.Weights != old.Weights && time.Since(old.weightsAt) < entryLag {
-		n.Weights, weightsAt = old.Weights, old.weightsAt
+	rec := &record{Record: n}
+	switch {
+	case old == nil:
+	case n.Incarnation > old.Incarnation:
+		r.restarted(id, n.Incarnation, "entry")
+	default:
+		rec.carryOver(old)
 	}
-	if old == nil || old.State != n.State || old.Weights != n.Weights {
-		r.Log.Belief("replica").Str("target", n.ID).Str("service", n.Service).Str("addr", n.Addr).
-			Str("state", string(n.State)).Str("weights", string(n.Weights)).Uint64("revision", uint64(o.Version)).Send()
+	if old == nil || old.State != rec.State || old.Weights != rec.Weights || old.Incarnation != rec.Incarnation {
+		r.Log.Belief("replica").Str("target", n.ID).Str("service", n.Service).Str("addr", n.Addr).Uint64("incarnation", uint64(n.Incarnation)).
+			Str("state", string(rec.State)).Str("weights", string(rec.Weights)).Uint64("revision", uint64(o.Version)).Send()
 	}
-	r.records[id] = &record{Record: n, weightsAt: weightsAt}
+	r.records[id] = rec
 	return id, true
 }
 
+// putForeign takes in an entry that can't be read. The lock is held.
+func (r *Replicas) putForeign(key string) (ids.Target, bool) {
+	for id, rec := range r.records {
+		if rec.Key() == key {
+			rec.foreign = true
+			r.Fleet.Members.Remove(id)
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// carryOver keeps what is known of the same incarnation beside its entry.
+func (r *record) carryOver(old *record) {
+	if old.State == platform.StateLeaving {
+		r.State = platform.StateLeaving
+	}
+	if r.Weights != old.Weights && time.Since(old.weightsAt) < entryLag {
+		r.Weights, r.weightsAt = old.Weights, old.weightsAt
+	}
+}
+
+// Restarted records that a replica is known to be in an incarnation. If that is a later
+// one than its entry says yet, the replica takes work, with the weights that it had: a
+// replica keeps them when it starts again.
+func (r *Replicas) Restarted(id ids.Target, inc ids.Incarnation, from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[id]
+	if rec == nil || inc <= rec.Incarnation {
+		return
+	}
+	r.restarted(id, inc, from)
+	rec.Incarnation, rec.State, rec.weightsAt = inc, platform.StateLive, time.Time{}
+	r.publish()
+}
+
+// restarted forgets the incarnation before. The lock is held.
+func (r *Replicas) restarted(id ids.Target, inc ids.Incarnation, from string) {
+	r.Log.Belief("replica-restarted").Str("target", string(id)).Uint64("incarnation", uint64(inc)).Str("from", from).Send()
+	r.Gone(id)
+}
+
 // missing marks an entry that is no longer listed. The lock is held.
 func (r *Replicas) missing(id ids.Target) {
 	rec := r.records[id]
@@ -181,21 +240,33 @@
 
 // publish gives the list to the fleet. The lock is held.
 func (r *Replicas) publish() {
-	records := make([]platform.Record, 0, len(r.records))
-	for _, rec := range r.records {
-		records = append(records, rec.Record)
-	}
-	r.Fleet.Members.Platform(records, time.Now())
+	r.Fleet.Members.Platform(r.usable(), time.Now())
 	r.Fleet.MarkDirty()
 }
 
-// Records returns the replicas that are listed or may come back.
-func (r *Replicas) Records() []platform.Record {
+// Publish gives the list to the fleet anew: the configuration names other services.
+func (r *Replicas) Publish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.publish()
+}
+
+// usable returns the replicas that an entry names, of services that the configuration
+// names. The lock is held.
+func (r *Replicas) usable() []platform.Record {
 	out := make([]platform.Record, 0, len(r.records))
 	for _, rec := range r.records {
+		if rec.foreign || r.Named != nil && !r.Named(rec.Service) {
+			continue
+		}
 		out = append(out, rec.Record)
 	}
 	return out
 }
+
+// Records returns the replicas that are listed or may come back.
+func (r *Replicas) Records() []platform.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usable()
+}
--- /dev/null
+++ b/internal/follow/replicas_test.go
@@ -0,0 +1,140 @@
+package follow
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/prefix"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// newReplicas returns a list whose entries are records as JSON.
+func newReplicas(t *testing.T) (*Replicas, *[]ids.Target) {
+	t.Helper()
+	tuning := membership.DefaultTuning
+	tuning.Grace, tuning.SlowStart = time.Hour, 0
+	gone := &[]ids.Target{}
+	return &Replicas{
+		Fleet: fleet.New(membership.New("vm0", tuning), cacheview.New(1024, nil), loadview.New(), routing.NewFetching(), nil),
+		Decode: func(o objectapi.Object) (platform.Record, error) {
+			var r platform.Record
+			err := json.Unmarshal(o.Value, &r)
+			r.Key = o.Key
+			return r, err
+		},
+		Gone: func(id ids.Target) { *gone = append(*gone, id) },
+	}, gone
+}
+
+func entryOf(r platform.Record) objectapi.Object {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return objectapi.Object{Key: "servers/" + r.ID, Value: value}
+}
+
+func engineOf(id string, born ids.Incarnation, state platform.State) platform.Record {
+	return platform.Record{
+		ID: id, Role: platform.RoleEngine, FailureDomain: "z", Addr: "10.0.0.1:80", Incarnation: born, State: state,
+		Model: "m", Weights: "3", Service: "s", Slots: 24,
+	}
+}
+
+func (r *Replicas) find(id string) *platform.Record {
+	all := r.Records()
+	if i := slices.IndexFunc(all, func(p platform.Record) bool { return p.ID == id }); i >= 0 {
+		return &all[i]
+	}
+	return nil
+}
+
+// TestDrainEndsWithTheIncarnation drains a replica that then starts again under its id: it
+// takes work, and nothing of what was believed of it before is left.
+func TestDrainEndsWithTheIncarnation(t *testing.T) {
+	for name, restart := range map[string]func(r *Replicas){
+		"by its entry": func(r *Replicas) {
+			r.Changed([]objectapi.Object{entryOf(engineOf("e1", 200, platform.StateLive))}, At{})
+		},
+		"in a new list": func(r *Replicas) {
+			r.Listed([]objectapi.Object{entryOf(engineOf("e1", 200, platform.StateLive))}, At{}, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, gone := newReplicas(t)
+			members, now := r.Fleet.Members, time.Now()
+			r.Listed([]objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLive))}, At{}, false)
+			r.Fleet.Refresh()
+			r.Fleet.Cache.Holds("e1", cacheview.LifeOf(100, "3"), []prefix.Level{{ID: 7}})
+			members.Failed("e1", now)
+			members.Busy("e1", now.Add(time.Hour))
+			members.Doubt("e1", now.Add(time.Hour))
+			r.Changed([]objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLeaving))}, At{})
+			if got := members.State("e1", time.Now()); got != routing.Leaving {
+				t.Fatalf("the replica is %s while it drains", got)
+			}
+			restart(r)
+			r.Fleet.Refresh()
+			if got := members.State("e1", time.Now()); got != routing.Live {
+				t.Errorf("the replica is %s after it has started again", got)
+			}
+			if got := r.find("e1"); got == nil || got.State != platform.StateLive {
+				t.Errorf("the list says %+v", got)
+			}
+			if !slices.Equal(*gone, []ids.Target{"e1"}) {
+				t.Errorf("forgot %v", *gone)
+			}
+			if r.Fleet.Cache.Has("e1", 7) {
+				t.Error("a belief about the KV cache of the incarnation before is left")
+			}
+			r.Changed([]objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLeaving))}, At{})
+			if got := members.State("e1", time.Now()); got != routing.Live {
+				t.Errorf("the replica is %s after a late entry of the incarnation before", got)
+			}
+		})
+	}
+}
+
+// TestForeignEntryNamesNoReplica writes something else under the key of a replica, and a
+// thousand entries that can't be read beside it: the replica gets no work until its own
+// entry is back, and what it had said holds then; the others are not touched.
+func TestForeignEntryNamesNoReplica(t *testing.T) {
+	foreign := []objectapi.Object{{Key: "servers/e1", Value: []byte(`"bytes of somebody`)}}
+	for i := range 1000 {
+		foreign = append(foreign, objectapi.Object{Key: fmt.Sprint("servers/x", i), Value: []byte{0xff, 0}})
+	}
+	own := []objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLeaving)), entryOf(engineOf("e2", 100, platform.StateLive))}
+	for name, write := range map[string]func(r *Replicas){
+		"a change":   func(r *Replicas) { r.Changed(foreign, At{}) },
+		"a new list": func(r *Replicas) { r.Listed(append(slices.Clone(foreign), own[1]), At{}, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newReplicas(t)
+			r.Listed(own, At{}, false)
+			write(r)
+			if got := r.Records(); len(got) != 1 || got[0].ID != "e2" {
+				t.Fatalf("the list names %v", got)
+			}
+			if got := r.Fleet.Members.State("e1", time.Now()); got > routing.Leaving {
+				t.Errorf("the replica is %s though its entry names none", got)
+			}
+			if got := r.Fleet.Members.State("e2", time.Now()); got != routing.Live {
+				t.Errorf("the other replica is %s", got)
+			}
+			r.Changed([]objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLive))}, At{})
+			if got := r.Fleet.Members.State("e1", time.Now()); got != routing.Leaving {
+				t.Errorf("the replica is %s, and had said that it leaves", got)
+			}
+		})
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -179,7 +179,7 @@
 	}
 	defer a.Close()
 	reply := r.f.Dialect.ReadReply(a.Status, a.Header)
-	if reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
+	if !r.superseded(t.c) && reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
 		r.f.LearnWeights(t.c.target.ID, reply.Weights)
 	}
 	if e := t.judge(a, reply); e != nil {
@@ -205,6 +205,9 @@
 	t.endWatch()
 	now := time.Now()
 	t.work.FirstToken()
+	if t.r.superseded(t.c) {
+		return
+	}
 	t.r.f.Fleet.Members.Heard(t.c.target.ID, now)
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.Measured(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
@@ -293,7 +296,9 @@
 	now := time.Now()
 	members := r.f.Fleet.Members
 	if err == nil {
-		members.Succeeded(c.target.ID)
+		if !r.superseded(c) {
+			members.Succeeded(c.target.ID)
+		}
 		return
 	}
 	if err.Outcome == outcome.NotRun {
@@ -301,6 +306,10 @@
 	} else {
 		r.mayRan = true
 	}
+	if r.superseded(c) {
+		r.logFailed(c, err)
+		return
+	}
 	var refusal *Refusal
 	isRefusal := errors.As(err, &refusal)
 	switch {
@@ -317,10 +326,20 @@
 		members.Failed(c.target.ID, now)
 	}
 	r.f.Fleet.MarkDirty()
+	r.logFailed(c, err)
+}
+
+func (r *run) logFailed(c *choice, err *outcome.Error) {
 	r.f.Log.Request("attempt-failed", string(r.call.ID)).Str("target", string(c.target.ID)).Str("outcome", err.Outcome.String()).
 		Str("step", err.Step).Str("error", err.Error()).Send()
 }
 
+// superseded tells whether the replica of an attempt has started again since it was
+// chosen: how the attempt went says nothing about its present incarnation.
+func (r *run) superseded(c *choice) bool {
+	return r.f.Fleet.Members.Incarnation(c.target.ID) > c.target.Incarnation
+}
+
 // busyPause is how long a replica that refused gets no work from this VM: an order
 // under way takes about a second, a full queue less.
 const busyPause = 250 * time.Millisecond
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -11,6 +11,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,17 +20,18 @@
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvcache"
-	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // Batch is a part of a feed.
 type Batch struct {
-	Life   uint64 // changes when its speaker restarts
+	Epoch  uint64 // changes when the numbers of its entries start anew
 	Next   uint64 // where to read on
 	Gap    bool   // entries before it are lost
 	Events []kvcache.Event
+	// Incarnation is that of the speaker; zero: it does not tell.
+	Incarnation ids.Incarnation
 }
 
 // Reader reads feeds.
@@ -43,6 +45,8 @@
 	ID    ids.Target // an engine, or the name of a store
 	Addr  string
 	Store bool
+	// Incarnation is that which is known of an engine.
+	Incarnation ids.Incarnation
 }
 
 // Feeds reads all feeds that this VM is to read. Its fields are set before Run.
@@ -55,14 +59,21 @@
 	Tells func(id ids.Target) bool
 	// Contact is told whether an engine or a store answers its feed's calls.
 	Contact func(s Source, alive bool)
-	Log     *eventlog.Log
+	// Restarted is told the incarnation in which an engine speaks.
+	Restarted func(id ids.Target, inc ids.Incarnation)
+	Log       *eventlog.Log
 
 	mu      sync.Mutex
-	running map[string]context.CancelFunc // by address and id
+	running map[string]context.CancelFunc // by Source.key
 	silent  map[ids.Target]bool           // engines whose last call was not answered, or that have answered none yet
 	wg      sync.WaitGroup
 }
 
+// key names a feed: one of another incarnation is read from its beginning.
+func (s *Source) key() string {
+	return s.Addr + " " + string(s.ID) + " " + strconv.FormatUint(uint64(s.Incarnation), 10)
+}
+
 // Rhythms.
 const (
 	// reviewEvery is how often the set of feeds is looked at.
@@ -92,7 +103,7 @@
 func (f *Feeds) review(ctx context.Context) {
 	want := map[string]Source{}
 	for _, s := range f.Sources() {
-		want[s.Addr+" "+string(s.ID)] = s
+		want[s.key()] = s
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,7 +125,7 @@
 
 // follow reads one feed.
 func (f *Feeds) follow(ctx context.Context, s Source) {
-	var life, since uint64
+	var epoch, since uint64
 	lost := false
 	defer f.leave(s)
 	f.note(s, false) // this VM can't vouch for it yet
@@ -140,10 +151,17 @@
 			lost = false
 			f.Log.Belief("dependency-regained").Str("dependency", "cache feed").Str("target", string(s.ID)).Send()
 		}
-		if life != 0 && b.Life != life {
+		if !s.Store && b.Incarnation > s.Incarnation {
+			s.Incarnation = b.Incarnation
+			f.Restarted(s.ID, b.Incarnation)
+		}
+		if epoch != 0 && b.Epoch != epoch {
+			// Entries before since are not in this batch, though they are of this epoch.
 			f.emptied(s)
+			epoch, since = b.Epoch, 0
+			continue
 		}
-		life, since = b.Life, b.Next
+		epoch, since = b.Epoch, b.Next
 		tells := f.Tells(s.ID)
 		for _, ev := range b.Events {
 			f.apply(s, ev, tells)
@@ -215,5 +233,5 @@
 		return forward.StoreLife(f.Cache, s.ID), forward.StoreLevel(ev.Salt, ev.Model, ev.Part), true
 	}
 	w, wall, ok := kvcache.SplitSalt(ev.Salt)
-	return cacheview.LifeOf(platform.SoleIncarnation, w), kvcache.LevelID(wall, ev.Model, ev.Part), ok
+	return cacheview.LifeOf(s.Incarnation, w), kvcache.LevelID(wall, ev.Model, ev.Part), ok
 }
--- a/internal/kvfeed/kvfeed_test.go
+++ b/internal/kvfeed/kvfeed_test.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/kvcache"
 )
 
 // deafReader never gets an answer.
@@ -62,6 +63,71 @@
 	await(t, "it is no longer this VM's to tell", state(true, 0))
 }
 
+// restartingReader is an engine that starts again: the numbers of its entries and the
+// entries themselves begin anew. It notes from where it is read.
+type restartingReader struct {
+	mu    sync.Mutex
+	again bool
+	since []uint64
+}
+
+func (r *restartingReader) ReadFeed(ctx context.Context, _ string, since uint64, _ time.Duration) (Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = append(r.since, since)
+	b := Batch{Epoch: 1, Incarnation: 100, Next: 5, Events: []kvcache.Event{{Stored: true, Salt: kvcache.Salt("3", ""), Model: "m", Part: "old"}}}
+	if r.again {
+		b = Batch{Epoch: 2, Incarnation: 200, Next: 9}
+		if since == 0 {
+			b.Events = []kvcache.Event{{Stored: true, Salt: kvcache.Salt("3", ""), Model: "m", Part: "new"}}
+		}
+	}
+	return b, nil
+}
+
+// TestFeedOfAnEngineThatStartedAgain reads the feed from its beginning, also where the
+// restart is met in the feed first, and believes nothing of before.
+func TestFeedOfAnEngineThatStartedAgain(t *testing.T) {
+	cache := cacheview.New(64, nil)
+	reader := &restartingReader{}
+	var mu sync.Mutex
+	inc := ids.Incarnation(100)
+	known := func() ids.Incarnation {
+		mu.Lock()
+		defer mu.Unlock()
+		return inc
+	}
+	cache.SetLife("e1", 100, "3")
+	f := &Feeds{
+		Reader: reader, Cache: cache, KV: &forward.Planner{Cache: cache},
+		Sources: func() []Source { return []Source{{ID: "e1", Addr: "a", Incarnation: known()}} },
+		Tells:   func(ids.Target) bool { return false },
+		Contact: func(Source, bool) {},
+		Restarted: func(_ ids.Target, now ids.Incarnation) {
+			mu.Lock()
+			defer mu.Unlock()
+			inc = max(inc, now)
+			cache.SetLife("e1", inc, "3")
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	holds := func(part string) func() bool {
+		return func() bool { return cache.Has("e1", kvcache.LevelID("", "m", part)) }
+	}
+	await(t, "the engine holds a part", holds("old"))
+	reader.mu.Lock()
+	reader.again = true
+	reader.mu.Unlock()
+	await(t, "it holds another after it has started again", holds("new"))
+	if holds("old")() {
+		t.Error("it is still believed to hold what it held before")
+	}
+}
+
 func await(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for range 1000 {
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -45,7 +45,7 @@
 // Work is one request's share of a target's load.
 type Work struct {
 	t      *Tracker
-	target ids.Target
+	own    *own // the target's record when the request was sent
 	tokens float64
 	begun  bool
 	bound  bool
@@ -59,7 +59,7 @@
 	defer w.t.mu.Unlock()
 	if !w.bound && !w.ended {
 		w.bound = true
-		w.t.own[w.target].bound++
+		w.own.bound++
 	}
 }
 
@@ -97,7 +97,7 @@
 	o.pending += tokens
 	o.inFlight++
 	o.add(sent{at: now, tokens: tokens})
-	return &Work{t: t, target: target, tokens: tokens}
+	return &Work{t: t, own: o, tokens: tokens}
 }
 
 // FirstToken ends the prefill part of the work. Further calls do nothing.
@@ -110,7 +110,7 @@
 func (w *Work) first() {
 	if !w.begun {
 		w.begun = true
-		w.t.own[w.target].pending -= w.tokens
+		w.own.pending -= w.tokens
 	}
 }
 
@@ -121,9 +121,9 @@
 	w.first()
 	if !w.ended {
 		w.ended = true
-		w.t.own[w.target].inFlight--
+		w.own.inFlight--
 		if w.bound {
-			w.t.own[w.target].bound--
+			w.own.bound--
 		}
 	}
 }
--- a/internal/loadview/peers.go
+++ b/internal/loadview/peers.go
@@ -117,14 +117,13 @@
 	}
 }
 
-// Forget drops the record of a target that is gone. Work under way keeps its own.
+// Forget drops the record of a target that is gone or has started again. Work under way
+// keeps the record that it was counted in.
 func (t *Tracker) Forget(id ids.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if o := t.own[id]; o != nil && o.inFlight == 0 {
-		delete(t.own, id)
-		for _, p := range t.peers {
-			delete(p.loads, id)
-		}
+	delete(t.own, id)
+	for _, p := range t.peers {
+		delete(p.loads, id)
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -161,9 +161,20 @@
 	if inc <= m.incarnation {
 		return
 	}
-	m.incarnation, m.weights = inc, w
-	m.bornAt, m.leaving, m.fails, m.unreachable, m.lostBy = now, false, 0, false, nil
-	m.report = Report{Incarnation: inc}
+	*m = target{
+		record: m.record, listed: m.listed, firstSeen: now, bornAt: now,
+		incarnation: inc, weights: w, report: Report{Incarnation: inc},
+	}
+}
+
+// Incarnation returns the latest known incarnation of a target; zero: it is not known.
+func (t *Table) Incarnation(id ids.Target) ids.Incarnation {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if m := t.targets[id]; m != nil {
+		return m.incarnation
+	}
+	return 0
 }
 
 func (t *Table) peer(id ids.VM, now time.Time) *peer {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -93,6 +93,8 @@
 	Target  ids.Target
 	Weights ids.WeightsVersion
 	Done    bool
+	// Incarnation is that of the engine, as far as the sender knows; zero: it does not.
+	Incarnation ids.Incarnation
 }
 
 // Bounds.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,8 +22,8 @@
 	RoleService Role = "service" // a plain service: a target
 )
 
-// SoleIncarnation is that of a target whose id names one incarnation: the next one
-// has another id.
+// SoleIncarnation is that of a target which does not say when it started, and so the
+// least of all.
 const SoleIncarnation ids.Incarnation = 1
 
 // State is the platform's word on a VM.
--- a/internal/rollout/bring.go
+++ b/internal/rollout/bring.go
@@ -181,6 +181,7 @@
 		return s, eris.Wrapf(err, "read the state of %s", c.Target)
 	}
 	r.heard(c.Target)
+	r.Replicas.Restarted(c.Target, s.Incarnation, "report")
 	if w := s.Weights[c.Model]; !r.behind(c, s) {
 		r.Replicas.SetWeights(c.Target, w, "report")
 		r.Ordering(c.Target, w, true)
--- a/internal/rollout/bring_test.go
+++ b/internal/rollout/bring_test.go
@@ -56,6 +56,8 @@
 
 func (s *scripted) SetWeights(_ ids.Target, w ids.WeightsVersion, _ string) { s.set = append(s.set, w) }
 
+func (s *scripted) Restarted(ids.Target, ids.Incarnation, string) {}
+
 func (s *scripted) StateOf(ids.Target) routing.State { return s.member }
 
 func (s *scripted) NoContact(ids.Target) bool { return s.silent }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -38,9 +38,11 @@
 
 // State is what an engine says of itself.
 type State struct {
-	Weights map[ids.Model]ids.WeightsVersion
-	Busy    bool   // it carries out an order
-	Orders  uint64 // how many orders it has accepted in this incarnation
+	// Incarnation is zero where the engine does not tell it.
+	Incarnation ids.Incarnation
+	Weights     map[ids.Model]ids.WeightsVersion
+	Busy        bool   // it carries out an order
+	Orders      uint64 // how many orders it has accepted in this incarnation
 }
 
 // Command is one order as it goes to an engine.
@@ -91,6 +93,8 @@
 type Replicas interface {
 	Records() []platform.Record
 	SetWeights(id ids.Target, w ids.WeightsVersion, from string)
+	// Restarted records that a replica is known to be in an incarnation.
+	Restarted(id ids.Target, inc ids.Incarnation, from string)
 }
 
 // Loads tells how replicas are doing.
@@ -190,6 +194,15 @@
 	return out
 }
 
+// Forget drops what is remembered of a replica's orders: it has ended or started again.
+func (r *Rollout) Forget(id ids.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.failed, id)
+	delete(r.refused, id)
+	delete(r.spoke, id)
+}
+
 // retryPause is how long a replica gets no order after one that came to nothing: one
 // that is down is back after some seconds, and each try takes an engine's place in
 // the rollout and a priced look at its state.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -89,6 +89,8 @@
 }
 func (oneReplica) SetWeights(ids.Target, ids.WeightsVersion, string) {}
 
+func (oneReplica) Restarted(ids.Target, ids.Incarnation, string) {}
+
 // TestNoOrderToAnEndedReplica checks that a replica that has ended is reported and
 // gets no order in the next rounds, though it is still listed. Before, such replicas
 // were given order after order until their entries ran out, and took the places of
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -194,6 +194,8 @@
 // SetWeights implements Replicas.
 func (w *world) SetWeights(ids.Target, ids.WeightsVersion, string) {}
 
+func (w *world) Restarted(ids.Target, ids.Incarnation, string) {}
+
 // StateOf implements Loads. An engine under an order takes no calls, either.
 func (w *world) StateOf(id ids.Target) routing.State {
 	w.mu.Lock()
