News over a tree in large fleets; feeds read by two VMs there, too

Cause: beyond 100 VMs news went to the own failure domain only, one by one. Who reads a feed was worked out anew for each batch, each target and each look: all VMs sorted by a hash, 195 x 117 several times a second.

Ruled out: bundling the messages of a domain instead of summing them (195 decoded messages a round as before); asking targets for their load (a probe each).

A VM takes its own part out by the round that the total names. A parent that says nothing for 0.6 s is passed over. Orders, caches and stores that are down go along as events. Since all hear all, feeds are read by two VMs of the target's own domain at this size, too. Readers are picked from the VMs that live, looked up 20 times a second. TestFeedsAreReadNearby waits for that look (50 ms) before it asks; what it asks is the same.

--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -48,39 +47,84 @@
 )
 
 // feedReaders returns the VMs that read the feed of a target, as far as this VM knows,
-// the one first that tells what it says. All VMs that hear each other agree on them.
+// the one first that tells what it says. All VMs that hear each other agree on them. In a
+// fleet of 195 VMs before 117 engines it is asked several thousand times a second.
 func (c *vmList) feedReaders(id ids.Target, domain ids.FailureDomain) []ids.VM {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	type candidate struct {
-		vm     ids.VM
-		near   bool
-		weight uint64
+	alive := c.living()
+	candidates := alive.in[domain]
+	if len(candidates) < readersPerFeed {
+		candidates = append(slices.Clone(candidates), alive.outside(domain)...)
 	}
-	var all []candidate
-	for _, r := range c.at {
-		if r.VM != c.d.Settings.VM && c.d.news.HeardWithin(r.VM, aliveFor) {
-			all = append(all, candidate{r.VM, r.FailureDomain == domain, routing.VMWeight(id, r.VM)})
+	var out []ids.VM
+	for len(out) < min(readersPerFeed, len(candidates)) {
+		var best ids.VM
+		var weight uint64
+		for _, v := range candidates {
+			if slices.Contains(out, v.vm) || best != "" && nearer(alive.domain[best], v.domain, domain) {
+				continue
+			}
+			if w := routing.VMWeight(id, v.vm); best == "" || w > weight || nearer(v.domain, alive.domain[best], domain) {
+				best, weight = v.vm, w
+			}
 		}
+		out = append(out, best)
 	}
-	own := c.d.Settings
-	all = append(all, candidate{own.VM, own.FailureDomain == domain, routing.VMWeight(id, own.VM)})
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.near != b.near {
-			if a.near {
-				return -1
-			}
-			return 1
+	return out
+}
+
+// nearer tells whether a is the wanted domain, and b is not.
+func nearer(a, b, wanted ids.FailureDomain) bool { return a == wanted && b != wanted }
+
+// livingVM is a VM that was heard a short while ago, or this one.
+type livingVM struct {
+	vm     ids.VM
+	domain ids.FailureDomain
+}
+
+// livingVMs are the VMs that live, as of a moment.
+type livingVMs struct {
+	at     time.Time
+	in     map[ids.FailureDomain][]livingVM
+	domain map[ids.VM]ids.FailureDomain
+}
+
+// outside returns the VMs of other domains.
+func (l *livingVMs) outside(domain ids.FailureDomain) []livingVM {
+	var out []livingVM
+	for d, vms := range l.in {
+		if d != domain {
+			out = append(out, vms...)
 		}
-		return cmp.Compare(b.weight, a.weight)
-	})
-	var out []ids.VM
-	for _, c := range all[:min(len(all), readersPerFeed)] {
-		out = append(out, c.vm)
 	}
 	return out
 }
 
+// livingFor is how long a look at which VMs live is used.
+const livingFor = 50 * time.Millisecond
+
+// living returns the VMs that live.
+func (c *vmList) living() *livingVMs {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.alive != nil && time.Since(c.alive.at) < livingFor {
+		return c.alive
+	}
+	own := c.d.Settings
+	l := &livingVMs{at: time.Now(), in: map[ids.FailureDomain][]livingVM{}, domain: map[ids.VM]ids.FailureDomain{}}
+	add := func(vm ids.VM, domain ids.FailureDomain) {
+		l.in[domain] = append(l.in[domain], livingVM{vm, domain})
+		l.domain[vm] = domain
+	}
+	add(own.VM, own.FailureDomain)
+	for _, r := range c.at {
+		if r.VM != own.VM && c.d.news.HeardWithin(r.VM, aliveFor) {
+			add(r.VM, r.FailureDomain)
+		}
+	}
+	c.alive = l
+	return l
+}
+
 // feedSources lists the cache feeds that this VM reads.
 func (d *Daemon) feedSources() []kvfeed.Source {
 	c := d.Catalog.Get()
@@ -89,49 +133,29 @@
 	}
 	var out []kvfeed.Source
 	for _, r := range d.Replicas.Records() {
-		if id := ids.Target(r.ID); r.Role == platform.RoleEngine && d.reads(id, r.FailureDomain, engineReaders(c.Service(r.Service))) {
+		if id := ids.Target(r.ID); r.Role == platform.RoleEngine && d.reads(id, r.FailureDomain) {
 			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr, Incarnation: r.Incarnation})
 		}
 	}
 	for _, kv := range c.KVStores {
-		if id := forward.StoreTarget(kv.Addr); d.reads(id, kv.FailureDomain, kv.FeedReaders) {
+		if id := forward.StoreTarget(kv.Addr); d.reads(id, kv.FailureDomain) {
 			out = append(out, kvfeed.Source{ID: id, Addr: kv.Addr, Store: true})
 		}
 	}
 	return out
 }
 
-// reads tells whether this VM reads the feed of a target in a failure domain, which serves
-// so many readers at once; zero: it is not known how many.
-func (d *Daemon) reads(id ids.Target, domain ids.FailureDomain, places int) bool {
-	if domain != d.Settings.FailureDomain {
-		switch {
-		case time.Since(d.started) < farFeedsAfter:
-			return false
-		case !d.news.Across(): // nobody there tells this VM anything
-			return places == 0 || d.vms.rank(id) < max(int(float64(places)*feedReaderShare), 1)
-		}
+// reads tells whether this VM reads the feed of a target in a failure domain.
+func (d *Daemon) reads(id ids.Target, domain ids.FailureDomain) bool {
+	if domain != d.Settings.FailureDomain && time.Since(d.started) < farFeedsAfter {
+		return false
 	}
 	return slices.Contains(d.vms.feedReaders(id, domain), d.Settings.VM)
 }
 
-// feedReaderShare is the part of a speaker's places for readers that VMs take where news
-// don't cross failure domains, so that some are left while the list of VMs changes.
-const feedReaderShare = 0.75
-
-func engineReaders(s *catalog.Service) int {
-	if s == nil || s.Engine == nil {
-		return 0
-	}
-	return s.Engine.FeedReaders
-}
-
 // tells tells whether this VM tells the others what the feed of a target says.
 func (d *Daemon) tells(id ids.Target) bool {
 	domain, _ := d.domainOfTarget(id)
-	if domain != d.Settings.FailureDomain && !d.news.Across() {
-		return false
-	}
 	return d.vms.feedReaders(id, domain)[0] == d.Settings.VM
 }
 
@@ -195,7 +219,7 @@
 	now := time.Now()
 	within := max(vouchWithin, vouchRounds*d.news.Pause())
 	for _, r := range d.Replicas.Records() {
-		if r.Role != platform.RoleEngine || r.FailureDomain != d.Settings.FailureDomain && !d.news.Across() {
+		if r.Role != platform.RoleEngine {
 			continue
 		}
 		vouched, near := false, false
--- a/internal/edge/feeds_test.go
+++ b/internal/edge/feeds_test.go
@@ -45,6 +45,7 @@
 			}
 			tell(t, addr, vm)
 		}
+		time.Sleep(livingFor) // by then it is taken for alive
 	}
 }
 
@@ -79,7 +80,7 @@
 	if len(first) != 3 {
 		t.Errorf("of three VMs only %d tell what feeds say", len(first))
 	}
-	if d.reads("e1", "y", 0) || d.tells("e1") {
+	if d.reads("e1", "y") || d.tells("e1") {
 		t.Error("this VM reads a feed of another domain though VMs live there")
 	}
 }
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -28,6 +28,7 @@
 	VM            ids.VM            `json:"vm"`
 	FailureDomain ids.FailureDomain `json:"failure_domain"`
 	PeerAddr      string            `json:"peer_addr"`
+	LinkMbps      int               `json:"link_mbps,omitempty"`
 }
 
 // registerRetry is the pause between tries to register.
@@ -35,7 +36,13 @@
 
 // register writes this VM's entry once.
 func (d *Daemon) register(ctx context.Context) {
-	value, err := json.Marshal(vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen})
+	if !d.vms.await(ctx) {
+		return
+	}
+	value, err := json.Marshal(vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps)})
+	if d.vms.lists(value) {
+		return // this VM has started again
+	}
 	for err == nil {
 		err = d.writeEntry(ctx, prefixVMs+string(d.Settings.VM), value)
 		if err == nil {
@@ -69,7 +76,9 @@
 type vmList struct {
 	d  *Daemon
 	mu sync.Mutex
-	at map[string]vmRecord
+	at map[string]vmRecord // nil: it has not been read yet
+	// alive are the VMs that live, as last looked at; nil: not yet.
+	alive *livingVMs
 }
 
 var _ follow.Handler = (*vmList)(nil)
@@ -101,12 +110,39 @@
 	c.d.budgets.SetVMs(len(c.at))
 	peers := make([]news.Peer, 0, len(c.at))
 	for _, r := range c.at {
-		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
+		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr, LinkMbps: r.LinkMbps})
 	}
 	c.d.news.SetPeers(peers)
 	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
 }
 
+// listedEvery is how often a VM that has started looks whether the list has been read.
+const listedEvery = 20 * time.Millisecond
+
+// await waits until the list has been read; false: ctx has ended.
+func (c *vmList) await(ctx context.Context) bool {
+	for ; ctx.Err() == nil; timing.Sleep(ctx, listedEvery) {
+		c.mu.Lock()
+		listed := c.at != nil
+		c.mu.Unlock()
+		if listed {
+			return true
+		}
+	}
+	return false
+}
+
+// lists tells whether this VM's entry is there as it should be.
+func (c *vmList) lists(value []byte) bool {
+	var own vmRecord
+	if err := json.Unmarshal(value, &own); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at[prefixVMs+string(own.VM)] == own
+}
+
 // Unchanged implements follow.Handler.
 func (c *vmList) Unchanged(follow.At) {}
 
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -9,8 +9,8 @@
 // nobody.
 //
 // What it costs stays bounded: the pause between two rounds grows with the number
-// of peers, so that a VM takes in at most MessagesPerSecond; beyond maxPeers it
-// speaks to those of its own failure domain only.
+// of peers, so that a VM takes in at most MessagesPerSecond; beyond maxPeers messages are
+// summed up over a tree of VMs (tree.go).
 //
 // Bytes between failure domains are dear, so a message crosses a boundary once for each
 // domain of more than relayFrom VMs: one VM there passes it on (relay.go).
@@ -38,6 +38,7 @@
 	VM            ids.VM
 	FailureDomain ids.FailureDomain
 	Addr          string // ip:port
+	LinkMbps      int    // width of its link; zero: not known
 }
 
 // Message is one datagram.
@@ -59,6 +60,8 @@
 	// Lapsed tells that this VM could not renew the lease for orders and gives none. Nil: it
 	// has not held it, or holds it.
 	Lapsed *Lapsed
+	// Report and Total are what several VMs say, in large fleets (tree.go).
+	Report, Total *digest
 }
 
 // Lapsed is one state of the lease's record under which its holder has stopped (package
@@ -108,11 +111,11 @@
 	// 70, the loads of 69 VMs were a second old, and all sent to the engines that had
 	// looked idle then.
 	messagesPerSecond = 200
-	// maxPeers is up to how many peers all are told: beyond, loads would be older than
-	// the requests that they speak of.
+	// maxPeers is up to how many peers each VM is told of by itself: beyond, loads would be
+	// older than the requests that they speak of.
 	maxPeers = 100
 	// maxDatagram bounds a message, in bytes.
-	maxDatagram = 16 << 10
+	maxDatagram = 48 << 10
 	// orderCopies is how often an order is told, since datagrams get lost.
 	orderCopies = 2
 	// idleRounds is after how many rounds with nothing to tell a VM speaks all the same:
@@ -157,14 +160,14 @@
 
 	mu    sync.Mutex
 	peers []Peer
-	// across tells whether those of other failure domains are among them.
-	across bool
-	heard  map[ids.VM]time.Time // when a peer last told something
-	conn   *net.UDPConn
-	life   int64
-	seq    atomic.Uint64
-	told   int // targets in the last round
-	idle   int // rounds since this VM last spoke
+	large bool                 // news go over the tree
+	heard map[ids.VM]time.Time // when a peer last told something
+	tree  tree
+	conn  *net.UDPConn
+	life  int64
+	seq   atomic.Uint64
+	told  int // targets in the last round
+	idle  int // rounds since this VM last spoke
 
 	Sent, PassedOn, Heard, Rejected, Untold atomic.Int64
 }
@@ -181,13 +184,11 @@
 			far = append(far, p)
 		}
 	}
-	peers := near
-	if len(near)+len(far) <= maxPeers {
-		peers = append(peers, far...)
-	}
+	peers := append(near, far...)
+	x.tree.setPeers(x.VM, x.FailureDomain, all)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.peers, x.across = peers, len(near)+len(far) <= maxPeers
+	x.peers, x.large = peers, len(peers) > maxPeers
 	heard := map[ids.VM]time.Time{}
 	for _, p := range peers {
 		heard[p.VM] = x.heard[p.VM]
@@ -195,12 +196,11 @@
 	x.heard = heard
 }
 
-// Across tells whether VMs of other failure domains are told anything: in fleets of more
-// than maxPeers they are not.
-func (x *Exchange) Across() bool {
+// isLarge tells whether news go over the tree.
+func (x *Exchange) isLarge() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.across
+	return x.large
 }
 
 func (x *Exchange) list() []Peer {
@@ -234,6 +234,7 @@
 	}
 	x.conn, err = net.ListenUDP("udp4", addr)
 	x.life = time.Now().UnixMilli()
+	x.tree.wake = make(chan struct{}, 1)
 	return eris.Wrapf(err, "listen for news on %s", x.Listen)
 }
 
@@ -266,6 +267,11 @@
 	}
 	x.Heard.Add(1)
 	x.note(m.VM, time.Now())
+	if m.Report != nil || m.Total != nil {
+		x.takeDigest(&m, time.Now())
+		return
+	}
+	x.tree.met(m.VM)
 	if m.Order != nil {
 		x.Ordered(*m.Order)
 		return
@@ -297,21 +303,34 @@
 // Tell sends this VM's loads round after round until ctx ends.
 func (x *Exchange) Tell(ctx context.Context) {
 	x.tellRound(Message{}) // peers know at once that this VM is there
-	for timing.Sleep(ctx, x.Pause()) {
-		x.Load.Fade(time.Now())
-		x.round()
+	for ctx.Err() == nil {
+		if x.isLarge() {
+			x.tellTree(ctx)
+			continue
+		}
+		if timing.Sleep(ctx, x.Pause()) {
+			x.Load.Fade(time.Now())
+			x.round()
+		}
 	}
 }
 
 // TellCaches tells changes of caches until ctx ends.
 func (x *Exchange) TellCaches(ctx context.Context) {
 	for timing.Sleep(ctx, max(shortestCaches, x.intake())) {
-		x.tellCaches()
+		if !x.isLarge() {
+			x.tellCaches()
+		}
 	}
 }
 
 // Pause is the time between two rounds.
-func (x *Exchange) Pause() time.Duration { return max(shortest, x.intake()) }
+func (x *Exchange) Pause() time.Duration {
+	if x.isLarge() {
+		return treeRound
+	}
+	return max(shortest, x.intake())
+}
 
 // intake is the pause between two rounds at which a VM takes in messagesPerSecond of its
 // peers.
@@ -359,11 +378,19 @@
 // TellOrder tells all peers of an order.
 func (x *Exchange) TellOrder(o Order) {
 	for copy := range orderCopies {
+		if x.isLarge() {
+			x.tree.tell(event{VM: shortenVM(x.VM), Orders: []Order{o}})
+			continue
+		}
 		x.send(Message{VM: x.VM, Life: x.life, Order: &o}, copy)
 	}
 }
 
 // TellStoreDown tells all peers that a store of KV cache does not answer.
 func (x *Exchange) TellStoreDown(addr string) {
+	if x.isLarge() {
+		x.tree.tell(event{VM: shortenVM(x.VM), StoreDown: []string{addr}})
+		return
+	}
 	x.send(Message{VM: x.VM, Life: x.life, StoreDown: addr}, 0)
 }
--- /dev/null
+++ b/internal/news/tree.go
@@ -0,0 +1,595 @@
+package news
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// In fleets of more than maxPeers VMs news go over a tree, so that what a VM sends and takes
+// in does not grow with the number of VMs: told one by one to the VMs of the own failure
+// domain, each of 195 VMs took in 200 datagrams a second, heard of no load beyond its
+// domain, and read the cache feeds of all others with more readers than there were places.
+//
+// The VMs of a failure domain agree on an order of themselves, the widest links first. Each
+// reports to the first of them that answers, its parent; that one is the root of the domain.
+// Roots exchange the sums of their domains, and tell their children the sum of all:
+//
+//	VM ── report ──> root ── report ──> roots of other domains
+//	VM <── total ─── root <── report ── roots of other domains
+//
+// A VM takes its own part out of the total: the total names the round of each VM that is in
+// it. A parent that sends no total for parentWait is passed over, at first for avoidFirst,
+// and longer each time; as parents always come before their children in the order, no ring
+// of parents can arise. A VM that has children and is no root passes on between the two.
+// Domains that are cut off from each other have a tree each, and miss each other's sums.
+//
+// What is told once (orders, changes of caches) goes along as events of the VM that told it;
+// what must not be missed goes twice.
+
+const (
+	// treeRound is the longest pause between two rounds of the tree, and treeHaste the
+	// shortest: orders are passed on after that.
+	treeRound = 150 * time.Millisecond
+	treeHaste = 40 * time.Millisecond
+	// reportFor is for how long a report counts: four rounds, of which three may be lost.
+	reportFor = 600 * time.Millisecond
+	// parentWait is after how long without a total a parent is passed over.
+	parentWait = 600 * time.Millisecond
+	// avoidFirst is for how long a parent is passed over at first; the time doubles with
+	// each further time in a row, up to avoidFirst << avoidDoublings.
+	avoidFirst     = 3 * time.Second
+	avoidDoublings = 4
+	// rootsTried is how many VMs of a domain whose root is not known are sent reports at a
+	// time; after triedRounds the next ones.
+	rootsTried  = 2
+	triedRounds = 4
+	// helloRounds is how often a VM that comes first and has no children says that it is
+	// there, in rounds.
+	helloRounds = 7
+	// ownRounds is how many of its own rounds a VM remembers, to take them out of totals.
+	ownRounds = 32
+	// maxEvents bounds the changes of caches that a digest carries, in entries of about 9
+	// bytes; with those of other kinds a datagram stays within maxDatagram.
+	maxEvents = 900
+	// maxQueued bounds the changes that wait to be passed on.
+	maxQueued = 4 * maxEvents
+)
+
+// tree is this VM's part of the tree. Safe for concurrent use.
+type tree struct {
+	mu       sync.Mutex
+	before   []Peer                       // VMs of the own domain that come before this one
+	far      map[ids.FailureDomain][]Peer // those of the others, in their order
+	peers    map[shortVM]Peer
+	children map[ids.VM]heardDigest
+	roots    map[ids.VM]heardDigest
+	total    heardDigest // as the parent told it
+	parent   ids.VM
+	since    time.Time // this VM reports to the parent since then
+	avoid    map[ids.VM]avoided
+	round    uint64
+	own      [ownRounds][]Load            // by round
+	up, down []event                      // to be passed on
+	again    []event                      // told in the last round, to be told once more
+	lost     map[ids.FailureDomain]uint64 // domains whose root is not known, and since which round
+	silent   map[ids.VM]bool              // VMs that told of silent targets
+	wake     chan struct{}
+}
+
+// avoided is a parent that is passed over.
+type avoided struct {
+	until time.Time
+	times int
+}
+
+// byOrder sorts the VMs of a failure domain: the widest links first, since a parent sends
+// the total to all its children.
+func byOrder(a, b Peer) int {
+	if a.LinkMbps != b.LinkMbps {
+		return cmp.Compare(b.LinkMbps, a.LinkMbps)
+	}
+	return cmp.Compare(routing.VMWeight(treeKey, b.VM), routing.VMWeight(treeKey, a.VM))
+}
+
+// treeKey names the tree for rendezvous.
+const treeKey ids.Target = "news tree"
+
+// setPeers takes in all VMs, this one included.
+func (t *tree) setPeers(self ids.VM, domain ids.FailureDomain, all []Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.before, t.far, t.peers = nil, map[ids.FailureDomain][]Peer{}, map[shortVM]Peer{}
+	sorted := slices.SortedFunc(slices.Values(all), byOrder)
+	first := true
+	for _, p := range sorted {
+		switch {
+		case p.VM == self:
+			first = false
+			continue
+		case p.FailureDomain != domain:
+			t.far[p.FailureDomain] = append(t.far[p.FailureDomain], p)
+		case first:
+			t.before = append(t.before, p)
+		}
+		t.peers[shortenVM(p.VM)] = p
+	}
+	for vm := range t.children {
+		if _, listed := t.peers[shortenVM(vm)]; !listed {
+			delete(t.children, vm)
+		}
+	}
+}
+
+// tell queues an event of this VM, or of a child, for the parent and the children.
+func (t *tree) tell(e event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.up = queue(t.up, e)
+	t.down = queue(t.down, e)
+	if len(e.Orders) > 0 {
+		t.again = append(t.again, e)
+	}
+	t.hurry(e)
+}
+
+// hurry ends the pause between two rounds for an order. The lock is held.
+func (t *tree) hurry(e event) {
+	if len(e.Orders) == 0 {
+		return
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// queue adds an event; changes of caches that are too many are left out: a belief that is
+// missing costs a computation at most.
+func queue(q []event, e event) []event {
+	if entries(q)+entries([]event{e}) > maxQueued {
+		e.Caches = nil
+	}
+	return append(q, e)
+}
+
+func entries(events []event) int {
+	n := 0
+	for _, e := range events {
+		for _, c := range e.Caches {
+			n += 1 + len(c.Held) + len(c.Dropped)
+		}
+	}
+	return n
+}
+
+// takeEvents returns as many queued events as fit in a digest, and the rest.
+func takeEvents(q []event) (now, later []event) {
+	n := 0
+	for i := range q {
+		if n += entries(q[i : i+1]); n > maxEvents && i > 0 {
+			return q[:i], slices.Clone(q[i:])
+		}
+	}
+	return q, nil
+}
+
+// hear takes in a digest of a VM: a report, or a total of its parent's. It returns whether
+// it is to be taken for what the fleet says, and where its events go.
+func (t *tree) hear(from Peer, d digest, isTotal, sameDomain bool, now time.Time) (applies bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := heardDigest{d, now}
+	h.Events = nil
+	switch {
+	case isTotal && from.VM != t.parent:
+		return false
+	case isTotal:
+		t.total, applies = h, true
+		delete(t.avoid, from.VM)
+		t.pass(d.Events, false)
+	case sameDomain:
+		t.children = put(t.children, from.VM, h)
+		t.pass(d.Events, true)
+	default:
+		t.roots = put(t.roots, from.VM, h)
+		t.pass(d.Events, false)
+	}
+	return applies
+}
+
+func put(m map[ids.VM]heardDigest, vm ids.VM, h heardDigest) map[ids.VM]heardDigest {
+	if m == nil {
+		m = map[ids.VM]heardDigest{}
+	}
+	m[vm] = h
+	return m
+}
+
+// pass queues events that were heard: those of children go on to the parent or the other
+// roots, and all go to the children. The lock is held.
+func (t *tree) pass(events []event, up bool) {
+	for _, e := range events {
+		if up {
+			t.up = queue(t.up, e)
+		}
+		if len(t.children) > 0 {
+			t.down = queue(t.down, e)
+		}
+		t.hurry(e)
+	}
+}
+
+// chooseParent returns the VM to which this one reports; false: it is a root. The lock is
+// held.
+func (t *tree) chooseParent(now time.Time) (Peer, bool) {
+	if t.parent != "" && now.Sub(maxTime(t.since, t.total.at)) > parentWait {
+		a := t.avoid[t.parent]
+		if t.avoid == nil {
+			t.avoid = map[ids.VM]avoided{}
+		}
+		t.avoid[t.parent] = avoided{now.Add(avoidFirst << min(a.times, avoidDoublings)), a.times + 1}
+	}
+	for _, p := range t.before {
+		if now.Before(t.avoid[p.VM].until) {
+			continue
+		}
+		if t.parent != p.VM {
+			t.parent, t.since, t.total = p.VM, now, heardDigest{}
+		}
+		return p, true
+	}
+	t.parent = ""
+	return Peer{}, false
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// met notes that a VM speaks: it need not be avoided as a parent.
+func (t *tree) met(vm ids.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.avoid, vm)
+}
+
+// sending is what one round sends.
+type sending struct {
+	report  digest
+	to      []Peer // of the report
+	total   *digest
+	kids    []Peer // to whom the total goes
+	applies bool   // this VM is a root: the total is what it believes
+	hello   bool   // this VM could be a parent and has no children: they may pass it over
+}
+
+// next makes a round of this VM's own words.
+func (t *tree) next(self ids.VM, own digest, loads []Load, now time.Time) sending {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.round++
+	t.own[t.round%ownRounds] = loads
+	own.addMember(member{shortenVM(self), uint16(t.round)})
+	parts := append([]heardDigest{{own, now}}, fresh(t.children, now)...)
+	out := sending{report: sum(parts, now)}
+	up, moreUp := takeEvents(t.up)
+	down, moreDown := takeEvents(t.down)
+	t.up, t.down = append(moreUp, t.again...), append(moreDown, t.again...)
+	t.again = nil
+	out.report.Events = up
+	for vm := range t.children {
+		out.kids = append(out.kids, t.peers[shortenVM(vm)])
+	}
+	parent, ok := t.chooseParent(now)
+	out.hello = !ok && len(t.children) == 0 && t.round%helloRounds == 1
+	if ok {
+		out.to = []Peer{parent}
+		out.total = &t.total.digest
+		if t.total.at.IsZero() {
+			out.total = nil
+		}
+	} else {
+		out.to = t.otherRoots(now)
+		total := sum(append(parts, fresh(t.roots, now)...), now)
+		out.total, out.applies = &total, true
+	}
+	if out.total != nil {
+		total := *out.total
+		total.Events = down
+		out.total = &total
+	}
+	return out
+}
+
+// fresh returns the digests that still count, and forgets the others.
+func fresh(m map[ids.VM]heardDigest, now time.Time) []heardDigest {
+	var out []heardDigest
+	for vm, h := range m {
+		if now.Sub(h.at) > reportFor {
+			delete(m, vm)
+			continue
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// otherRoots returns the roots of the other domains, and for each domain without a known
+// one some VMs that may be it. The lock is held.
+func (t *tree) otherRoots(now time.Time) []Peer {
+	var out []Peer
+	if t.lost == nil {
+		t.lost = map[ids.FailureDomain]uint64{}
+	}
+	for domain, peers := range t.far {
+		known := false
+		for _, p := range peers {
+			if _, ok := t.roots[p.VM]; ok {
+				out, known = append(out, p), true
+			}
+		}
+		if known {
+			delete(t.lost, domain)
+			continue
+		}
+		if t.lost[domain] == 0 {
+			t.lost[domain] = t.round
+		}
+		for i := range min(rootsTried, len(peers)) {
+			at := int((t.round-t.lost[domain])/triedRounds)*rootsTried + i
+			out = append(out, peers[at%len(peers)])
+		}
+	}
+	return out
+}
+
+// without takes this VM's own part out of a total.
+func (t *tree) without(self ids.VM, total []Load, members []member) []Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	me := shortenVM(self)
+	for _, m := range members {
+		behind := uint16(t.round) - m.round
+		if m.vm != me || behind >= ownRounds {
+			continue
+		}
+		for _, l := range t.own[(t.round-uint64(behind))%ownRounds] {
+			subtract(total, l)
+		}
+	}
+	return total
+}
+
+func subtract(total []Load, l Load) {
+	for i := range total {
+		if total[i].Target == l.Target {
+			total[i].InFlight = max(total[i].InFlight-l.InFlight, 0)
+			total[i].Pending = max(total[i].Pending-l.Pending, 0)
+			total[i].Bound = max(total[i].Bound-l.Bound, 0)
+		}
+	}
+}
+
+// fleetVM stands for all other VMs in the tracker of loads.
+const fleetVM ids.VM = "(fleet)"
+
+// tellTree makes rounds until ctx ends.
+func (x *Exchange) tellTree(ctx context.Context) {
+	timer := time.NewTimer(treeRound)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	case <-x.tree.wake:
+		haste := time.NewTimer(treeHaste)
+		defer haste.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-haste.C:
+		}
+	}
+	x.treeRound(time.Now())
+}
+
+// treeRound tells once.
+func (x *Exchange) treeRound(now time.Time) {
+	x.tellTreeCaches()
+	x.Load.Fade(now)
+	own, loads := x.ownDigest()
+	s := x.tree.next(x.VM, own, loads, now)
+	x.sendDigest(Message{VM: x.VM, Life: x.life, Report: &s.report}, s.to)
+	if s.hello {
+		x.sendDigest(Message{VM: x.VM, Life: x.life}, x.near())
+	}
+	if s.total == nil {
+		return
+	}
+	x.sendDigest(Message{VM: x.VM, Life: x.life, Total: s.total}, s.kids)
+	if s.applies {
+		x.believe(s.total, now)
+	}
+}
+
+// tellTreeCaches queues the changes of caches that this VM tells.
+func (x *Exchange) tellTreeCaches() {
+	for changes := x.Caches(); len(changes) > 0; {
+		n := min(len(changes), maxEvents/2)
+		x.tree.tell(event{VM: shortenVM(x.VM), Caches: group(changes[:n])})
+		changes = changes[n:]
+	}
+}
+
+// ownDigest is what this VM says of itself.
+func (x *Exchange) ownDigest() (digest, []Load) {
+	var d digest
+	var loads []Load
+	x.Load.Own(func(t ids.Target, l loadview.PeerLoad) {
+		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), Bound: l.Bound})
+	})
+	for _, l := range loads {
+		d.Loads = append(d.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
+	}
+	if silent := x.Silent(); len(silent) > 0 {
+		w := wireSilent{VM: shortenVM(x.VM)}
+		for _, id := range silent {
+			w.Targets = append(w.Targets, shorten(id))
+		}
+		d.Silent = append(d.Silent, w)
+	}
+	d.Named = x.Named()
+	if l := x.Lapsed(); l != nil {
+		d.Lapsed = append(d.Lapsed, *l)
+	}
+	return d, loads
+}
+
+// near returns the peers of this VM's failure domain.
+func (x *Exchange) near() []Peer {
+	var out []Peer
+	for _, p := range x.list() {
+		if p.FailureDomain == x.FailureDomain {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (x *Exchange) sendDigest(m Message, to []Peer) {
+	if len(to) == 0 {
+		return
+	}
+	data, err := Encode(&m)
+	if err != nil || len(data) > maxDatagram {
+		x.Rejected.Add(1)
+		return
+	}
+	for _, p := range to {
+		x.write(data, p, &x.Sent)
+	}
+}
+
+// takeDigest takes in a report or a total.
+func (x *Exchange) takeDigest(m *Message, now time.Time) {
+	d, isTotal := m.Report, m.Total != nil
+	if isTotal {
+		d = m.Total
+	}
+	from, listed := x.tree.peer(m.VM)
+	if !listed {
+		return
+	}
+	applies := x.tree.hear(from, *d, isTotal, from.FailureDomain == x.FailureDomain, now)
+	if isTotal && !applies {
+		return // a parent that this VM has left
+	}
+	for _, e := range d.Events {
+		if e.VM != shortenVM(x.VM) {
+			x.takeEvent(e)
+		}
+	}
+	if applies {
+		x.believe(d, now)
+	}
+}
+
+func (t *tree) peer(vm ids.VM) (Peer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[shortenVM(vm)]
+	return p, ok && p.VM == vm
+}
+
+func (x *Exchange) takeEvent(e event) {
+	for _, o := range e.Orders {
+		x.Ordered(o)
+	}
+	for _, addr := range e.StoreDown {
+		x.StoreDown(addr)
+	}
+	for i := range e.Caches {
+		if t, ok := x.Resolve(uint32(e.Caches[i].Target)); ok {
+			for _, c := range e.Caches[i].changes(t) {
+				x.HeardCache(c)
+			}
+		}
+	}
+}
+
+// believe takes a total for what the fleet says.
+func (x *Exchange) believe(d *digest, now time.Time) {
+	members := d.members()
+	for _, m := range members {
+		if p, ok := x.tree.peerOf(m.vm); ok {
+			x.note(p.VM, now)
+		}
+	}
+	total := make([]Load, 0, len(d.Loads))
+	for _, l := range d.Loads {
+		if t, ok := x.Resolve(uint32(l.Target)); ok {
+			total = append(total, Load{Target: t, InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
+		}
+	}
+	loads := map[ids.Target]loadview.PeerLoad{}
+	for _, l := range x.tree.without(x.VM, total, members) {
+		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
+	}
+	x.Load.Peer(fleetVM, x.life, x.seq.Add(1), loads, now)
+	x.believeSilent(d.Silent)
+	for _, n := range d.Named {
+		x.HeardNamed(n)
+	}
+	for _, l := range d.Lapsed {
+		x.HeardLapsed(l)
+	}
+}
+
+func (t *tree) peerOf(vm shortVM) (Peer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[vm]
+	return p, ok
+}
+
+// believeSilent takes in which targets don't answer which VMs. A VM that names none any
+// more has taken its word back.
+func (x *Exchange) believeSilent(words []wireSilent) {
+	now := map[ids.VM]bool{}
+	for _, w := range words {
+		p, ok := x.tree.peerOf(w.VM)
+		if !ok {
+			continue
+		}
+		var targets []ids.Target
+		for _, s := range w.Targets {
+			if t, ok := x.Resolve(uint32(s)); ok {
+				targets = append(targets, t)
+			}
+		}
+		now[p.VM] = true
+		x.PeerSilent(p.VM, targets)
+	}
+	for vm := range x.tree.swapSilent(now) {
+		if !now[vm] {
+			x.PeerSilent(vm, nil)
+		}
+	}
+}
+
+func (t *tree) swapSilent(now map[ids.VM]bool) (before map[ids.VM]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, t.silent = t.silent, now
+	return before
+}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -47,6 +47,10 @@
 	Grace durations.Duration `json:"grace,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"min=0"`
+	// LinkMbps is the width of the VM's link, in Mbit/s. In large fleets the VMs with the
+	// widest links read the store and sum up news for the others. Default 0: not known,
+	// which comes last.
+	LinkMbps float64 `json:"link_mbps,omitempty" validate:"min=0"`
 }
 
 // proofShare is ProofEvery as a part of KeyTTL: a proof counts from the sending of
