--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -169,6 +169,9 @@
 	if !d.Lease.Hear(n) {
 		return
 	}
+	if d.vms.rank(leaseName) >= candidates {
+		return // the few that look often take it over: 195 VMs that all looked made 195 calls
+	}
 	d.Log.Belief("lease-lapsed").Uint64("fence", l.Fence).Uint64("renewal", l.Renewal).Int64("quiet_ms", l.QuietMs).Send()
 	select {
 	case d.leaseNews <- struct{}{}:
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -49,8 +49,12 @@
 	lookEvery = time.Second
 	// seekEvery is how often one that waits for its turn does.
 	seekEvery = 100 * time.Millisecond
-	// turnStep lies between the turns of two VMs: a dial and a list.
+	// turnStep lies between the turns of two VMs of a failure domain: a dial and a list.
+	// farStep is the same for the VMs of other domains that come before this one, which are
+	// two a domain: with turnStep the first VM of the last of six domains waited for 4 s,
+	// and 79 of 195 VMs could no longer prove that their keys are valid.
 	turnStep = 400 * time.Millisecond
+	farStep  = 75 * time.Millisecond
 	// askedMost is how many peers are asked in one look.
 	askedMost = 3
 )
@@ -86,13 +90,17 @@
 
 // turn is how long this VM leaves the store to those before it that answer.
 func (r *Reader) turn(now time.Time) time.Duration {
-	n := 0
+	var sum time.Duration
 	for _, p := range r.Before() {
-		if !r.avoid.gone(p.VM, now) {
-			n++
+		switch {
+		case r.avoid.gone(p.VM, now):
+		case p.Far:
+			sum += farStep
+		default:
+			sum += turnStep
 		}
 	}
-	return time.Duration(n) * turnStep
+	return sum
 }
 
 // Source names where this VM reads from now.
--- a/internal/mirror/turns_test.go
+++ b/internal/mirror/turns_test.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
 )
 
 // TestTurnsWithoutTheStore takes the store from all VMs: they do not all turn to it at once,
@@ -44,3 +46,23 @@
 		return true
 	})
 }
+
+// TestTurnOfTheLastDomain gives the first VM of the last of six failure domains its turn
+// within a second, and takes the VMs that are gone out of the order.
+func TestTurnOfTheLastDomain(t *testing.T) {
+	var before []Peer
+	for _, vm := range []ids.VM{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2", "e1", "e2"} {
+		before = append(before, Peer{VM: vm, Far: true})
+	}
+	r := &Reader{Before: func() []Peer { return before }}
+	now := time.Now()
+	if got := r.turn(now); got > time.Second {
+		t.Errorf("its turn comes after %v", got)
+	}
+	before = append([]Peer{{VM: "f1"}}, before...)
+	second := r.turn(now)
+	r.avoid.failed("f1", now)
+	if first := r.turn(now); second-first != turnStep {
+		t.Errorf("its turn comes after %v when the one before it is gone, and after %v else", first, second)
+	}
+}
