--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -17,6 +17,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/mirror"
 	"github.com/threadwall/threadwall/internal/mirrorpb"
+	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timing"
 )
@@ -152,11 +153,12 @@
 }
 
 // listVMs lists the entry VMs once: a VM that has started needs to know its peers, and
-// reads the rest from them.
+// reads the rest from them. The list may be old: it costs a tenth then, and a peer that it
+// lacks is met later.
 func (d *Daemon) listVMs(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		objects, rev, err := d.store.List(ctx, prefixVMs)
+		objects, rev, err := d.store.List(objectapi.WithStale(ctx), prefixVMs)
 		if err == nil {
 			d.vms.Listed(objects, follow.At{Revision: rev, Sent: sent, Answered: time.Now()}, false)
 			return
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -145,6 +145,20 @@
 	return context.WithValue(ctx, waitKey{}, d)
 }
 
+type staleKey struct{}
+
+// WithStale lets lists under ctx be some seconds old, where the store has a cheaper answer
+// for that. A store may ignore it.
+func WithStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, true)
+}
+
+// MayBeStale tells whether lists under ctx may be old.
+func MayBeStale(ctx context.Context) bool {
+	stale, _ := ctx.Value(staleKey{}).(bool)
+	return stale
+}
+
 // WaitOf returns the wait that ctx asks for, or def.
 func WaitOf(ctx context.Context, def time.Duration) time.Duration {
 	if d, ok := ctx.Value(waitKey{}).(time.Duration); ok {
