--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -102,9 +102,6 @@
 		return farEvery/2 + rand.N(farEvery)
 	}
 	pause := otherEvery/2 + rand.N(otherEvery)
-	if d.vouched(d.Lease.Holder()) {
-		pause = vouchedEvery/2 + rand.N(vouchedEvery)
-	}
 	if due, ok := d.Lease.Takeover(); ok && due > 0 {
 		return min(pause, due+takeoverSpread/4+rand.N(takeoverSpread))
 	}
@@ -113,44 +110,16 @@
 
 // leaseSleep waits for so long, or until a holder says that it has stopped.
 func (d *Daemon) leaseSleep(ctx context.Context, pause time.Duration) {
-	holder := d.Lease.Holder()
-	vouched := d.vouched(holder)
 	wait, cancel := context.WithTimeout(ctx, pause)
 	defer cancel()
-	look := time.NewTicker(vouchLook)
-	defer look.Stop()
-	for {
-		select {
-		case <-wait.Done():
-			return
-		case <-look.C:
-			if vouched && !d.vouched(holder) {
-				timing.Sleep(ctx, rand.N(takeoverSpread))
-				return
-			}
-		case <-d.leaseNews:
-			due, _ := d.Lease.Takeover()
-			timing.Sleep(ctx, due+rand.N(takeoverSpread))
-			return
-		}
+	select {
+	case <-wait.Done():
+	case <-d.leaseNews:
+		due, _ := d.Lease.Takeover()
+		timing.Sleep(ctx, due+rand.N(takeoverSpread))
 	}
 }
 
-const (
-	// vouchedEvery is how often a VM looks at a lease whose holder is heard: it would say
-	// that it could not renew it.
-	vouchedEvery = 5 * time.Second
-	// vouchLook is how often a VM looks whether the holder is still heard.
-	vouchLook = 200 * time.Millisecond
-	// holderSilent is after how long it no longer counts as heard, at least.
-	holderSilent = 600 * time.Millisecond
-)
-
-// vouched tells whether the holder of the lease has been heard a short while ago.
-func (d *Daemon) vouched(holder ids.VM) bool {
-	return holder != "" && holder != d.Settings.VM && d.news.HeardWithin(holder, max(holderSilent, vouchRounds*d.news.Pause()))
-}
-
 // lapsed returns what peers are to know of a lease for orders that this VM could not renew.
 // Where only the holder was cut off from the store, engines got no orders for 4.8 s, and
 // then all at once.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -189,13 +189,6 @@
 	return l.sure
 }
 
-// Holder returns the VM that held the lease when it was last looked at; empty: not known.
-func (l *Lease) Holder() ids.VM {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.seenRec.Holder
-}
-
 // lose forgets a lease that another holds.
 func (l *Lease) lose() {
 	l.mu.Lock()
