News: split the tree from what speaks for it; shorter steps of a round

No change of behaviour: tree.go keeps the state machine, treetell.go the datagrams and beliefs; next is cut into dueEvents, kids and passedOn.

--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
-	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
@@ -281,36 +279,52 @@
 	t.own[t.round%ownRounds] = loads
 	own.addMember(member{shortenVM(self), uint16(t.round)})
 	parts := append([]heardDigest{{own, now}}, fresh(t.children, now)...)
-	out := sending{report: sum(parts, now)}
+	up, down := t.dueEvents()
+	out := sending{report: sum(parts, now), kids: t.kids()}
+	out.report.Events = up
+	if parent, ok := t.chooseParent(now); ok {
+		out.to = []Peer{parent}
+		out.total = t.passedOn(down)
+		return out
+	}
+	out.to, out.applies = t.otherRoots(now), true
+	out.hello = len(t.children) == 0 && t.round%helloRounds == 1
+	total := sum(append(parts, fresh(t.roots, now)...), now)
+	total.Events = down
+	out.total = &total
+	return out
+}
+
+// dueEvents returns the events that this round tells, and queues those that are told twice
+// for the next one. The lock is held.
+func (t *tree) dueEvents() (up, down []event) {
 	up, moreUp := takeEvents(t.up)
 	down, moreDown := takeEvents(t.down)
 	t.up, t.down = append(moreUp, t.again...), append(moreDown, t.again...)
 	t.again = nil
-	out.report.Events = up
+	return up, down
+}
+
+// kids returns the children. The lock is held.
+func (t *tree) kids() []Peer {
+	var out []Peer
 	for vm := range t.children {
-		out.kids = append(out.kids, t.peers[shortenVM(vm)])
-	}
-	parent, ok := t.chooseParent(now)
-	out.hello = !ok && len(t.children) == 0 && t.round%helloRounds == 1
-	if ok {
-		out.to = []Peer{parent}
-		out.total = &t.total.digest
-		if t.total.at.IsZero() {
-			out.total = nil
-		}
-	} else {
-		out.to = t.otherRoots(now)
-		total := sum(append(parts, fresh(t.roots, now)...), now)
-		out.total, out.applies = &total, true
-	}
-	if out.total != nil {
-		total := *out.total
-		total.Events = down
-		out.total = &total
+		out = append(out, t.peers[shortenVM(vm)])
 	}
 	return out
 }
 
+// passedOn returns the parent's total with other events; nil: the parent has told none yet.
+// The lock is held.
+func (t *tree) passedOn(events []event) *digest {
+	if t.total.at.IsZero() {
+		return nil
+	}
+	total := t.total.digest
+	total.Events = events
+	return &total
+}
+
 // fresh returns the digests that still count, and forgets the others.
 func fresh(m map[ids.VM]heardDigest, now time.Time) []heardDigest {
 	var out []heardDigest
@@ -380,130 +394,7 @@
 	}
 }
 
-// fleetVM stands for all other VMs in the tracker of loads.
-const fleetVM ids.VM = "(fleet)"
-
-// tellTree makes rounds until ctx ends.
-func (x *Exchange) tellTree(ctx context.Context) {
-	timer := time.NewTimer(treeRound)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-timer.C:
-	case <-x.tree.wake:
-		haste := time.NewTimer(treeHaste)
-		defer haste.Stop()
-		select {
-		case <-ctx.Done():
-			return
-		case <-haste.C:
-		}
-	}
-	x.treeRound(time.Now())
-}
-
-// treeRound tells once.
-func (x *Exchange) treeRound(now time.Time) {
-	x.tellTreeCaches()
-	x.Load.Fade(now)
-	own, loads := x.ownDigest()
-	s := x.tree.next(x.VM, own, loads, now)
-	x.sendDigest(Message{VM: x.VM, Life: x.life, Report: &s.report}, s.to)
-	if s.hello {
-		x.sendDigest(Message{VM: x.VM, Life: x.life}, x.near())
-	}
-	if s.total == nil {
-		return
-	}
-	x.sendDigest(Message{VM: x.VM, Life: x.life, Total: s.total}, s.kids)
-	if s.applies {
-		x.believe(s.total, now)
-	}
-}
-
-// tellTreeCaches queues the changes of caches that this VM tells.
-func (x *Exchange) tellTreeCaches() {
-	for changes := x.Caches(); len(changes) > 0; {
-		n := min(len(changes), maxEvents/2)
-		x.tree.tell(event{VM: shortenVM(x.VM), Caches: group(changes[:n])})
-		changes = changes[n:]
-	}
-}
-
-// ownDigest is what this VM says of itself.
-func (x *Exchange) ownDigest() (digest, []Load) {
-	var d digest
-	var loads []Load
-	x.Load.Own(func(t ids.Target, l loadview.PeerLoad) {
-		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), Bound: l.Bound})
-	})
-	for _, l := range loads {
-		d.Loads = append(d.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
-	}
-	if silent := x.Silent(); len(silent) > 0 {
-		w := wireSilent{VM: shortenVM(x.VM)}
-		for _, id := range silent {
-			w.Targets = append(w.Targets, shorten(id))
-		}
-		d.Silent = append(d.Silent, w)
-	}
-	d.Named = x.Named()
-	if l := x.Lapsed(); l != nil {
-		d.Lapsed = append(d.Lapsed, *l)
-	}
-	return d, loads
-}
-
-// near returns the peers of this VM's failure domain.
-func (x *Exchange) near() []Peer {
-	var out []Peer
-	for _, p := range x.list() {
-		if p.FailureDomain == x.FailureDomain {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-func (x *Exchange) sendDigest(m Message, to []Peer) {
-	if len(to) == 0 {
-		return
-	}
-	data, err := Encode(&m)
-	if err != nil || len(data) > maxDatagram {
-		x.Rejected.Add(1)
-		return
-	}
-	for _, p := range to {
-		x.write(data, p, &x.Sent)
-	}
-}
-
-// takeDigest takes in a report or a total.
-func (x *Exchange) takeDigest(m *Message, now time.Time) {
-	d, isTotal := m.Report, m.Total != nil
-	if isTotal {
-		d = m.Total
-	}
-	from, listed := x.tree.peer(m.VM)
-	if !listed {
-		return
-	}
-	applies := x.tree.hear(from, *d, isTotal, from.FailureDomain == x.FailureDomain, now)
-	if isTotal && !applies {
-		return // a parent that this VM has left
-	}
-	for _, e := range d.Events {
-		if e.VM != shortenVM(x.VM) {
-			x.takeEvent(e)
-		}
-	}
-	if applies {
-		x.believe(d, now)
-	}
-}
-
+// peer returns the VM of a name; false: it is not listed.
 func (t *tree) peer(vm ids.VM) (Peer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -511,50 +402,7 @@
 	return p, ok && p.VM == vm
 }
 
-func (x *Exchange) takeEvent(e event) {
-	for _, o := range e.Orders {
-		x.Ordered(o)
-	}
-	for _, addr := range e.StoreDown {
-		x.StoreDown(addr)
-	}
-	for i := range e.Caches {
-		if t, ok := x.Resolve(uint32(e.Caches[i].Target)); ok {
-			for _, c := range e.Caches[i].changes(t) {
-				x.HeardCache(c)
-			}
-		}
-	}
-}
-
-// believe takes a total for what the fleet says.
-func (x *Exchange) believe(d *digest, now time.Time) {
-	members := d.members()
-	for _, m := range members {
-		if p, ok := x.tree.peerOf(m.vm); ok {
-			x.note(p.VM, now)
-		}
-	}
-	total := make([]Load, 0, len(d.Loads))
-	for _, l := range d.Loads {
-		if t, ok := x.Resolve(uint32(l.Target)); ok {
-			total = append(total, Load{Target: t, InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
-		}
-	}
-	loads := map[ids.Target]loadview.PeerLoad{}
-	for _, l := range x.tree.without(x.VM, total, members) {
-		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
-	}
-	x.Load.Peer(fleetVM, x.life, x.seq.Add(1), loads, now)
-	x.believeSilent(d.Silent)
-	for _, n := range d.Named {
-		x.HeardNamed(n)
-	}
-	for _, l := range d.Lapsed {
-		x.HeardLapsed(l)
-	}
-}
-
+// peerOf returns the VM of a short name; false: it is not listed.
 func (t *tree) peerOf(vm shortVM) (Peer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -562,31 +410,7 @@
 	return p, ok
 }
 
-// believeSilent takes in which targets don't answer which VMs. A VM that names none any
-// more has taken its word back.
-func (x *Exchange) believeSilent(words []wireSilent) {
-	now := map[ids.VM]bool{}
-	for _, w := range words {
-		p, ok := x.tree.peerOf(w.VM)
-		if !ok {
-			continue
-		}
-		var targets []ids.Target
-		for _, s := range w.Targets {
-			if t, ok := x.Resolve(uint32(s)); ok {
-				targets = append(targets, t)
-			}
-		}
-		now[p.VM] = true
-		x.PeerSilent(p.VM, targets)
-	}
-	for vm := range x.tree.swapSilent(now) {
-		if !now[vm] {
-			x.PeerSilent(vm, nil)
-		}
-	}
-}
-
+// swapSilent notes which VMs tell of silent targets now, and returns which did before.
 func (t *tree) swapSilent(now map[ids.VM]bool) (before map[ids.VM]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
