--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -229,7 +229,7 @@
 		Events: timeline.NewLog(s.VM, hlc.New(nil), s.TimelineEvents), Pace: d.Rollout.Pace,
 	}
 	d.news = &news.Exchange{
-		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, Load: d.Fleet.Load, Ordered: d.ordered, Meter: d.adapter.Meter,
+		VM: s.VM, FailureDomain: s.FailureDomain, Listen: s.PeerListen, TreeFrom: s.Edge.TreeFleet, Load: d.Fleet.Load, Ordered: d.ordered, Meter: d.adapter.Meter,
 		Silent: d.feeds.Silent, Named: d.named,
 		HeardNamed: func(n news.Named) {
 			d.Weights.Heard(follow.Age{Model: n.Model, Version: n.Version, Age: time.Duration(n.AgeMs) * time.Millisecond}, time.Now())
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -9,7 +9,7 @@
 // nobody.
 //
 // What it costs stays bounded: the pause between two rounds grows with the number
-// of peers, so that a VM takes in at most MessagesPerSecond; beyond maxPeers messages are
+// of peers, so that a VM takes in at most MessagesPerSecond; beyond TreeFrom messages are
 // summed up over a tree of VMs (tree.go).
 //
 // Bytes between failure domains are dear, so a message crosses a boundary once for each
@@ -111,9 +111,6 @@
 	// 70, the loads of 69 VMs were a second old, and all sent to the engines that had
 	// looked idle then.
 	messagesPerSecond = 200
-	// maxPeers is up to how many peers each VM is told of by itself: beyond, loads would be
-	// older than the requests that they speak of.
-	maxPeers = 100
 	// maxDatagram bounds a message, in bytes.
 	maxDatagram = 48 << 10
 	// orderCopies is how often an order is told, since datagrams get lost.
@@ -132,7 +129,9 @@
 	VM            ids.VM
 	FailureDomain ids.FailureDomain
 	Listen        string // ip:port
-	Load          *loadview.Tracker
+	// TreeFrom is the number of peers beyond which news go over the tree. Zero: never.
+	TreeFrom int
+	Load     *loadview.Tracker
 	// Ordered is called for each order that a peer tells of.
 	Ordered func(o Order)
 	// Silent returns the engines that this VM gets no answer from, and PeerSilent is
@@ -188,7 +187,7 @@
 	x.tree.setPeers(x.VM, x.FailureDomain, all)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.peers, x.large = peers, len(peers) > maxPeers
+	x.peers, x.large = peers, x.TreeFrom > 0 && len(peers) > x.TreeFrom
 	heard := map[ids.VM]time.Time{}
 	for _, p := range peers {
 		heard[p.VM] = x.heard[p.VM]
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -13,7 +13,7 @@
 
 func newExchange() *Exchange {
 	return &Exchange{
-		VM: "vm0", FailureDomain: "z", Load: loadview.New(), Ordered: func(Order) {}, PeerSilent: func(ids.VM, []ids.Target) {},
+		VM: "vm0", FailureDomain: "z", TreeFrom: 100, Load: loadview.New(), Ordered: func(Order) {}, PeerSilent: func(ids.VM, []ids.Target) {},
 		StoreDown: func(string) {}, HeardNamed: func(Named) {}, HeardCache: func(cacheview.Change) {},
 		Resolve: resolveIn("e1", "e2"), Lapsed: func() *Lapsed { return nil }, HeardLapsed: func(Lapsed) {},
 	}
--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -10,7 +10,7 @@
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
-// In fleets of more than maxPeers VMs news go over a tree, so that what a VM sends and takes
+// In fleets of more than Exchange.TreeFrom VMs news go over a tree, so that what a VM sends and takes
 // in does not grow with the number of VMs: told one by one to the VMs of the own failure
 // domain, each of 195 VMs took in 200 datagrams a second, heard of no load beyond its
 // domain, and read the cache feeds of all others with more readers than there were places.
--- a/internal/news/tree_exchange_test.go
+++ b/internal/news/tree_exchange_test.go
@@ -9,11 +9,11 @@
 	"github.com/threadwall/threadwall/internal/loadview"
 )
 
-// largeFleet returns more than maxPeers VMs of two domains; vm0 has the widest link of its
+// largeFleet returns 102 VMs of two domains; vm0 has the widest link of its
 // domain, and far0 that of the other.
 func largeFleet() []Peer {
 	peers := []Peer{{VM: "vm0", FailureDomain: "z", Addr: "127.0.0.1:1", LinkMbps: 200}, {VM: "far0", FailureDomain: "y", Addr: "127.0.0.1:1", LinkMbps: 200}}
-	for i := range maxPeers {
+	for i := range 100 {
 		domain := ids.FailureDomain("z")
 		if i%2 == 1 {
 			domain = "y"
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -43,6 +43,10 @@
 	// calls, but a VM may learn of a change a second later when that one fails.
 	// Default 12.
 	DirectFleet int `json:"direct_fleet,omitempty" validate:"min=0"`
+	// TreeFleet is the size of a fleet, in other VMs, beyond which news are summed up over a
+	// tree of VMs: told one by one, loads would be older than the requests that they
+	// speak of. Default 100.
+	TreeFleet int `json:"tree_fleet,omitempty" validate:"min=0"`
 	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
 	Grace durations.Duration `json:"grace,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
@@ -78,6 +82,7 @@
 	orDefault(&e.RetryRatio, 0.1)
 	orDefault(&e.RetryBurst, 10)
 	orDefault(&e.DirectFleet, 12)
+	orDefault(&e.TreeFleet, 100)
 	orDefault(&e.MemoryMB, 256)
 	return e
 }
