--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -29,6 +29,21 @@
 	return d
 }
 
+// TestOrderToAFormerIncarnation takes in what a peer tells of an order to an engine that has
+// started again since: the engine takes calls.
+func TestOrderToAFormerIncarnation(t *testing.T) {
+	d := newDaemon(t, settings.Edge{})
+	d.Fleet.Members.Platform([]platform.Record{{ID: "e1", Role: platform.RoleEngine, Model: "m", Incarnation: 200}}, time.Now())
+	d.ordered(news.Order{Target: "e1", Weights: "2", Incarnation: 100})
+	if d.Fleet.Members.Targets(time.Now())[0].BreakerOpen {
+		t.Error("calls are kept away for an order to the incarnation before")
+	}
+	d.ordered(news.Order{Target: "e1", Weights: "2", Incarnation: 200})
+	if !d.Fleet.Members.Targets(time.Now())[0].BreakerOpen {
+		t.Error("calls are not kept away for an order to this incarnation")
+	}
+}
+
 // TestOrderedKeepsCallsAway takes in what a peer tells of an order: the replica gets no
 // calls while it lasts, and gets some as soon as it is done, whatever it refused meanwhile.
 func TestOrderedKeepsCallsAway(t *testing.T) {
--- /dev/null
+++ b/internal/forward/restart_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// TestCutByARestart lets a replica start again under its id while it works on a call that
+// may not be repeated: nobody knows whether that ran, so it fails and is not called "not
+// run", and its end says nothing about the new incarnation.
+func TestCutByARestart(t *testing.T) {
+	var tf *testFleet
+	restarted := make(chan struct{})
+	s := newStandIn(t, "a", func(net.Conn, *http.Request) bool {
+		tf.f.Fleet.Members.Platform([]platform.Record{recordOf("a", "127.0.0.1:1", 2)}, time.Now())
+		tf.f.Upstream.Drop("a")
+		close(restarted)
+		return false
+	})
+	tf = newFleet(t, route(catalog.Once, 2), s)
+	resp, _, err := tf.ask(t)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	<-restarted
+	st := tf.f.Fleet.Refresh().Status(0)
+	if st.Incarnation != 2 || st.FailRate != 0 || st.BreakerOpen {
+		t.Errorf("the new incarnation bears the failure: %+v", st)
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("the call was sent %d times", n)
+	}
+}
+
+func recordOf(id, addr string, inc ids.Incarnation) platform.Record {
+	return platform.Record{ID: id, Role: platform.RoleService, Service: "svc", Addr: addr, Incarnation: inc}
+}
+
+// TestLeavingEndsWithTheIncarnation takes in, after a replica has started again, that the
+// incarnation before refused a call since another id answered: the new one stays in service.
+func TestLeavingEndsWithTheIncarnation(t *testing.T) {
+	var tf *testFleet
+	s := newStandIn(t, "a", func(c net.Conn, r *http.Request) bool {
+		tf.f.Fleet.Members.Platform([]platform.Record{recordOf("a", "127.0.0.1:1", 2)}, time.Now())
+		return status(http.StatusMisdirectedRequest, "By: x\r\n")(c, r)
+	})
+	tf = newFleet(t, route(catalog.Once, 1), s)
+	if resp, _, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if got := tf.f.Fleet.Members.State("a", time.Now()); got == routing.Leaving {
+		t.Error("the new incarnation counts as leaving")
+	}
+}
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -49,8 +49,10 @@
 // silent is called when the replica has been silent for too long. Other calls avoid
 // it then; this call leaves it only if it may go on elsewhere.
 func (t *try) silent() {
-	t.r.f.Fleet.Members.Silent(t.c.target.ID, t.sent, time.Now())
-	t.r.f.Fleet.MarkDirty()
+	if !t.r.superseded(t.c) {
+		t.r.f.Fleet.Members.Silent(t.c.target.ID, t.sent, time.Now())
+		t.r.f.Fleet.MarkDirty()
+	}
 	if t.r.repeatable() && t.r.f.Budgets.Of(t.r.service).Left() >= 1 {
 		t.cancel(errStalled)
 	}
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -68,6 +68,7 @@
 	Work    time.Duration // for each request
 	Pieces  int           // events of a stream
 	Pause   time.Duration // between events
+	Born    int64         // its start in Unix milliseconds; zero: it does not say
 
 	store     *Store
 	ledger    *Ledger
@@ -144,6 +145,7 @@
 	State   string       `json:"state"`
 	Models  []modelState `json:"models,omitempty"`
 	Seq     int          `json:"seq"`
+	Born    int64        `json:"born,omitempty"`
 }
 
 type modelState struct {
@@ -155,7 +157,7 @@
 
 func (r *Replica) register() {
 	r.mu.Lock()
-	e := entry{Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state}
+	e := entry{Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state, Born: r.Born}
 	if r.Model != "" {
 		e.Models = []modelState{{r.Model, r.version}}
 	}
@@ -215,9 +217,17 @@
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{
+	reply(w, http.StatusOK, r.says(map[string]any{
 		"models": []modelState{{r.Model, r.version}}, "busy": r.busy, "seq": r.orders,
-	})
+	}))
+}
+
+// says adds when the replica started to what it says of itself.
+func (r *Replica) says(body map[string]any) map[string]any {
+	if r.Born != 0 {
+		body["born"] = r.Born
+	}
+	return body
 }
 
 // Order is an order's body.
@@ -268,7 +278,7 @@
 	case <-req.Context().Done():
 		return
 	}
-	reply(w, http.StatusOK, map[string]any{"epoch": 1, "next": 1, "lost": false, "events": []any{}})
+	reply(w, http.StatusOK, r.says(map[string]any{"epoch": 1 + r.Born, "next": 1, "lost": false, "events": []any{}}))
 }
 
 // run works on a request.
