A feed that speaks of an ended incarnation is not taken in; comments by what was measured

Found by reading: an answer of an older incarnation than the known one would have been taken for entries of the new one. And a feed whose numbers begin anew is read again after the usual pause.

--- a/internal/edge/living.go
+++ b/internal/edge/living.go
@@ -30,7 +30,7 @@
 
 // living returns the VMs that live. As long as they are the same, so is what is returned:
 // who reads each of 60 feeds, worked out anew for 110 VMs at each look, was 24% of their
-// processor time at rest.
+// processor time (profile at two calls a second and VM).
 func (c *vmList) living() *livingVMs {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/follow/doubt.go
+++ b/internal/follow/doubt.go
@@ -15,9 +15,9 @@
 
 // Doubt ends the watches of all followers of a store when one of them fails: what
 // broke that one may have silenced the others. Each then lists anew, the one that failed
-// first: as long as the store does not answer it, the others make no calls. With four
-// followers on each of 195 VMs, nine seconds without the store cost some 9,000 calls. A nil
-// Doubt does nothing. Safe for concurrent use.
+// first: as long as the store does not answer it, the others make no calls. Four followers
+// that each asked made 54 calls in nine seconds without the store, one makes 24 at most. A
+// nil Doubt does nothing. Safe for concurrent use.
 type Doubt struct {
 	mu      sync.Mutex
 	raised  time.Time
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -155,21 +155,29 @@
 			s.Incarnation = b.Incarnation
 			f.Restarted(s.ID, b.Incarnation)
 		}
-		if epoch != 0 && b.Epoch != epoch {
+		switch {
+		case !s.Store && b.Incarnation != 0 && b.Incarnation < s.Incarnation:
+			// It speaks of an incarnation that has ended.
+		case epoch != 0 && b.Epoch != epoch:
 			// Entries before since are not in this batch, though they are of this epoch.
 			f.emptied(s)
 			epoch, since = b.Epoch, 0
-			continue
-		}
-		epoch, since = b.Epoch, b.Next
-		tells := f.Tells(s.ID)
-		for _, ev := range b.Events {
-			f.apply(s, ev, tells)
+		default:
+			epoch, since = b.Epoch, b.Next
+			f.takeIn(s, b.Events)
 		}
 		timing.Sleep(ctx, feedPause)
 	}
 }
 
+// takeIn takes in the events of a batch.
+func (f *Feeds) takeIn(s Source, events []kvcache.Event) {
+	tells := f.Tells(s.ID)
+	for _, ev := range events {
+		f.apply(s, ev, tells)
+	}
+}
+
 // leave ends the reading of a feed: whether its speaker answers is no longer this VM's to
 // tell, so it must not stay in doubt for that.
 func (f *Feeds) leave(s Source) {
