--- a/internal/kvfeed/kvfeed_test.go
+++ b/internal/kvfeed/kvfeed_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// TestFeedOfAnEndedIncarnation reads a feed that still speaks of the incarnation before the
+// one that is known: what it says is not believed of the new one.
+func TestFeedOfAnEndedIncarnation(t *testing.T) {
+	cache := cacheview.New(64, nil)
+	cache.SetLife("e1", 200, "3")
+	reader := &restartingReader{} // speaks of incarnation 100
+	f := &Feeds{
+		Reader: reader, Cache: cache, KV: &forward.Planner{Cache: cache},
+		Sources:   func() []Source { return []Source{{ID: "e1", Addr: "a", Incarnation: 200}} },
+		Tells:     func(ids.Target) bool { return false },
+		Contact:   func(Source, bool) {},
+		Restarted: func(_ ids.Target, inc ids.Incarnation) { t.Errorf("the engine counts as restarted into %d", inc) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	await(t, "the feed is read", func() bool {
+		reader.mu.Lock()
+		defer reader.mu.Unlock()
+		return len(reader.since) >= 2
+	})
+	if cache.Has("e1", kvcache.LevelID("", "m", "old")) {
+		t.Error("the new incarnation is believed to hold what the one before held")
+	}
+}
+
 func await(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for range 1000 {
