A key space that the store does not answer holds up no other

Found by reading: of the followers of the store the one that failed first asks whether it is back, and the others waited for it alone. Where only its key space fails (a list that can't be read, or has no end), the configuration was never read again and keys were refused for good. Change: after 2 s another follower asks in its place, at the same pace; those that asked without an answer while others get one no longer count as the store being away. TestOneKeySpaceHoldsUpNoOther failed before (a follower never heard the store); TestOneAsksWhetherTheStoreIsBack holds unchanged, 24 calls in 9 s at most.

--- a/internal/follow/doubt.go
+++ b/internal/follow/doubt.go
@@ -15,17 +15,24 @@
 
 // Doubt ends the watches of all followers of a store when one of them fails: what
 // broke that one may have silenced the others. Each then lists anew, the one that failed
-// first: as long as the store does not answer it, the others make no calls. Four followers
+// first: as long as the store does not answer it, the others make no calls, and one of them
+// asks in its place after turnMost. Four followers
 // that each asked made 54 calls in nine seconds without the store, one makes 24 at most. A
 // nil Doubt does nothing. Safe for concurrent use.
 type Doubt struct {
 	mu      sync.Mutex
 	raised  time.Time
 	waiting map[*context.CancelCauseFunc]struct{}
-	asking  *Follower     // that which asks the store whether it is back; nil: it is there
-	back    chan struct{} // closed when it is
+	asking  *Follower          // that which asks the store whether it is back; nil: it is there
+	back    chan struct{}      // closed when it is
+	asked   map[*Follower]bool // those that have asked without an answer
+	alone   map[*Follower]bool // those that the store does not answer though it answers others
 }
 
+// turnMost is how long a follower leaves it to another one to ask: the failure may be of one
+// key space, and a proof of freshness must not grow old for that.
+const turnMost = 2 * time.Second
+
 // doubtPause is the least time between two doubts: followers that list anew during an
 // outage fail one after the other, and need not wake each other again.
 const doubtPause = time.Second
@@ -38,8 +45,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.alone[f] {
+		return
+	}
 	if away && d.asking == nil {
-		d.asking, d.back = f, make(chan struct{})
+		d.ask(f)
+		d.back = make(chan struct{})
 	}
 	if time.Since(d.raised) < doubtPause {
 		return
@@ -57,29 +68,64 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.asking == f {
-		d.asking = nil
-		close(d.back)
+	delete(d.alone, f)
+	if d.asking == nil {
+		return
 	}
+	delete(d.asked, f)
+	d.alone, d.asked = d.asked, nil // until the store answers them
+	d.asking = nil
+	close(d.back)
+}
+
+// ask makes a follower the one that asks the store whether it is back. The lock is held.
+func (d *Doubt) ask(f *Follower) {
+	if d.asked == nil {
+		d.asked = map[*Follower]bool{}
+	}
+	d.asking = f
+	d.asked[f] = true
 }
 
 // turn waits until a follower may call the store: at once, unless another one asks whether
 // it is back. It returns whether the store was away.
 func (d *Doubt) turn(ctx context.Context, f *Follower) (away bool) {
+	for ctx.Err() == nil {
+		asking, back := d.asker()
+		if asking == nil || asking == f {
+			return away
+		}
+		away = true
+		limit := time.NewTimer(turnMost)
+		select {
+		case <-ctx.Done():
+		case <-back:
+		case <-limit.C:
+			d.replace(asking, f)
+		}
+		limit.Stop()
+	}
+	return away
+}
+
+// asker returns the follower that asks whether the store is back, and what is closed when
+// it is; nil: the store is there.
+func (d *Doubt) asker() (*Follower, chan struct{}) {
 	if d == nil {
-		return false
+		return nil, nil
 	}
 	d.mu.Lock()
-	asking, back := d.asking, d.back
-	d.mu.Unlock()
-	if asking == nil || asking == f {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-	case <-back:
+	defer d.mu.Unlock()
+	return d.asking, d.back
+}
+
+// replace lets a follower ask in the place of another, unless a third one does already.
+func (d *Doubt) replace(asking, f *Follower) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.asking == asking {
+		d.ask(f)
 	}
-	return true
 }
 
 // until returns a context that ends when doubt is raised. stop must be called.
--- a/internal/follow/doubt_test.go
+++ b/internal/follow/doubt_test.go
@@ -146,6 +146,47 @@
 	})
 }
 
+// partlyLost answers everything but one key space.
+type partlyLost struct {
+	lostStore
+	prefix string
+}
+
+func (s *partlyLost) List(_ context.Context, prefix string) ([]objectapi.Object, objectapi.Revision, error) {
+	if prefix == s.prefix {
+		return nil, 0, objectapi.ErrUnavailable
+	}
+	return nil, 7, nil
+}
+
+// TestOneKeySpaceHoldsUpNoOther lets the lists of one key space fail for good, as when
+// somebody fills it with entries that can't be read: the others go on.
+func TestOneKeySpaceHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &partlyLost{prefix: "a/"}
+		ctx, cancel := context.WithCancel(t.Context())
+		var doubt Doubt
+		var wg sync.WaitGroup
+		var handlers []*lastHeard
+		for _, prefix := range []string{"a/", "b/", "c/"} {
+			h := &lastHeard{}
+			handlers = append(handlers, h)
+			f := &Follower{Store: store, Prefix: prefix, Handler: h, Doubt: &doubt}
+			wg.Go(func() { f.Run(ctx) })
+		}
+		for range 10 {
+			time.Sleep(3 * time.Second)
+			for i, h := range handlers[1:] {
+				if age := h.age(); age > 2500*time.Millisecond {
+					t.Errorf("follower %d heard the store last %v ago", i+1, age)
+				}
+			}
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
 // lastHeard remembers when the store was last heard.
 type lastHeard struct {
 	mu sync.Mutex
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,6 +76,7 @@
 		if f.Doubt.turn(ctx, f) {
 			f.after = 0
 			f.failed(errAway)
+			pause = maxPause // the store has been asked for a while
 		}
 		err := f.once(ctx)
 		if ctx.Err() != nil {
