That an address belongs to another replica says nothing of an incarnation that started elsewhere; failed attempts log it

Found by reading: a look at an engine's former address, used again by another replica, answers 421; if the engine's new entry came before that answer, the new incarnation was marked as leaving for good. The incarnation for which the call was made goes along now. TestEndedIncarnation needs the new argument; with the look at the present incarnation instead of the call's, as before, it fails. attempt-failed names the target's incarnation and whether it has started again since, so that a request cut by a restart shows its cause.

--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// TestEndedIncarnation hears that the address of a replica belongs to another one, after the
+// replica has started again elsewhere: it stays in service.
+func TestEndedIncarnation(t *testing.T) {
+	d := newDaemon(t, settings.Edge{})
+	d.Fleet.Members.Platform([]platform.Record{{ID: "e1", Role: platform.RoleEngine, Model: "m", Incarnation: 200}}, time.Now())
+	d.ended("e1", 100)
+	if got := d.Fleet.StateOf("e1"); got == routing.Leaving {
+		t.Error("the replica counts as leaving for what its incarnation before was told")
+	}
+	d.ended("e1", 200)
+	if got := d.Fleet.StateOf("e1"); got != routing.Leaving {
+		t.Errorf("the replica is %s though it has ended", got)
+	}
+}
+
 // TestOrderedKeepsCallsAway takes in what a peer tells of an order: the replica gets no
 // calls while it lasts, and gets some as soon as it is done, whatever it refused meanwhile.
 func TestOrderedKeepsCallsAway(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -276,9 +276,13 @@
 	}
 }
 
-// ended notes that a replica has ended, though its entry is still listed.
-func (d *Daemon) ended(id ids.Target) {
-	d.Fleet.Members.Leaves(id, d.Fleet.Members.Incarnation(id))
+// ended notes that an incarnation of a replica has ended, though its entry is still listed.
+// One that has started again at another address meanwhile is not concerned.
+func (d *Daemon) ended(id ids.Target, inc ids.Incarnation) {
+	if inc < d.Fleet.Members.Incarnation(id) {
+		return
+	}
+	d.Fleet.Members.Leaves(id, inc)
 	d.Forward.Upstream.Drop(id)
 	d.Fleet.MarkDirty()
 	d.Log.Belief("replica-ended").Str("target", string(id)).Str("reason", "another incarnation answers at its address").Send()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -330,7 +330,8 @@
 }
 
 func (r *run) logFailed(c *choice, err *outcome.Error) {
-	r.f.Log.Request("attempt-failed", string(r.call.ID)).Str("target", string(c.target.ID)).Str("outcome", err.Outcome.String()).
+	r.f.Log.Request("attempt-failed", string(r.call.ID)).Str("target", string(c.target.ID)).
+		Uint64("incarnation", uint64(c.target.Incarnation)).Bool("restarted", r.superseded(c)).Str("outcome", err.Outcome.String()).
 		Str("step", err.Step).Str("error", err.Error()).Send()
 }
 
--- a/internal/rollout/bring.go
+++ b/internal/rollout/bring.go
@@ -82,7 +82,7 @@
 	c := Command{Target: o.Target, Addr: o.Addr, Holder: r.VM}
 	for _, rec := range r.Replicas.Records() {
 		if ids.Target(rec.ID) == o.Target {
-			c.Model = rec.Model
+			c.Model, c.Incarnation = rec.Model, rec.Incarnation
 		}
 	}
 	if c.Model == "" {
@@ -175,7 +175,7 @@
 	defer cancel()
 	s, err := r.Calls.Read(call, c.Target, c.Addr)
 	if errors.Is(err, ErrGone) {
-		r.Gone(c.Target)
+		r.Gone(c.Target, c.Incarnation)
 	}
 	if err != nil {
 		return s, eris.Wrapf(err, "read the state of %s", c.Target)
--- a/internal/rollout/bring_test.go
+++ b/internal/rollout/bring_test.go
@@ -112,7 +112,7 @@
 				s.ordered = append(s.ordered, w)
 			}
 		},
-		Gone: func(ids.Target) { s.gone++ },
+		Gone: func(ids.Target, ids.Incarnation) { s.gone++ },
 	}
 	return s, r
 }
--- a/internal/rollout/give.go
+++ b/internal/rollout/give.go
@@ -116,7 +116,7 @@
 	line.Send()
 	switch {
 	case errors.Is(err, ErrGone):
-		r.Gone(c.Target)
+		r.Gone(c.Target, c.Incarnation)
 		return err
 	case errors.Is(err, ErrRefused):
 		return err
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -47,14 +47,15 @@
 
 // Command is one order as it goes to an engine.
 type Command struct {
-	Target   ids.Target
-	Addr     string
-	Model    ids.Model
-	Weights  ids.WeightsVersion
-	Holder   ids.VM
-	Fence    uint64
-	Expected uint64 // orders accepted so far
-	Method   Method
+	Target      ids.Target
+	Incarnation ids.Incarnation // as listed when the order was begun
+	Addr        string
+	Model       ids.Model
+	Weights     ids.WeightsVersion
+	Holder      ids.VM
+	Fence       uint64
+	Expected    uint64 // orders accepted so far
+	Method      Method
 }
 
 // Method is what becomes of the runs at hand when weights are loaded.
@@ -135,8 +136,9 @@
 	// Ordering is called when a replica is about to get an order, and when it has
 	// been carried out.
 	Ordering func(id ids.Target, w ids.WeightsVersion, done bool)
-	// Gone is called for a replica that has ended, though it may still be listed.
-	Gone func(id ids.Target)
+	// Gone is called for an incarnation of a replica that has ended, though it may still be
+	// listed.
+	Gone func(id ids.Target, inc ids.Incarnation)
 
 	Stats Stats
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -100,7 +100,7 @@
 	calls := &goneEngines{}
 	r := &Rollout{
 		Calls: calls, Replicas: oneReplica{}, Loads: &fakeLoads{looks: []loadview.PeerLoad{{}}},
-		Gone: func(id ids.Target) { gone = append(gone, id) },
+		Gone: func(id ids.Target, _ ids.Incarnation) { gone = append(gone, id) },
 	}
 	err := r.Send(t.Context(), orders.Order{Target: "e1", Want: orders.Want{Weights: "2"}}, lease.Token{})
 	if !errors.Is(err, ErrGone) || len(gone) != 1 || gone[0] != "e1" {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -246,7 +246,7 @@
 	l := lease.New(store, "orders", vm, lease.Tuning{Duration: leaseTerm, Margin: 600 * time.Millisecond, WaitOut: leaseAfter}, nil)
 	r := &Rollout{
 		VM: vm, Lease: l, Replicas: w, Named: w, Calls: w, Loads: w, Hurry: within / 3, Beyond: beyond,
-		Ordering: w.ordering, Gone: func(ids.Target) {},
+		Ordering: w.ordering, Gone: func(ids.Target, ids.Incarnation) {},
 	}
 	return &holder{lease: l, orders: newReconciler(r)}
 }
