--- a/internal/news/tree_test.go
+++ b/internal/news/tree_test.go
@@ -263,3 +263,20 @@
 	f.run(2500 * time.Millisecond)
 	f.expect("2.5 s after the start", 0)
 }
+
+// TestTreeTakesARootBack keeps the root of a domain down for so long that its children pass
+// it over for seconds more, and starts it again: it says that it is there, and all know all.
+func TestTreeTakesARootBack(t *testing.T) {
+	f := newTreeFleet(t, 6, 33, 0)
+	f.run(2 * time.Second)
+	root := f.trees["vm-1-7"].parent
+	f.dead[root] = true
+	f.run(5 * time.Second)
+	for _, p := range f.all {
+		if p.VM == root {
+			f.start(p)
+		}
+	}
+	f.run(2500 * time.Millisecond)
+	f.expect("2.5 s after the root has started again", 0)
+}
