--- a/internal/mirror/reader_test.go
+++ b/internal/mirror/reader_test.go
@@ -53,6 +53,12 @@
 
 // startVMs starts VMs of which each reads from those before it.
 func startVMs(t *testing.T, store *atomic.Uint64, n int) []*testVM {
+	t.Helper()
+	return startVMsBehind(t, store, n, n)
+}
+
+// startVMsBehind starts VMs of which each reads from so many VMs right before it.
+func startVMsBehind(t *testing.T, store *atomic.Uint64, n, behind int) []*testVM {
 	t.Helper()
 	var vms []*testVM
 	ctx, cancel := context.WithCancel(t.Context())
@@ -63,7 +69,7 @@
 		bell := &Bell{}
 		v.space = &Space{Prefix: "p/", Next: v, Bell: bell}
 		var peers []Peer
-		for _, p := range vms {
+		for _, p := range vms[max(len(vms)-behind, 0):] {
 			peers = append(peers, Peer{VM: p.name, Addr: p.addr})
 		}
 		v.reader = &Reader{Spaces: []*Space{v.space}, Before: func() []Peer { return peers }, Direct: func(ctx context.Context) { v.direct(ctx, store) }}
@@ -171,6 +177,34 @@
 	await(t, "b reads the store", soon, func() bool { return vms[1].reader.Source() == storeSource })
 }
 
+// TestProofOverTwoReaders checks the same where one VM reads from another that reads from
+// the one with the store.
+func TestProofOverTwoReaders(t *testing.T) {
+	var store atomic.Uint64
+	store.Store(1)
+	vms := startVMsBehind(t, &store, 3, 1)
+	chained := func() bool { return vms[1].reader.Source() == "a" && vms[2].reader.Source() == "b" }
+	await(t, "c reads from b, b from a", soon, chained)
+	rev := store.Add(1)
+	await(t, "a change at c", soon, func() bool { return uint64(vms[2].revision()) >= rev })
+	vms[0].cut.Store(true)
+	time.Sleep(30 * time.Millisecond) // a call that had begun ends
+	at, _ := vms[0].space.At()
+	looks := 0
+	for range 60 {
+		if own, age := time.Since(at.Sent), vms[2].proofAge(); chained() {
+			looks++
+			if age < own-time.Millisecond {
+				t.Fatalf("the proof is %v old at its source and %v two readers on", own, age)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if looks < 10 {
+		t.Errorf("only %d looks while the chain stood", looks)
+	}
+}
+
 // TestWaitingQuestionEndsAtAChange checks that a question does not wait for its time
 // when something changes.
 func TestWaitingQuestionEndsAtAChange(t *testing.T) {
--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -78,6 +78,7 @@
 	again    []event                      // told in the last round, to be told once more
 	lost     map[ids.FailureDomain]uint64 // domains whose root is not known, and since which round
 	silent   map[ids.VM]bool              // VMs that told of silent targets
+	untold   int64                        // changes of caches that were left out, since takeUntold
 	wake     chan struct{}
 }
 
@@ -129,8 +130,8 @@
 func (t *tree) tell(e event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.up = queue(t.up, e)
-	t.down = queue(t.down, e)
+	t.up = t.queue(t.up, e)
+	t.down = t.queue(t.down, e)
 	if len(e.Orders) > 0 {
 		t.again = append(t.again, e)
 	}
@@ -150,13 +151,24 @@
 
 // queue adds an event; changes of caches that are too many are left out: a belief that is
 // missing costs a computation at most.
-func queue(q []event, e event) []event {
-	if entries(q)+entries([]event{e}) > maxQueued {
+// The lock is held.
+func (t *tree) queue(q []event, e event) []event {
+	if n := entries([]event{e}); n > 0 && entries(q)+n > maxQueued {
+		t.untold += int64(n)
 		e.Caches = nil
 	}
 	return append(q, e)
 }
 
+// takeUntold returns how many changes of caches were left out since the last call.
+func (t *tree) takeUntold() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.untold
+	t.untold = 0
+	return n
+}
+
 func entries(events []event) int {
 	n := 0
 	for _, e := range events {
@@ -215,10 +227,10 @@
 func (t *tree) pass(events []event, up bool) {
 	for _, e := range events {
 		if up {
-			t.up = queue(t.up, e)
+			t.up = t.queue(t.up, e)
 		}
 		if len(t.children) > 0 {
-			t.down = queue(t.down, e)
+			t.down = t.queue(t.down, e)
 		}
 		t.hurry(e)
 	}
--- a/internal/news/tree_test.go
+++ b/internal/news/tree_test.go
@@ -280,3 +280,19 @@
 	f.run(2500 * time.Millisecond)
 	f.expect("2.5 s after the root has started again", 0)
 }
+
+// TestTreeCountsWhatItLeavesOut queues more changes of caches than are passed on, and an
+// order behind them: the order is passed on, and what was left out is counted.
+func TestTreeCountsWhatItLeavesOut(t *testing.T) {
+	tr := &tree{}
+	for range maxQueued/100 + 5 {
+		tr.tell(event{VM: 1, Caches: []wireCache{{Target: 7, Held: make([]uint64, 99)}}})
+	}
+	tr.tell(event{VM: 1, Orders: []Order{{Target: "e1"}}})
+	if n := tr.takeUntold(); n < 5*100 || tr.takeUntold() != 0 {
+		t.Errorf("%d changes count as left out", n)
+	}
+	if last := tr.up[len(tr.up)-1]; len(last.Orders) != 1 || entries(tr.up) > maxQueued {
+		t.Errorf("%d changes are queued, and last %+v", entries(tr.up), last)
+	}
+}
--- a/internal/news/treetell.go
+++ b/internal/news/treetell.go
@@ -34,6 +34,7 @@
 // treeRound tells once.
 func (x *Exchange) treeRound(now time.Time) {
 	x.tellTreeCaches()
+	x.Untold.Add(x.tree.takeUntold())
 	x.Load.Fade(now)
 	own, loads := x.ownDigest()
 	s := x.tree.next(x.VM, own, loads, now)
