Metrics of news and of a VM's place in the tree

The counters were kept and shown nowhere, so on call nobody could see a VM without a parent or changes that were left out.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -71,10 +71,31 @@
 	Refusals    *forward.RefusalCounts    `json:"refusals"`    // and failures, by code and step
 	Bytes       *traffic.Meter            `json:"bytes"`       // exchanged, by purpose
 	StoreCalls  *objectapi.Counted        `json:"store_calls"` // by method and kind
+	News        NewsMetrics               `json:"news"`
 	HeapBytes   int64                     `json:"heap_bytes"`
 	Goroutines  int                       `json:"goroutines"`
 }
 
+// NewsMetrics count the datagrams between VMs, and tell this VM's place in the tree.
+type NewsMetrics struct {
+	Sent     int64  `json:"sent"`
+	PassedOn int64  `json:"passed_on"` // of another domain's VM, to this domain
+	Heard    int64  `json:"heard"`
+	Rejected int64  `json:"rejected"`         // neither understood nor sent
+	Untold   int64  `json:"untold"`           // changes of caches that were too many to tell
+	Parent   ids.VM `json:"parent,omitempty"` // in the tree; empty: this VM is a root, or there is no tree
+	Children int    `json:"children"`
+}
+
+func (d *Daemon) newsMetrics() NewsMetrics {
+	x := d.news
+	parent, children := x.Place()
+	return NewsMetrics{
+		Sent: x.Sent.Load(), PassedOn: x.PassedOn.Load(), Heard: x.Heard.Load(), Rejected: x.Rejected.Load(), Untold: x.Untold.Load(),
+		Parent: parent, Children: children,
+	}
+}
+
 // RolloutMetrics show how far the engines are behind the weights that operators name.
 // All VMs show the first three; orders are counted by the VM that gives them.
 type RolloutMetrics struct {
@@ -119,7 +140,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(time.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Bytes: d.adapter.Meter, StoreCalls: d.store,
+		Late: &f.Late, Refusals: &f.Refusals, Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/news/treetell.go
+++ b/internal/news/treetell.go
@@ -84,6 +84,13 @@
 	return d, loads
 }
 
+// Place returns the VM to which this one reports in the tree, and how many report to it.
+func (x *Exchange) Place() (parent ids.VM, children int) {
+	x.tree.mu.Lock()
+	defer x.tree.mu.Unlock()
+	return x.tree.parent, len(x.tree.children)
+}
+
 // near returns the peers of this VM's failure domain.
 func (x *Exchange) near() []Peer {
 	var out []Peer
