--- a/internal/forward/late.go
+++ b/internal/forward/late.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/tally"
 )
 
 // LateCause is why an answer came later than its route's aims.
@@ -95,33 +95,7 @@
 
 // RefusalCounts counts refusals and failures by their code and step. Safe for concurrent
 // use.
-type RefusalCounts struct {
-	mu     sync.Mutex
-	counts map[string]int64
-}
+type RefusalCounts struct{ tally.Counts }
 
 // add counts one; codes and steps are constants, so they are few.
-func (c *RefusalCounts) add(e *outcome.Error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts = map[string]int64{}
-	}
-	c.counts[string(e.Code)+"/"+e.Step]++
-}
-
-// MarshalJSON implements json.Marshaler.
-func (c *RefusalCounts) MarshalJSON() ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return json.Marshal(c.counts)
-}
-
-// MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (c *RefusalCounts) MarshalZerologObject(e *zerolog.Event) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for name, n := range c.counts {
-		e.Int64(name, n)
-	}
-}
+func (c *RefusalCounts) add(e *outcome.Error) { c.Add(string(e.Code) + "/" + e.Step) }
--- a/internal/objectapi/counted.go
+++ b/internal/objectapi/counted.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
-	"sync"
 
-	"github.com/rs/zerolog"
+	"github.com/threadwall/threadwall/internal/tally"
 )
 
 // Counted counts the calls to a store by method and kind of key: each call has its price.
 // Safe for concurrent use.
 type Counted struct {
 	Store
-	mu    sync.Mutex
-	calls map[string]int64
+	tally.Counts
 }
 
 var _ Store = (*Counted)(nil)
@@ -22,12 +19,7 @@
 // count notes one call. Keys begin with their kind, and there are few kinds.
 func (c *Counted) count(method, key string) {
 	kind, _, _ := strings.Cut(key, "/")
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.calls == nil {
-		c.calls = map[string]int64{}
-	}
-	c.calls[method+" "+kind]++
+	c.Add(method + " " + kind)
 }
 
 // Get implements Store.
@@ -65,19 +57,3 @@
 	c.count("watch", prefix)
 	return c.Store.Watch(ctx, prefix, after)
 }
-
-// MarshalJSON implements json.Marshaler.
-func (c *Counted) MarshalJSON() ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return json.Marshal(c.calls)
-}
-
-// MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (c *Counted) MarshalZerologObject(e *zerolog.Event) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for name, n := range c.calls {
-		e.Int64(name, n)
-	}
-}
