The tree leaves the dead alone and tries the deaf now and then

Found by reading: a parent that is gone for good was tried again after 3, 6, 12 s and so on, and each time all VMs of its domain lost their news for 0.6 s. TestTreeLeavesTheDeadAlone failed before (33 VMs wrong 4.1 s after the root was lost). Change: a parent that was passed over is tried again when it says that it is there (roots do so every second), and else after 30 s; at the soonest after 3 s, since one that is cut off in one direction says so, too. TestTreeWithADeafRoot: with no such least time a domain is apart in 55 of 100 looks, with it in 40 at most.

--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -23,9 +23,9 @@
 //	VM <── total ─── root <── report ── roots of other domains
 //
 // A VM takes its own part out of the total: the total names the round of each VM that is in
-// it. A parent that sends no total for parentWait is passed over, at first for avoidFirst,
-// and longer each time; as parents always come before their children in the order, no ring
-// of parents can arise. A VM that has children and is no root passes on between the two.
+// it. A parent that sends no total for parentWait is passed over until it says that it is
+// there; as parents always come before their children in the order, no ring of parents can
+// arise. A VM that has children and is no root passes on between the two.
 // Domains that are cut off from each other have a tree each, and miss each other's sums.
 //
 // What is told once (orders, changes of caches) goes along as events of the VM that told it;
@@ -40,16 +40,17 @@
 	reportFor = 600 * time.Millisecond
 	// parentWait is after how long without a total a parent is passed over.
 	parentWait = 600 * time.Millisecond
-	// avoidFirst is for how long a parent is passed over at first; the time doubles with
-	// each further time in a row, up to avoidFirst << avoidDoublings.
-	avoidFirst     = 3 * time.Second
-	avoidDoublings = 4
+	// avoidFor is for how long a parent is passed over that does not speak. It says so when it
+	// is back; each try of one that is gone costs a failure domain its news for parentWait.
+	avoidFor = 30 * time.Second
+	// avoidLeast is the same for one that says so.
+	avoidLeast = 3 * time.Second
 	// rootsTried is how many VMs of a domain whose root is not known are sent reports at a
 	// time; after triedRounds the next ones.
 	rootsTried  = 2
 	triedRounds = 4
-	// helloRounds is how often a VM that comes first and has no children says that it is
-	// there, in rounds.
+	// helloRounds is how often a root says that it is there to all VMs of its domain, some of
+	// which may pass it over, in rounds: once a second.
 	helloRounds = 7
 	// ownRounds is how many of its own rounds a VM remembers, to take them out of totals.
 	ownRounds = 32
@@ -82,10 +83,17 @@
 	wake     chan struct{}
 }
 
-// avoided is a parent that is passed over.
+// avoided is a parent that sent no total. The zero value is none.
 type avoided struct {
-	until time.Time
-	times int
+	since  time.Time
+	speaks bool // it said since that it is there
+}
+
+func (a avoided) passedOver(now time.Time) bool {
+	if a.speaks {
+		return now.Sub(a.since) < avoidLeast
+	}
+	return now.Sub(a.since) < avoidFor
 }
 
 // byOrder sorts the VMs of a failure domain: the widest links first, since a parent sends
@@ -240,14 +248,13 @@
 // held.
 func (t *tree) chooseParent(now time.Time) (Peer, bool) {
 	if t.parent != "" && now.Sub(maxTime(t.since, t.total.at)) > parentWait {
-		a := t.avoid[t.parent]
 		if t.avoid == nil {
 			t.avoid = map[ids.VM]avoided{}
 		}
-		t.avoid[t.parent] = avoided{now.Add(avoidFirst << min(a.times, avoidDoublings)), a.times + 1}
+		t.avoid[t.parent] = avoided{since: now}
 	}
 	for _, p := range t.before {
-		if now.Before(t.avoid[p.VM].until) {
+		if t.avoid[p.VM].passedOver(now) {
 			continue
 		}
 		if t.parent != p.VM {
@@ -266,11 +273,15 @@
 	return b
 }
 
-// met notes that a VM speaks: it need not be avoided as a parent.
+// met notes that a VM says that it is there: it is tried again as a parent, once it has
+// been passed over for avoidLeast. One that can be heard and hears nothing says so, too.
 func (t *tree) met(vm ids.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.avoid, vm)
+	if a, ok := t.avoid[vm]; ok {
+		a.speaks = true
+		t.avoid[vm] = a
+	}
 }
 
 // sending is what one round sends.
@@ -280,7 +291,7 @@
 	total   *digest
 	kids    []Peer // to whom the total goes
 	applies bool   // this VM is a root: the total is what it believes
-	hello   bool   // this VM could be a parent and has no children: they may pass it over
+	hello   bool   // this VM is a root: VMs that pass it over are to know that it is there
 }
 
 // next makes a round of this VM's own words.
@@ -300,7 +311,7 @@
 		return out
 	}
 	out.to, out.applies = t.otherRoots(now), true
-	out.hello = len(t.children) == 0 && t.round%helloRounds == 1
+	out.hello = t.round%helloRounds == 1
 	total := sum(append(parts, fresh(t.roots, now)...), now)
 	total.Events = down
 	out.total = &total
--- a/internal/news/tree_test.go
+++ b/internal/news/tree_test.go
@@ -19,6 +19,7 @@
 	due   map[ids.VM]time.Time
 	loads map[ids.VM][]Load
 	dead  map[ids.VM]bool
+	deaf  map[ids.VM]bool            // they send and hear nothing
 	cut   map[ids.FailureDomain]bool // from the other domains
 	mail  []treeMail
 	loss  float64
@@ -40,7 +41,7 @@
 func newTreeFleet(t *testing.T, domains, perDomain int, loss float64) *treeFleet {
 	f := &treeFleet{
 		t: t, now: time.Unix(1_000_000, 0), trees: map[ids.VM]*tree{}, due: map[ids.VM]time.Time{}, loads: map[ids.VM][]Load{},
-		dead: map[ids.VM]bool{}, cut: map[ids.FailureDomain]bool{}, loss: loss, draws: rand.New(rand.NewPCG(1, 2)),
+		dead: map[ids.VM]bool{}, deaf: map[ids.VM]bool{}, cut: map[ids.FailureDomain]bool{}, loss: loss, draws: rand.New(rand.NewPCG(1, 2)),
 		totals: map[ids.VM]map[ids.Target]int{}, heard: map[ids.VM]bool{}, sent: map[ids.VM]int{},
 	}
 	for d := range domains {
@@ -127,7 +128,7 @@
 
 func (f *treeFleet) deliver(m treeMail) {
 	across := m.from.FailureDomain != m.to.FailureDomain
-	if f.dead[m.to.VM] || across && (f.cut[m.from.FailureDomain] || f.cut[m.to.FailureDomain]) || f.draws.Float64() < f.loss {
+	if f.dead[m.to.VM] || f.deaf[m.to.VM] || across && (f.cut[m.from.FailureDomain] || f.cut[m.to.FailureDomain]) || f.draws.Float64() < f.loss {
 		return
 	}
 	applies := f.trees[m.to.VM].hear(m.from, m.d, m.isTotal, !across, f.now)
@@ -296,3 +297,40 @@
 		t.Errorf("%d changes are queued, and last %+v", entries(tr.up), last)
 	}
 }
+
+// TestTreeLeavesTheDeadAlone takes the root of a domain away for good: after it was passed
+// over, nobody misses a word for trying it again.
+func TestTreeLeavesTheDeadAlone(t *testing.T) {
+	f := newTreeFleet(t, 6, 33, 0)
+	f.run(2 * time.Second)
+	f.dead[f.trees["vm-1-7"].parent] = true
+	f.run(1500 * time.Millisecond)
+	for range 100 {
+		f.run(200 * time.Millisecond)
+		if wrong := f.wrong(); len(wrong) > 0 {
+			t.Fatalf("%d VMs believe something else than the sum of the others %v after the root was lost", len(wrong), f.now.Sub(time.Unix(1_000_000, 0))-2*time.Second)
+		}
+	}
+}
+
+// TestTreeWithADeafRoot cuts the root of a domain off in one direction: it says that it is
+// there, and hears nothing. The others find together again, and try it now and then only.
+func TestTreeWithADeafRoot(t *testing.T) {
+	f := newTreeFleet(t, 6, 33, 0)
+	f.run(2 * time.Second)
+	deaf := f.trees["vm-1-7"].parent
+	f.deaf[deaf] = true
+	f.loads[deaf] = nil // its domain can't know them: it reports to nobody there
+	f.run(1500 * time.Millisecond)
+	const looks = 100
+	apart := 0
+	for range looks {
+		f.run(200 * time.Millisecond)
+		if len(f.wrong()) > 1 { // the deaf one itself
+			apart++
+		}
+	}
+	if apart > looks*4/10 {
+		t.Errorf("in %d of %d looks a domain was apart", apart, looks)
+	}
+}
