A VM that can't learn its peers reads the store by itself

Found by reading: a VM that starts listed its peers until that succeeded, so one key space that can't be read kept it from serving at all. TestStartsWithoutItsPeers failed before (it waited for as long as it was let).

--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -152,18 +152,28 @@
 	return ids.Target("store reader of " + string(domain))
 }
 
-// listVMs lists the entry VMs once: a VM that has started needs to know its peers, and
-// reads the rest from them. The list may be old: it costs a tenth then, and a peer that it
-// lacks is met later.
+// Tries of a VM that starts to learn its peers.
+const (
+	// listTries is after how many it reads all of the store by itself.
+	listTries = 4
+	// listPause is between two of them, on average.
+	listPause = 200 * time.Millisecond
+)
+
+// listVMs lists the entry VMs: a VM that has started needs to know its peers, and reads the
+// rest from them. The list may be old: it costs a tenth then, and a peer that it lacks is
+// met later. Without it this VM reads the store itself.
 func (d *Daemon) listVMs(ctx context.Context) {
-	for ctx.Err() == nil {
+	for range listTries {
 		sent := time.Now()
 		objects, rev, err := d.store.List(objectapi.WithStale(ctx), prefixVMs)
 		if err == nil {
 			d.vms.Listed(objects, follow.At{Revision: rev, Sent: sent, Answered: time.Now()}, false)
 			return
 		}
-		timing.Sleep(ctx, registerRetry/2+rand.N(registerRetry))
+		if !timing.Sleep(ctx, listPause/2+rand.N(listPause)) {
+			return
+		}
 	}
 }
 
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/durations"
@@ -143,3 +145,33 @@
 		}
 	}
 }
+
+// unlisted is a store whose list of entry VMs is never answered.
+type unlisted struct{ objectapi.Store }
+
+func (s unlisted) List(ctx context.Context, prefix string) ([]objectapi.Object, objectapi.Revision, error) {
+	if prefix == prefixVMs {
+		return nil, 0, objectapi.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// TestStartsWithoutItsPeers starts a VM that can't read the list of VMs: it goes on to read
+// the rest of the store by itself.
+func TestStartsWithoutItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, err := New(settings.Settings{VM: "vm0", FailureDomain: "z", Edge: &settings.Edge{DirectFleet: 12}},
+			Options{Adapter: Adapter{Store: unlisted{objectapi.NewMemory()}}, LogTo: io.Discard})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		d.listVMs(ctx)
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("the VM waited %v for the list of its peers", took)
+		}
+		d.Log.Close()
+	})
+}
