Log which request an attempt was of, over its repeats

Cause: 526 lines of failed attempts in 4.8 s of the incident, and none tells which of them are repeats of one request: an id names one attempt of a caller. The hypotheses (no memory beyond one attempt; a loose budget; blame on replicas; VMs that don't tell) could not be told apart from logs. Change: attempt-failed lines of attempts that may have run carry a fingerprint of workspace, method, host, path and body. No change of logic.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,6 +11,7 @@
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/quarantine"
 )
 
 // run is the state of one call.
@@ -37,6 +38,8 @@
 	stream   streamState
 	progress progress
 	proofAge time.Duration // of the catalog, when the call was judged by it
+	// fingerprint names the request over its repeats; nil: it was not needed yet.
+	fingerprint *quarantine.Fingerprint
 }
 
 // retryWhenReady is when a caller should come back to a VM that lacks something it
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -332,7 +332,7 @@
 func (r *run) logFailed(c *choice, err *outcome.Error) {
 	r.f.Log.Request("attempt-failed", string(r.call.ID)).Str("target", string(c.target.ID)).
 		Uint64("incarnation", uint64(c.target.Incarnation)).Bool("restarted", r.superseded(c)).Str("outcome", err.Outcome.String()).
-		Str("step", err.Step).Str("error", err.Error()).Send()
+		Str("step", err.Step).Str("fingerprint", r.suspect(err)).Str("error", err.Error()).Send()
 }
 
 // superseded tells whether the replica of an attempt has started again since it was
