Test: a request that crashes its replicas comes again and again (red)

Six ways to see it: cut calls, parts of answers, calls that may not be repeated, streams, slow crashes, news over a tree. The stand-in for replicas crashes under requests that begin with a given text.

--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -69,6 +69,8 @@
 	Pieces  int           // events of a stream
 	Pause   time.Duration // between events
 	Born    int64         // its start in Unix milliseconds; zero: it does not say
+	// Fatal is set for a replica that some requests crash.
+	Fatal *Fatal
 
 	store     *Store
 	ledger    *Ledger
@@ -83,6 +85,7 @@
 	// answers decides, if set, what happens to a request instead of the usual.
 	answers atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
 	silent  atomic.Bool // no connection is answered
+	ended   atomic.Bool // a request has crashed it
 }
 
 // Addr is where the replica listens.
@@ -306,6 +309,10 @@
 		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
 		Header: req.Header.Clone(), At: time.Now(),
 	})
+	if r.Fatal.hits(string(body)) {
+		r.crashUnder(w, req)
+		return
+	}
 	if f := r.answers.Load(); f != nil && (*f)(w, req) {
 		return
 	}
