--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -222,6 +222,7 @@
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
 	}
+	d.Forward.Rank = d.vms.rank
 	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{
 		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -109,6 +109,9 @@
 	Log      *eventlog.Log
 	// Crashes finds the requests that crash replicas. Nil: none are looked for.
 	Crashes *quarantine.Watch
+	// Rank tells how many living VMs come before this one for what one VM does for all, by
+	// a name. Nil: this VM is alone.
+	Rank func(name ids.Target) int
 	// LearnWeights is told what weights a replica says it has.
 	LearnWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning       Tuning
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -68,8 +68,12 @@
 type standIn struct {
 	id   ids.Target
 	addr string
-	mu   sync.Mutex
-	seen []*http.Request
+	// answer is called for each request; it returns false to close the connection. It is
+	// set before the first.
+	answer func(c net.Conn, r *http.Request) bool
+	stop   func() // ends the listener
+	mu     sync.Mutex
+	seen   []*http.Request
 }
 
 func (s *standIn) requests() []*http.Request {
@@ -86,20 +90,20 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	s := &standIn{id: id, addr: l.Addr().String()}
+	s := &standIn{id: id, addr: l.Addr().String(), answer: answer, stop: func() { _ = l.Close() }}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(c, answer)
+			go s.serve(c)
 		}
 	}()
 	return s
 }
 
-func (s *standIn) serve(c net.Conn, answer func(c net.Conn, r *http.Request) bool) {
+func (s *standIn) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -111,7 +115,7 @@
 		s.mu.Lock()
 		s.seen = append(s.seen, r)
 		s.mu.Unlock()
-		if !answer(c, r) {
+		if !s.answer(c, r) {
 			return
 		}
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/routing"
@@ -23,13 +26,23 @@
 		return nil
 	}
 	crashes, yes := ledger.Quarantined(r.print())
-	if !yes {
+	if !yes || r.sends == 0 && r.f.trial(r.print()) {
 		return nil
 	}
 	return outcome.New(outcome.NotRun, outcome.CodeQuarantined, stepQuarantine, "",
 		fmt.Sprintf("%d replicas crashed while they ran this request; it is not sent to any more", crashes))
 }
 
+// trial tells whether this VM is to find out now whether a request is quarantined for
+// nothing.
+func (f *Forwarder) trial(p quarantine.Fingerprint) bool {
+	rank := 0
+	if f.Rank != nil {
+		rank = f.Rank(ids.Target(p.String()))
+	}
+	return f.Crashes.Ledger.Trial(p, rank)
+}
+
 // ledger returns what is remembered of requests; nil: nothing is.
 func (f *Forwarder) ledger() *quarantine.Ledger {
 	if f.Crashes == nil {
@@ -38,22 +51,24 @@
 	return f.Crashes.Ledger
 }
 
-// survived notes that a replica answered the call and lives.
-func (r *run) survived() {
-	if ledger := r.f.ledger(); !ledger.Empty() {
+// survived notes that a replica answered the call and lives. A failure of its own does not
+// count: it may not have come as far as the fault.
+func (r *run) survived(status int) {
+	if ledger := r.f.ledger(); status < http.StatusInternalServerError && !ledger.Empty() {
 		ledger.Answered(r.print())
 	}
 }
 
 // blame has it found out whether the replica of a failed attempt has ended with it. One
 // that had to leave ends by itself.
-func (r *run) blame(t *try, err *outcome.Error) {
-	id, inc, now := t.c.target.ID, t.c.target.Incarnation, time.Now()
-	if r.f.Crashes == nil || err.Outcome != outcome.Unknown || !upstream.HungUp(err) || errors.Is(err, errCallerGone) {
+func (r *run) blame(ctx context.Context, t *try, err *outcome.Error) {
+	if r.f.Crashes == nil || err.Outcome != outcome.Unknown || !upstream.HungUp(err) || ctx.Err() != nil || endedHere(err) {
 		return
 	}
+	id, now := t.c.target.ID, time.Now()
 	run := quarantine.Run{
-		Request: r.print(), ID: r.call.ID, Target: id, Addr: t.c.target.Addr, Incarnation: inc, Sent: t.sent, Broke: now,
+		Request: r.print(), ID: r.call.ID, Target: id, Addr: t.c.target.Addr, Incarnation: t.c.target.Incarnation,
+		Sent: t.sent, Broke: now,
 	}
 	switch {
 	case r.superseded(t.c):
@@ -63,6 +78,11 @@
 	}
 }
 
+// endedHere tells whether this VM ended the attempt itself.
+func endedHere(err *outcome.Error) bool {
+	return errors.Is(err, errCallerGone) || errors.Is(err, errStalled) || errors.Is(err, errOldWeights)
+}
+
 // print returns the call's fingerprint, which its repeats share.
 func (r *run) print() quarantine.Fingerprint {
 	if r.fingerprint == nil {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -266,7 +266,7 @@
 	case a.Status < http.StatusMultipleChoices && !reply.Signed:
 		return outcome.New(outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the answer lacks the replica's signature")
 	case a.Status >= http.StatusInternalServerError && t.r.repeatable():
-		return outcome.Wrap(&Refusal{Status: a.Status, Ran: reply.Signed}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica failed")
+		return outcome.Wrap(&Refusal{Status: a.Status}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica failed")
 	case promises(a.Status):
 		// The replica does not say that the call did not run, so neither may we.
 		return outcome.Wrap(&Refusal{Status: a.Status}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica refused without saying that the call did not run")
@@ -287,7 +287,6 @@
 type Refusal struct {
 	Status int
 	Misfit bool
-	Ran    bool // the replica ran the call, and signed that it failed
 	By     ids.Target
 }
 
@@ -305,14 +304,14 @@
 	members := r.f.Fleet.Members
 	if err == nil {
 		if t.framed {
-			r.survived()
+			r.survived(r.status)
 		}
 		if !r.superseded(c) {
 			members.Succeeded(c.target.ID)
 		}
 		return
 	}
-	r.blame(t, err)
+	r.blame(ctx, t, err)
 	if err.Outcome == outcome.NotRun {
 		r.attempts--
 	} else {
@@ -324,9 +323,6 @@
 	}
 	var refusal *Refusal
 	isRefusal := errors.As(err, &refusal)
-	if isRefusal && refusal.Ran {
-		r.survived()
-	}
 	switch {
 	case errors.Is(err, errCallerGone), ctx.Err() != nil && !errors.Is(err, errStalled):
 		return // says nothing about the replica
--- a/internal/lab/platformlab/fatal.go
+++ b/internal/lab/platformlab/fatal.go
@@ -9,15 +9,17 @@
 
 // Fatal says which requests crash a replica, and how.
 type Fatal struct {
-	Body string        // requests whose bodies begin so; empty: none
-	Work time.Duration // until the crash
-	Part bool          // the head of the answer and a part of it come first
+	Body string // requests whose bodies begin so; empty: none
+	// Workspace is whose requests these are; empty: anybody's.
+	Workspace string
+	Work      time.Duration // until the crash
+	Part      bool          // the head of the answer and a part of it come first
 	// Crashed is called when the replica has ended.
 	Crashed func(r *Replica)
 }
 
-func (f *Fatal) hits(body string) bool {
-	return f != nil && f.Body != "" && strings.HasPrefix(body, f.Body)
+func (f *Fatal) hits(workspace, body string) bool {
+	return f != nil && f.Body != "" && strings.HasPrefix(body, f.Body) && (f.Workspace == "" || f.Workspace == workspace)
 }
 
 // crashUnder ends the replica while it runs a request, and all else that runs there.
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -309,7 +309,7 @@
 		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
 		Header: req.Header.Clone(), At: time.Now(),
 	})
-	if r.Fatal.hits(string(body)) {
+	if r.Fatal.hits(req.Header.Get("X-Tenant-Id"), string(body)) {
 		r.crashUnder(w, req)
 		return
 	}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -164,8 +164,8 @@
 
 	mu    sync.Mutex
 	peers []Peer
-	large bool                 // news go over the tree
-	heard map[ids.VM]time.Time // when a peer last told something
+	large bool // news go over the tree
+	heard map[ids.VM]contact
 	tree  tree
 	conn  *net.UDPConn
 	life  int64
@@ -193,7 +193,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.peers, x.large = peers, x.TreeFrom > 0 && len(peers) > x.TreeFrom
-	heard := map[ids.VM]time.Time{}
+	heard := map[ids.VM]contact{}
 	for _, p := range peers {
 		heard[p.VM] = x.heard[p.VM]
 	}
@@ -213,20 +213,32 @@
 	return x.peers
 }
 
-// note remembers when a listed peer told something.
-func (x *Exchange) note(vm ids.VM, now time.Time) {
+// contact is what is known of a listed peer's presence.
+type contact struct {
+	at   time.Time // it last told something
+	life int64
+}
+
+// note remembers when a listed peer told something, and tells whether it has started since
+// it last did. life is zero where another VM names it.
+func (x *Exchange) note(vm ids.VM, life int64, now time.Time) (started bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if _, listed := x.heard[vm]; listed {
-		x.heard[vm] = now
+	c, listed := x.heard[vm]
+	if !listed {
+		return false
 	}
+	started = life > c.life
+	c.at, c.life = now, max(c.life, life)
+	x.heard[vm] = c
+	return started
 }
 
 // HeardWithin tells whether a peer has told something in the last d.
 func (x *Exchange) HeardWithin(vm ids.VM, d time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	at := x.heard[vm]
+	at := x.heard[vm].at
 	return !at.IsZero() && time.Since(at) < d
 }
 
@@ -270,7 +282,9 @@
 		x.passOn(data)
 	}
 	x.Heard.Add(1)
-	x.note(m.VM, time.Now())
+	if x.note(m.VM, m.Life, time.Now()) {
+		x.Crashes.Retell()
+	}
 	if len(m.Crashes) > 0 && x.Crashes != nil {
 		x.Crashes.Heard(m.VM, m.Crashes, x.isLarge())
 	}
--- a/internal/news/relay_test.go
+++ b/internal/news/relay_test.go
@@ -174,7 +174,7 @@
 	if first == second {
 		t.Fatal("both copies go by one relay")
 	}
-	x.note(second.VM, time.Now())
+	x.note(second.VM, 0, time.Now())
 	if got := x.relayOf(peers, 0); got != second {
 		t.Errorf("%s is the relay, want the one that is heard", got.VM)
 	}
--- a/internal/news/treetell.go
+++ b/internal/news/treetell.go
@@ -162,7 +162,7 @@
 	members := d.members()
 	for _, m := range members {
 		if p, ok := x.tree.peerOf(m.vm); ok {
-			x.note(p.VM, now)
+			x.note(p.VM, 0, now)
 		}
 	}
 	total := make([]Load, 0, len(d.Loads))
--- /dev/null
+++ b/internal/quarantine/fleet_test.go
@@ -0,0 +1,395 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// A fleet in virtual time: VMs with a ledger each that send requests to replicas, and tell
+// each other what they saw in rounds whose messages get lost. Some requests crash the
+// replicas that run them, and replicas end by themselves, too.
+
+const (
+	tick       = 5 * time.Millisecond
+	newsRound  = 150 * time.Millisecond
+	newsWay    = 20 * time.Millisecond
+	cascadeGap = 150 * time.Millisecond
+	checkTime  = 105 * time.Millisecond // until a VM knows that a replica has ended
+	inTouch    = 3 * time.Second        // a VM that has started is to know by then
+	attempts   = 2                      // of one call
+	tries      = 2                      // of a caller
+)
+
+// fleetScenario is what happens to a fleet.
+type fleetScenario struct {
+	vms, domains int
+	tree         bool
+	lost         float64       // part of the messages
+	cut          [2]float64    // seconds between which domains don't hear each other
+	restartEvery time.Duration // a VM starts again, one after the other; zero: none
+	fatal        int           // requests that crash replicas
+	fatalEvery   time.Duration // the pause between two repeats of each
+	crashAfter   [2]int        // ms until the crash, least and most
+	endsEvery    time.Duration // a replica ends by itself; zero: none
+	allEndAt     float64       // all replicas end at once, in seconds; zero: never
+	cascadeAt    float64       // all end one after the other, 150 ms apart; zero: never
+	popular      int           // callers that share one request
+	seconds      int
+}
+
+// fleetResult is what became of it, over all fatal requests and callers.
+type fleetResult struct {
+	ended    int // replicas, under fatal requests
+	late     int // arrivals at replicas of one fatal request after it was to be known: most over all
+	others   int // calls of others
+	wronged  int // of these, refused since their request was quarantined
+	popular  int
+	popWrong int
+}
+
+type simRun struct {
+	request  Fingerprint
+	fatal    int // index of the fatal request; -1: none
+	vm       int
+	sent     time.Time
+	done     time.Time
+	left     int // attempts
+	triesNow int
+	popular  bool
+}
+
+type simReplica struct {
+	name Replica
+	runs []*simRun
+	back time.Time // it is away until then
+}
+
+type simMessage struct {
+	to   int
+	from ids.VM
+	at   time.Time
+	what []Report
+}
+
+type simFinding struct {
+	vm   int
+	at   time.Time
+	what []Finding
+}
+
+type fleetSim struct {
+	fleetScenario
+	rng      *rand.Rand
+	now      time.Time
+	start    time.Time
+	ledgers  []*Ledger
+	started  []time.Time
+	replicas []*simReplica
+	messages []simMessage
+	findings []simFinding
+	names    uint64
+	res      fleetResult
+	ends     [][]time.Time // of replicas, by fatal request
+	arrivals [][]time.Time
+}
+
+func playFleet(s fleetScenario, seed uint64) fleetResult { return traceFleet(s, seed).res }
+
+// traceFleet plays a fleet and returns it as it is at the end.
+func traceFleet(s fleetScenario, seed uint64) *fleetSim {
+	f := &fleetSim{fleetScenario: s, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
+	f.now = f.start
+	f.ends, f.arrivals = make([][]time.Time, s.fatal), make([][]time.Time, s.fatal)
+	for range s.vms {
+		f.ledgers = append(f.ledgers, f.ledger())
+		f.started = append(f.started, f.start.Add(-time.Hour))
+	}
+	for range 9 {
+		f.names++
+		f.replicas = append(f.replicas, &simReplica{name: Replica(f.names)})
+	}
+	for f.now.Sub(f.start) < time.Duration(s.seconds)*time.Second {
+		f.step()
+		f.now = f.now.Add(tick)
+	}
+	for i, ends := range f.ends {
+		late := 0
+		for _, at := range f.arrivals[i] {
+			if len(ends) >= 3 && at.After(ends[2].Add(3*time.Second)) {
+				late++
+			}
+		}
+		f.res.late = max(f.res.late, late)
+	}
+	return f
+}
+
+func (f *fleetSim) ledger() *Ledger { return NewLedger(nil, func() time.Time { return f.now }) }
+
+// every tells whether a moment that comes at a pace falls into this tick.
+func (f *fleetSim) every(d time.Duration) bool {
+	return d > 0 && f.now.Sub(f.start)%d < tick && f.now != f.start
+}
+
+func (f *fleetSim) step() {
+	f.deliver()
+	f.finish()
+	for i := range f.fatal {
+		if f.every(f.fatalEvery + time.Duration(i)*7*time.Millisecond) {
+			f.call(&simRun{request: named(fmt.Sprint("fatal", i)), fatal: i, triesNow: tries})
+		}
+	}
+	if f.every(25 * time.Millisecond) {
+		f.names++
+		f.res.others++
+		f.call(&simRun{request: named(fmt.Sprint("own", f.names)), fatal: -1})
+	}
+	if f.every(newsRound) {
+		f.tell()
+	}
+	if f.every(f.endsEvery) {
+		f.end(f.replicas[f.rng.IntN(len(f.replicas))])
+	}
+	if f.allEndAt > 0 && f.now.Sub(f.start) == time.Duration(f.allEndAt*1000)*time.Millisecond {
+		for _, r := range f.replicas {
+			f.end(r)
+		}
+	}
+	if since := f.now.Sub(f.start) - time.Duration(f.cascadeAt*1000)*time.Millisecond; f.cascadeAt > 0 && since >= 0 && since%cascadeGap < tick && int(since/cascadeGap) < len(f.replicas) {
+		f.end(f.replicas[since/cascadeGap])
+	}
+	if f.every(f.restartEvery) {
+		vm := int(f.now.Sub(f.start)/f.restartEvery) % f.vms
+		f.ledgers[vm] = f.ledger()
+		f.started[vm] = f.now
+		for o, l := range f.ledgers { // its first message
+			if o != vm && f.rng.Float64() >= f.lost {
+				l.Retell()
+			}
+		}
+	}
+	if f.popularDue() {
+		f.res.popular++
+		f.call(&simRun{request: named("popular"), fatal: -1, popular: true, triesNow: tries})
+	}
+}
+
+// popularDue lets the callers of the popular request ask ten times a second each.
+func (f *fleetSim) popularDue() bool {
+	return f.popular > 0 && f.rng.Float64() < float64(f.popular)*10*tick.Seconds()
+}
+
+// call takes a caller's attempt in at a VM.
+func (f *fleetSim) call(r *simRun) {
+	r.vm, r.left = f.rng.IntN(f.vms), attempts
+	r.triesNow++
+	f.send(r)
+}
+
+// rank is how many VMs come before the one of a run for a trial.
+func (f *fleetSim) rank(r *simRun) int { return (r.vm + int(r.request[0])) % f.vms }
+
+func (f *fleetSim) send(r *simRun) {
+	if _, quarantined := f.ledgers[r.vm].Quarantined(r.request); quarantined && !f.ledgers[r.vm].Trial(r.request, f.rank(r)) {
+		switch {
+		case r.popular:
+			f.res.popWrong++
+		case r.fatal < 0:
+			f.res.wronged++
+		}
+		return
+	}
+	var live []*simReplica
+	for _, rep := range f.replicas {
+		if !f.now.Before(rep.back) {
+			live = append(live, rep)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	rep := live[f.rng.IntN(len(live))]
+	r.left--
+	r.sent = f.now
+	work := 50 + f.rng.IntN(950)
+	if r.popular {
+		work = 20 + f.rng.IntN(80)
+	}
+	if r.fatal >= 0 {
+		work = f.crashAfter[0] + f.rng.IntN(f.crashAfter[1]-f.crashAfter[0]+1)
+		if f.now.Sub(f.started[r.vm]) >= inTouch {
+			f.arrivals[r.fatal] = append(f.arrivals[r.fatal], f.now)
+		}
+	}
+	r.done = f.now.Add(time.Duration(work) * time.Millisecond)
+	rep.runs = append(rep.runs, r)
+}
+
+// finish answers the runs that are done, and ends the replicas of those that are fatal.
+func (f *fleetSim) finish() {
+	for _, rep := range f.replicas {
+		kept := rep.runs[:0]
+		crash := false
+		for _, r := range rep.runs {
+			switch {
+			case r.done.After(f.now):
+				kept = append(kept, r)
+			case r.fatal >= 0:
+				crash = true
+				kept = append(kept, r)
+				f.res.ended++
+				f.ends[r.fatal] = append(f.ends[r.fatal], f.now)
+			default:
+				f.ledgers[r.vm].Answered(r.request)
+			}
+		}
+		rep.runs = kept
+		if crash {
+			f.end(rep)
+		}
+	}
+}
+
+// end ends a replica. What ran there is tried again at once; the VMs find the end out.
+func (f *fleetSim) end(rep *simReplica) {
+	if f.now.Before(rep.back) {
+		return
+	}
+	runs := rep.runs
+	f.names++
+	byVM := map[int][]Finding{}
+	for _, r := range runs {
+		byVM[r.vm] = append(byVM[r.vm], Finding{r.request, Crash{Replica: rep.name, Sent: r.sent, Ended: f.now}})
+	}
+	for vm := range f.vms {
+		if len(byVM[vm]) > 0 {
+			f.findings = append(f.findings, simFinding{vm, f.now.Add(checkTime), byVM[vm]})
+		}
+	}
+	rep.name, rep.runs, rep.back = Replica(f.names), nil, f.now.Add(900*time.Millisecond)
+	for _, r := range runs {
+		again := *r
+		switch {
+		case r.left > 0:
+			f.send(&again)
+		case r.triesNow < tries:
+			f.call(&again)
+		}
+	}
+}
+
+// deliver hands out what has arrived by now.
+func (f *fleetSim) deliver() {
+	var later []simFinding
+	for _, c := range f.findings {
+		if c.at.After(f.now) {
+			later = append(later, c)
+			continue
+		}
+		f.ledgers[c.vm].Crashed(c.what...)
+	}
+	f.findings = later
+	var waiting []simMessage
+	for _, m := range f.messages {
+		if m.at.After(f.now) {
+			waiting = append(waiting, m)
+			continue
+		}
+		f.ledgers[m.to].Heard(m.from, m.what, f.tree)
+	}
+	f.messages = waiting
+}
+
+// neighbours are the VMs that one speaks to. In a tree the first of each domain is its
+// root, and those speak to each other.
+func (f *fleetSim) neighbours(vm int) []int {
+	var out []int
+	domain, root := vm%f.domains, vm < f.domains
+	for o := range f.vms {
+		same, oRoot := o%f.domains == domain, o < f.domains
+		switch {
+		case o == vm:
+		case !f.tree, same && (root || oRoot), root && oRoot:
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (f *fleetSim) tell() {
+	sec := f.now.Sub(f.start).Seconds()
+	for vm := range f.vms {
+		to := f.neighbours(vm)
+		what := f.ledgers[vm].Due(len(to))
+		if len(what) == 0 {
+			continue
+		}
+		for _, o := range to {
+			apart := sec >= f.cut[0] && sec < f.cut[1] && o%f.domains != vm%f.domains
+			if !apart && f.rng.Float64() >= f.lost {
+				f.messages = append(f.messages, simMessage{o, ids.VM(fmt.Sprint(vm)), f.now.Add(newsWay), what})
+			}
+		}
+	}
+}
+
+// TestFleetBound plays a fleet in which requests crash replicas, under all that may go wrong
+// besides, and asks for what callers and operators rely on: no such request reaches more
+// than three replicas later than three seconds after the third has ended, and hardly
+// anybody else is turned away.
+func TestFleetBound(t *testing.T) {
+	base := fleetScenario{vms: 6, domains: 2, fatal: 1, fatalEvery: 250 * time.Millisecond, crashAfter: [2]int{20, 150}, popular: 12, seconds: 14}
+	for _, c := range []struct {
+		name   string
+		change func(s *fleetScenario)
+		late   int // arrivals allowed
+	}{
+		{"one VM", func(s *fleetScenario) { s.vms, s.domains = 1, 1 }, 3},
+		{"mesh", func(*fleetScenario) {}, 3},
+		{"mesh of 30", func(s *fleetScenario) { s.vms = 30 }, 3},
+		{"tree of 30", func(s *fleetScenario) { s.vms, s.domains, s.tree = 30, 3, true }, 3},
+		{"a third of the messages lost", func(s *fleetScenario) { s.lost = 0.33 }, 3},
+		{"tree, a third lost", func(s *fleetScenario) { s.vms, s.domains, s.tree, s.lost = 30, 3, true, 0.33 }, 3},
+		{"domains cut off, each side by itself", func(s *fleetScenario) { s.cut = [2]float64{0, 14} }, 3},
+		{"cut that heals", func(s *fleetScenario) { s.cut = [2]float64{0, 4} }, 3},
+		{"VMs start again in turn", func(s *fleetScenario) { s.restartEvery = 700 * time.Millisecond }, 3},
+		{"slow crashes", func(s *fleetScenario) { s.crashAfter = [2]int{300, 900} }, 3},
+		{"fast repeats", func(s *fleetScenario) { s.fatalEvery = 40 * time.Millisecond }, 3},
+		{"rare repeats", func(s *fleetScenario) { s.fatalEvery, s.seconds = 3*time.Second, 40 }, 3},
+		{"three requests at once", func(s *fleetScenario) { s.fatal, s.fatalEvery = 3, 200*time.Millisecond }, 3},
+		{"replicas end by themselves", func(s *fleetScenario) { s.endsEvery = 190 * time.Millisecond }, 3},
+		{"replicas end by themselves, nothing fatal", func(s *fleetScenario) { s.endsEvery, s.fatal = 190*time.Millisecond, 0 }, 3},
+		{"all replicas end at once, nothing fatal", func(s *fleetScenario) { s.allEndAt, s.fatal = 5, 0 }, 3},
+		{"all replicas end one after the other, nothing fatal", func(s *fleetScenario) { s.cascadeAt, s.fatal, s.seconds = 5, 0, 40 }, 3},
+		{"a popular request, nothing fatal", func(s *fleetScenario) { s.endsEvery, s.fatal, s.popular = 100*time.Millisecond, 0, 40 }, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := base
+			c.change(&s)
+			const seeds = 10 // 40 were played by hand, with the same verdict
+			var sum fleetResult
+			worst, most := 0, 0
+			for seed := range uint64(seeds) {
+				r := playFleet(s, seed)
+				worst, most = max(worst, r.late), max(most, r.ended)
+				sum.ended += r.ended
+				sum.others += r.others
+				sum.wronged += r.wronged
+				sum.popular += r.popular
+				sum.popWrong += r.popWrong
+				if r.late > c.late {
+					t.Errorf("seed %d: a request reached %d replicas after it was to be known, %d are allowed", seed, r.late, c.late)
+				}
+			}
+			t.Logf("replicas ended: %.1f in the mean, %d at most; late arrivals: %d at most; turned away for nothing: %d of %d calls, %d of %d popular ones",
+				float64(sum.ended)/seeds, most, worst, sum.wronged, sum.others, sum.popWrong, sum.popular)
+			if sum.wronged > sum.others/500 || sum.popWrong > sum.popular/500 {
+				t.Errorf("too many are turned away for nothing")
+			}
+		})
+	}
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -32,7 +32,9 @@
 	// Answered is set when the request was answered since the VMs remember it: it does not
 	// crash whatever runs it.
 	Answered bool
-	Crashes  []Crash // in the order of Ended
+	// Quarantined is set when it was found already, by this VM or another.
+	Quarantined bool
+	Crashes     []Crash // in the order of Ended
 }
 
 // Limits of the judgement.
@@ -43,43 +45,53 @@
 	// crashesIfAnswered is the same for a request that was answered before: one that many
 	// callers share is under way wherever replicas end.
 	crashesIfAnswered = 6
-	// crashesApart is the time between two crashes that are taken for one event unless the
-	// later run was sent after the earlier crash: what ends several replicas at once ends
-	// them within some ten milliseconds.
+	// crashesTogether is the time within which crashes are one event: what ends all replicas
+	// of a service at once ends a run at the first, and its repeat at the next. Counted one
+	// by one they quarantined a request of twelve callers in each of 40 fleets.
+	crashesTogether = 50 * time.Millisecond
+	// crashesApart is the time between two crashes that are separate events though the
+	// later run was sent before the earlier crash.
 	crashesApart = 300 * time.Millisecond
 )
 
-// Judge returns the requests that are to be kept from replicas.
+// Judge returns the requests that are found to crash replicas by what is new, beside those
+// that were found before.
 //
 // Whatever was under way on a replica that crashes loses its run, and is then tried again
 // together with the request that did it. So a crash counts against one request only: the
-// one with the most crashes is taken for the cause of all of its own, and the others are
-// judged by what that leaves. Of two with the same crashes one is quarantined; if it was
-// the wrong one, the next crash tells, and lets it go.
-func Judge(cases []Case) map[Fingerprint]bool {
-	quarantined := map[Fingerprint]bool{}
+// first of which there are enough is taken for the cause of all that it had until then, and
+// the others are judged by what that leaves. Of two with the same crashes one is found; if
+// it was the wrong one, the next crash tells the other, and a trial lets the first go.
+func Judge(cases []Case) []Fingerprint {
 	explained := map[Replica]bool{}
-	open := slices.Clone(cases)
+	var open []Case
+	for _, c := range cases {
+		if !c.Quarantined {
+			open = append(open, c)
+			continue
+		}
+		for _, crash := range c.Crashes {
+			explained[crash.Replica] = true
+		}
+	}
+	var found []Fingerprint
 	for {
-		worst := -1
-		var most score
+		first := -1
+		var best score
 		for i := range open {
 			s := scoreOf(&open[i], explained)
-			if s.counted < open[i].needed() {
-				continue
-			}
-			if worst < 0 || s.compare(most) > 0 {
-				worst, most = i, s
+			if !s.since.IsZero() && (first < 0 || s.compare(best) < 0) {
+				first, best = i, s
 			}
 		}
-		if worst < 0 {
-			return quarantined
+		if first < 0 {
+			return found
 		}
-		quarantined[open[worst].Request] = true
-		for _, c := range open[worst].Crashes {
+		found = append(found, open[first].Request)
+		for _, c := range open[first].Crashes {
 			explained[c.Replica] = true
 		}
-		open = slices.Delete(open, worst, worst+1)
+		open = slices.Delete(open, first, first+1)
 	}
 }
 
@@ -90,31 +102,47 @@
 	return crashesNeeded
 }
 
-// score orders cases: the one that explains most comes first.
+// score orders cases: the one that was found first comes first, and of those found by the
+// same crash the one with the most. One that was ever answered comes behind all that were
+// not, since it is under way wherever those crash replicas.
 type score struct {
-	counted int // separate events
-	all     int
-	request Fingerprint
+	answered int       // 1: it was answered
+	since    time.Time // of the crash by which there were enough; zero: there are not
+	all      int       // crashes that nothing else explains
+	request  Fingerprint
 }
 
 func (s score) compare(o score) int {
-	return cmp.Or(cmp.Compare(s.counted, o.counted), cmp.Compare(s.all, o.all), bytes.Compare(s.request[:], o.request[:]))
+	return cmp.Or(cmp.Compare(s.answered, o.answered), s.since.Compare(o.since), -cmp.Compare(s.all, o.all), bytes.Compare(s.request[:], o.request[:]))
 }
 
 // scoreOf counts the crashes that nothing else explains.
 func scoreOf(c *Case, explained map[Replica]bool) score {
 	s := score{request: c.Request}
+	if c.Answered {
+		s.answered = 1
+	}
+	counted := 0
 	var last Crash
 	for _, crash := range c.Crashes {
 		if explained[crash.Replica] {
 			continue
 		}
 		s.all++
-		separate := !crash.Sent.Before(last.Ended) || crash.Ended.Sub(last.Ended) >= crashesApart
-		if s.counted == 0 || separate {
-			s.counted++
-			last = crash
+		if counted > 0 && !separate(last, crash) {
+			continue
+		}
+		counted++
+		last = crash
+		if counted == c.needed() {
+			s.since = crash.Ended
 		}
 	}
 	return s
 }
+
+// separate tells whether a crash is another event than an earlier one.
+func separate(earlier, crash Crash) bool {
+	gap := crash.Ended.Sub(earlier.Ended)
+	return gap >= crashesApart || gap >= crashesTogether && !crash.Sent.Before(earlier.Ended)
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,6 +20,13 @@
 	Remembered = 10 * time.Minute
 	// forgottenAfter is when nothing is left of it.
 	forgottenAfter = 2 * Remembered
+	// trialAfter is when a quarantined request is sent once to see whether it crashes its
+	// replica: replicas are back after some seconds, and a request that many callers share
+	// is not to be turned away for long because all replicas ended one after the other.
+	trialAfter = 10 * time.Second
+	// maxTrials bounds those sends. Two sides of a cut make one each, and a VM that has not
+	// heard yet one more; the fleet may send three.
+	maxTrials = 1
 	// maxCases bounds the requests that are remembered. A replica takes those that it runs
 	// and that wait there with it, some tens at once. Beyond, those with the fewest crashes
 	// are forgotten first, so an attacker has to end replicas to push another one out.
@@ -38,11 +45,10 @@
 
 	now func() time.Time
 
-	mu          sync.Mutex
-	cases       map[Fingerprint]*entry
-	quarantined map[Fingerprint]bool
-	retellAt    time.Time
-	retold      Fingerprint // the last one that was told again
+	mu       sync.Mutex
+	cases    map[Fingerprint]*entry
+	retellAt time.Time
+	retold   Fingerprint // the last one that was told again
 
 	known atomic.Int64 // cases
 
@@ -53,8 +59,15 @@
 // entry is a case and how it is told.
 type entry struct {
 	crashes []Crash
+	// quarantined is set once any VM finds that the request crashes replicas, and holds
+	// until it is answered: VMs that see a part of the crashes, or see them in another
+	// order, must not differ about it.
+	quarantined bool
 	// answers grows when the request is answered: the crashes from before count no more.
 	answers uint32
+	// trials are the sends that were let through since the last crash, to find out whether
+	// the request is quarantined for nothing.
+	trials  uint32
 	changed time.Time
 	copies  int // how often peers are still to be told of it
 }
@@ -64,7 +77,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Ledger{Log: log, now: now, cases: map[Fingerprint]*entry{}, quarantined: map[Fingerprint]bool{}}
+	return &Ledger{Log: log, now: now, cases: map[Fingerprint]*entry{}}
 }
 
 // Empty tells whether nothing is remembered: no request need be looked up then.
@@ -79,17 +92,33 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.cases[f]
-	if e == nil || !l.quarantined[f] || l.now().Sub(e.last()) >= Remembered {
+	if e == nil || !e.quarantined || l.now().Sub(e.last()) >= Remembered {
 		return 0, false
 	}
 	return len(e.crashes), true
 }
 
+// Trial tells whether a quarantined request may be sent once, and notes that it is. rank is
+// how many living VMs come before this one for that; each waits for those before it, which
+// may not get the request.
+func (l *Ledger) Trial(f Fingerprint, rank int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.cases[f]
+	if e == nil || e.trials >= maxTrials || l.now().Sub(e.last()) < time.Duration(rank+1)*trialAfter {
+		return false
+	}
+	e.trials++
+	e.changed, e.copies = l.now(), ownCopies
+	l.logCase("quarantine-trial", f, "")
+	return true
+}
+
 // Counts returns how many requests are remembered, and how many of them are quarantined.
 func (l *Ledger) Counts() (cases, quarantined int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.cases), len(l.quarantined)
+	return len(l.cases), len(l.quarantined())
 }
 
 // Finding is a crash under a request.
@@ -121,9 +150,17 @@
 	if e == nil || len(e.crashes) == 0 {
 		return
 	}
-	e.crashes, e.changed, e.copies = nil, l.now(), ownCopies
-	e.answers++
-	l.judge("")
+	l.acquit(f, e, e.answers+1, "")
+	e.changed, e.copies = l.now(), ownCopies
+}
+
+// acquit drops all that speaks against a request. The lock is held.
+func (l *Ledger) acquit(f Fingerprint, e *entry, answers uint32, from ids.VM) {
+	was := e.quarantined
+	e.crashes, e.quarantined, e.trials, e.answers = nil, false, 0, answers
+	if was {
+		l.logCase("quarantine-lifted", f, from)
+	}
 }
 
 // Sweep forgets what is too old.
@@ -138,7 +175,6 @@
 			l.forget(f)
 		}
 	}
-	l.judge("")
 }
 
 // entry returns the entry of a request, a new one if there is none. The lock is held.
@@ -165,13 +201,24 @@
 	var least Fingerprint
 	var found *entry
 	for f, e := range l.cases {
-		if found == nil || cmp.Or(cmp.Compare(len(e.crashes), len(found.crashes)), e.changed.Compare(found.changed)) < 0 {
+		if found == nil || e.compare(found) < 0 {
 			least, found = f, e
 		}
 	}
 	return least
 }
 
+// compare orders entries by what would be lost with them.
+func (e *entry) compare(o *entry) int {
+	switch {
+	case e.quarantined && !o.quarantined:
+		return 1
+	case o.quarantined && !e.quarantined:
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(e.crashes), len(o.crashes)), e.changed.Compare(o.changed))
+}
+
 // add takes a crash in; false: it was known.
 func (e *entry) add(c Crash) bool {
 	i := slices.IndexFunc(e.crashes, func(k Crash) bool { return k.Replica == c.Replica })
@@ -207,26 +254,37 @@
 	return e.last()
 }
 
-// judge works out anew which requests are quarantined, logs what changed and tells whether
-// anything did. from is the VM whose words changed it; empty: this one. The lock is held.
-func (l *Ledger) judge(from ids.VM) (changed bool) {
+// judge looks whether further requests are to be quarantined, and tells whether any are.
+// from is the VM whose words changed the ledger; empty: this one. The lock is held.
+func (l *Ledger) judge(from ids.VM) (found bool) {
 	cases := make([]Case, 0, len(l.cases))
 	for f, e := range l.cases {
-		cases = append(cases, Case{Request: f, Answered: e.answers > 0, Crashes: e.crashes})
+		cases = append(cases, Case{Request: f, Answered: e.answers > 0, Quarantined: e.quarantined, Crashes: e.crashes})
 	}
-	before := l.quarantined
-	l.quarantined = Judge(cases)
-	for f := range l.quarantined {
-		if !before[f] {
-			l.logCase("quarantined", f, from)
-		}
+	for _, f := range Judge(cases) {
+		l.quarantine(f, from)
+		found = true
 	}
-	for f := range before {
-		if !l.quarantined[f] {
-			l.logCase("quarantine-lifted", f, from)
+	return found
+}
+
+// quarantine keeps a request from replicas. The lock is held.
+func (l *Ledger) quarantine(f Fingerprint, from ids.VM) {
+	e := l.cases[f]
+	e.quarantined, e.changed, e.copies = true, l.now(), max(e.copies, ownCopies)
+	l.logCase("quarantined", f, from)
+}
+
+// quarantined returns the requests that are kept from replicas. The lock is held.
+func (l *Ledger) quarantined() []Fingerprint {
+	var out []Fingerprint
+	for f, e := range l.cases {
+		if e.quarantined {
+			out = append(out, f)
 		}
 	}
-	return !maps.Equal(before, l.quarantined)
+	slices.SortFunc(out, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return out
 }
 
 func (l *Ledger) logCase(event string, f Fingerprint, from ids.VM) {
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -34,7 +33,10 @@
 	_       struct{} `cbor:",toarray"`
 	Request Fingerprint
 	Answers uint32
-	Crashes []ReportedCrash
+	Trials  uint32
+	// Quarantined is set when a VM found that the request crashes replicas.
+	Quarantined bool
+	Crashes     []ReportedCrash
 }
 
 // ReportedCrash is one crash as it is told.
@@ -76,21 +78,37 @@
 	return out
 }
 
+// Retell has all that is quarantined told in the next round: a peer has started, and knows
+// of none.
+func (l *Ledger) Retell() {
+	if l.Empty() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.quarantined() {
+		l.cases[f].copies = max(l.cases[f].copies, 1)
+	}
+}
+
 // retell returns the quarantined request whose turn it is to be told again. The lock is
 // held.
 func (l *Ledger) retell(now time.Time, peers int) (Fingerprint, bool) {
-	if len(l.quarantined) == 0 || now.Before(l.retellAt) {
+	if now.Before(l.retellAt) {
+		return Fingerprint{}, false
+	}
+	all := l.quarantined()
+	if len(all) == 0 {
 		return Fingerprint{}, false
 	}
 	l.retellAt = now.Add(max(retellLeast, time.Duration(peers)*time.Second/retoldPerSecond))
-	all := slices.SortedFunc(maps.Keys(l.quarantined), func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
 	i := slices.IndexFunc(all, func(f Fingerprint) bool { return bytes.Compare(f[:], l.retold[:]) > 0 })
 	l.retold = all[max(i, 0)]
 	return l.retold, true
 }
 
 func (e *entry) report(f Fingerprint, now time.Time) Report {
-	r := Report{Request: f, Answers: e.answers}
+	r := Report{Request: f, Answers: e.answers, Trials: e.trials, Quarantined: e.quarantined}
 	for _, c := range e.crashes {
 		r.Crashes = append(r.Crashes, ReportedCrash{
 			Replica: c.Replica, SentMs: now.Sub(c.Sent).Milliseconds(), EndedMs: now.Sub(c.Ended).Milliseconds(),
@@ -100,46 +118,55 @@
 }
 
 // Heard takes in what a peer tells. passOn is set where this VM stands between that peer
-// and others; elsewhere only what quarantines a request is passed on.
+// and others; elsewhere what is heard is not passed on, but for what this VM finds by it.
 func (l *Ledger) Heard(from ids.VM, reports []Report, passOn bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	var changed []*entry
+	changed := false
 	for i := range reports {
-		if e := l.merge(&reports[i], now); e != nil {
-			changed = append(changed, e)
+		e := l.merge(&reports[i], from)
+		if e == nil {
+			continue
+		}
+		changed = true
+		if passOn {
+			e.copies = max(e.copies, passedCopies)
 		}
 	}
-	if len(changed) == 0 {
-		return
-	}
-	if !l.judge(from) && !passOn {
-		return
-	}
-	for _, e := range changed {
-		e.copies = max(e.copies, passedCopies)
+	if changed {
+		l.judge(from)
 	}
 }
 
 // merge takes one report in, and returns the entry that it changed; nil: none. The lock is
 // held.
-func (l *Ledger) merge(r *Report, now time.Time) *entry {
-	e, changed := l.cases[r.Request], false
-	switch {
-	case e == nil && len(r.Crashes) == 0, e != nil && r.Answers < e.answers:
-		return nil // nothing is held against it here, or what speaks against it was answered since
-	case e == nil:
+func (l *Ledger) merge(r *Report, from ids.VM) *entry {
+	e, now := l.cases[r.Request], l.now()
+	if e == nil && len(r.Crashes) == 0 || e != nil && r.Answers < e.answers {
+		return nil // nothing is held against it here, or it was answered since
+	}
+	crashes := r.crashes(now)
+	if e == nil && len(crashes) == 0 {
+		return nil // all too old
+	}
+	if e == nil {
 		e = l.entry(r.Request)
 		e.answers = r.Answers
-	case r.Answers > e.answers:
-		e.answers, e.crashes, changed = r.Answers, nil, true
 	}
-	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashes)] {
-		if c.EndedMs < 0 || c.SentMs < c.EndedMs || c.SentMs >= forgottenAfter.Milliseconds() {
-			continue
-		}
-		changed = e.add(Crash{Replica: c.Replica, Sent: ago(now, c.SentMs), Ended: ago(now, c.EndedMs)}) || changed
+	changed := false
+	if r.Answers > e.answers {
+		l.acquit(r.Request, e, r.Answers, from)
+		changed = true
+	}
+	if r.Trials > e.trials {
+		e.trials, changed = r.Trials, true
+	}
+	for _, c := range crashes {
+		changed = e.add(c) || changed
+	}
+	if r.Quarantined && !e.quarantined && len(e.crashes) > 0 {
+		e.quarantined, changed = true, true
+		l.logCase("quarantined", r.Request, from)
 	}
 	if !changed {
 		return nil
@@ -148,4 +175,15 @@
 	return e
 }
 
+// crashes returns the crashes of a report that still count, on this VM's clock.
+func (r *Report) crashes(now time.Time) []Crash {
+	var out []Crash
+	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashes)] {
+		if c.EndedMs >= 0 && c.SentMs >= c.EndedMs && c.SentMs < forgottenAfter.Milliseconds() {
+			out = append(out, Crash{Replica: c.Replica, Sent: ago(now, c.SentMs), Ended: ago(now, c.EndedMs)})
+		}
+	}
+	return out
+}
+
 func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
