--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -36,13 +36,19 @@
 
 // startOn starts VMs on a network of the test's own.
 func startOn(t *testing.T, each int, network func(*lab.StandIns) func(settings.Settings) (string, string)) *world {
+	t.Helper()
+	return startWith(t, each, lab.StartOptions{}, network)
+}
+
+// startWith starts stand-ins with some options.
+func startWith(t *testing.T, each int, o lab.StartOptions, network func(*lab.StandIns) func(settings.Settings) (string, string)) *world {
 	t.Helper()
 	ex, err := lab.ReadExample("../../examples/solano")
 	if err != nil {
 		t.Fatal(err)
 	}
-	spec := lab.DefaultEngine
-	s, err := lab.Start(t.Context(), ex, lab.StartOptions{Domains: domains, Engine: spec})
+	o.Domains, o.Engine = domains, lab.DefaultEngine
+	s, err := lab.Start(t.Context(), ex, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -216,13 +216,12 @@
 		},
 	}
 	d.crashes = quarantine.NewLedger(d.Log, nil)
-	d.Forward.Crashes = &quarantine.Watch{
+	d.Forward.Guard = &quarantine.Guard{Rank: d.vms.rank, Watch: &quarantine.Watch{
 		Ledger: d.crashes,
 		Check: func(ctx context.Context, t ids.Target, addr string) quarantine.Liveness {
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
-	}
-	d.Forward.Rank = d.vms.rank
+	}}
 	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{
 		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,11 +107,8 @@
 	KV       *Planner
 	Weights  WantedWeights
 	Log      *eventlog.Log
-	// Crashes finds the requests that crash replicas. Nil: none are looked for.
-	Crashes *quarantine.Watch
-	// Rank tells how many living VMs come before this one for what one VM does for all, by
-	// a name. Nil: this VM is alone.
-	Rank func(name ids.Target) int
+	// Guard keeps requests that crash replicas from further ones. Nil: none are.
+	Guard *quarantine.Guard
 	// LearnWeights is told what weights a replica says it has.
 	LearnWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning       Tuning
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -38,8 +38,7 @@
 	stream   streamState
 	progress progress
 	proofAge time.Duration // of the catalog, when the call was judged by it
-	// fingerprint names the request over its repeats; nil: it was not needed yet.
-	fingerprint *quarantine.Fingerprint
+	guarded  quarantine.Call
 }
 
 // retryWhenReady is when a caller should come back to a VM that lacks something it
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -76,8 +76,8 @@
 	if r.catalog != nil {
 		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.proofAge.Milliseconds())
 	}
-	if r.fingerprint != nil {
-		line = line.Str("fingerprint", r.fingerprint.String())
+	if p := r.guarded.Printed(); p != "" {
+		line = line.Str("fingerprint", p)
 	}
 	if p := &r.progress; !p.first.IsZero() {
 		line = line.Int64("first_ms", p.first.Sub(r.received).Milliseconds()).Int64("sent_ms", p.sent.Sub(r.received).Milliseconds()).
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -28,6 +29,7 @@
 
 // serve runs attempts until the call is answered.
 func (r *run) serve(ctx context.Context) {
+	r.guard()
 	r.f.Budgets.Of(r.service).Deposit()
 	for {
 		err := r.attempt(ctx)
@@ -90,13 +92,13 @@
 	switch {
 	case ctx.Err() != nil, time.Until(r.ends) < leastLeft, r.sends >= maxSends:
 		return false
-	case err.Code == outcome.CodeNoTarget, err.Step == stepShed, err.Step == stepQuarantine:
+	case err.Code == outcome.CodeNoTarget, err.Step == stepShed, err.Step == quarantine.Step:
 		return false
 	case err.Outcome != outcome.NotRun && !r.repeatable():
 		return false
 	case r.begun && !r.route.Resumable:
 		return false
-	case r.quarantined() != nil:
+	case r.guarded.Refusal(false) != nil:
 		return false // this attempt's crash may have been the last that it took
 	case err.Step != stepDial && !r.f.Budgets.Of(r.service).Withdraw():
 		r.f.Stats.BudgetEmpty.Add(1)
@@ -116,7 +118,7 @@
 
 // attempt is one try: decide, send, judge, pass the answer on.
 func (r *run) attempt(ctx context.Context) *outcome.Error {
-	if refusal := r.quarantined(); refusal != nil {
+	if refusal := r.guarded.Refusal(r.sends == 0); refusal != nil {
 		return refusal
 	}
 	c, refusal := r.decide()
@@ -304,7 +306,7 @@
 	members := r.f.Fleet.Members
 	if err == nil {
 		if t.framed {
-			r.survived(r.status)
+			r.guarded.Answered(r.status)
 		}
 		if !r.superseded(c) {
 			members.Succeeded(c.target.ID)
--- a/internal/forward/weights_test.go
+++ b/internal/forward/weights_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -319,7 +318,7 @@
 	old := newStandIn(t, "old", ok("x"))
 	r := promptRoute()
 	tf := newFleet(t, r, old)
-	call := &run{f: tf.f, route: &r, req: httptest.NewRequest(http.MethodPost, "/x", http.NoBody)}
+	call := &run{f: tf.f, route: &r}
 	for range 5 {
 		call.learn(t.Context(), &try{c: &choice{target: routing.Target{ID: "old"}}}, outcome.Wrap(errOldWeights, outcome.Unknown, outcome.CodeUpstream, "send", "old", "withdrawn"))
 	}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,7 +28,10 @@
 	// it, given its settings.
 	Network func(settings.Settings) (storeURL, peerAddr string)
 
-	served []*Served
+	mu      sync.Mutex
+	closed  bool
+	served  []*Served
+	crashes []time.Time
 }
 
 // serviceDelay is how long a stand-in service works on a call.
@@ -44,6 +49,11 @@
 	// Only names the VMs to start, and "store" for the object API; empty is all.
 	// With it, each part can be a process of its own.
 	Only []string
+	// Fatal is a text whose presence in a request's body crashes whatever runs it; a
+	// crashed engine or service starts again after FatalRest as another incarnation, at
+	// the same address. Empty: none.
+	Fatal     string
+	FatalRest time.Duration
 	// RunsFile is where services append the key of each call that ran.
 	RunsFile string
 }
@@ -68,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.served = append(s.served, srv)
+		s.keep(srv)
 		s.StoreURL = "http://" + srv.Addr
 	}
 	for _, r := range ex.VMs {
@@ -108,28 +118,39 @@
 		s.Records = append(s.Records, r)
 		return nil
 	}
-	var srv *Served
-	var err error
+	var start func(inc ids.Incarnation) http.Handler
 	switch r.Role {
 	case platform.RoleEngine:
 		spec := o.Engine
 		spec.Model = r.Model
 		e := NewEngine(spec, inc)
 		s.Engines[r.ID] = e
-		srv, err = Serve(addr, e.Handler())
+		start = func(again ids.Incarnation) http.Handler {
+			if again != inc {
+				e = NewEngine(spec, again)
+			}
+			return e.Handler()
+		}
 	case platform.RoleService:
 		svc := NewService(r.Service, inc, serviceDelay)
 		svc.runsFile = o.RunsFile
 		s.Services[r.ID] = svc
-		srv, err = Serve(addr, svc.Handler())
+		start = func(again ids.Incarnation) http.Handler {
+			if again != inc {
+				svc = NewService(r.Service, again, serviceDelay)
+			}
+			return svc.Handler()
+		}
 	default:
 		s.Records = append(s.Records, r)
 		return nil
 	}
+	f := &fatal{text: o.Fatal, rest: o.FatalRest, s: s, start: start}
+	srv, err := f.serve(addr, inc)
 	if err != nil {
 		return err
 	}
-	s.served = append(s.served, srv)
+	s.keep(srv)
 	r.Addr, r.Incarnation, r.State, r.Weights = srv.Addr, inc, platform.StateLive, o.Engine.Weights
 	s.Records = append(s.Records, r)
 	return nil
@@ -182,11 +203,24 @@
 
 // Close ends all stand-ins.
 func (s *StandIns) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
 	for _, x := range s.served {
 		x.Close()
 	}
 }
 
+// keep notes what is to be closed in the end.
+func (s *StandIns) keep(srv *Served) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served = append(s.served, srv)
+	if s.closed {
+		srv.Close()
+	}
+}
+
 // Doubled returns how many keys ran more than once, and how many of those that
 // callers were told ran did not, or the other way round.
 func Doubled(runs map[string]int, res *Result) (doubled, untrue int) {
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -233,8 +233,10 @@
 				return c.state
 			}}
 			now := time.Now()
+			guard := &Guard{Watch: w}
 			for _, q := range []string{"one", "two", "one"} {
-				w.Broke(Run{Request: named(q), Target: "r", Incarnation: 1, Sent: now.Add(-time.Second), Broke: now})
+				call := guard.Call("id", Request{Body: []byte(q)})
+				call.Broke(Send{Target: "r", Incarnation: 1, Sent: now.Add(-time.Second), Broke: now}, false)
 			}
 			close(release)
 			for end := time.Now().Add(time.Second); w.Ledger.Empty() && time.Now().Before(end) && c.cases > 0; {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -22,16 +22,21 @@
 // String returns the state's name in logs.
 func (s Liveness) String() string { return [...]string{"unknown", "listens", "ended"}[s] }
 
-// Run is a send that broke off.
-type Run struct {
-	Request     Fingerprint
-	ID          ids.Request // of the caller's attempt
+// Send is a send that broke off.
+type Send struct {
 	Target      ids.Target
 	Addr        string // ip:port
 	Incarnation ids.Incarnation
 	Sent, Broke time.Time
 }
 
+// run is a send of a request.
+type run struct {
+	Send
+	request Fingerprint
+	id      ids.Request // of the caller's attempt
+}
+
 // Watch finds out whether replicas have ended under the runs that broke off there, and
 // notes those that have. Safe for concurrent use.
 type Watch struct {
@@ -40,19 +45,19 @@
 	Check func(ctx context.Context, t ids.Target, addr string) Liveness
 
 	mu   sync.Mutex
-	runs map[Replica][]Run // by the replica that is being looked at
+	runs map[Replica][]run // by the replica that is being looked at
 }
 
 // checkWithin bounds one look: what peers are to know in time must be known before.
 const checkWithin = time.Second
 
-// Broke looks whether the replica of a run has ended. It does not wait.
-func (w *Watch) Broke(r Run) {
+// broke looks whether the replica of a run has ended. It does not wait.
+func (w *Watch) broke(r run) {
 	name := ReplicaOf(r.Target, r.Incarnation)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.runs == nil {
-		w.runs = map[Replica][]Run{}
+		w.runs = map[Replica][]run{}
 	}
 	_, looking := w.runs[name]
 	w.runs[name] = append(w.runs[name], r)
@@ -62,7 +67,7 @@
 }
 
 // look checks a replica once for all runs that broke off there meanwhile.
-func (w *Watch) look(name Replica, r Run) {
+func (w *Watch) look(name Replica, r run) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkWithin)
 	defer cancel()
 	state := w.Check(ctx, r.Target, r.Addr)
@@ -73,20 +78,20 @@
 	w.Ledger.Log.Belief("replica-checked").Str("target", string(r.Target)).Uint64("incarnation", uint64(r.Incarnation)).
 		Str("state", state.String()).Int("broken_runs", len(runs)).Send()
 	if state == Ended {
-		w.Ended(runs)
+		w.ended(runs)
 	}
 }
 
-// Ended notes that the replica of these runs has ended.
-func (w *Watch) Ended(runs []Run) {
+// ended notes that the replica of these runs has ended.
+func (w *Watch) ended(runs []run) {
 	w.Ledger.Crashes.Add(1)
 	findings := make([]Finding, 0, len(runs))
 	for i := range runs {
 		r := &runs[i]
-		w.Ledger.Log.Request("crashed-under", string(r.ID)).Str("fingerprint", r.Request.String()).Str("target", string(r.Target)).
+		w.Ledger.Log.Request("crashed-under", string(r.id)).Str("fingerprint", r.request.String()).Str("target", string(r.Target)).
 			Uint64("incarnation", uint64(r.Incarnation)).Int64("ran_ms", r.Broke.Sub(r.Sent).Milliseconds()).Send()
 		crash := Crash{Replica: ReplicaOf(r.Target, r.Incarnation), Sent: r.Sent, Ended: r.Broke}
-		findings = append(findings, Finding{Request: r.Request, Crash: crash})
+		findings = append(findings, Finding{Request: r.request, Crash: crash})
 	}
 	w.Ledger.Crashed(findings...)
 }
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -27,28 +27,33 @@
 // Check finds out whether a replica still listens, by the connections to it that are idle
 // here or else by dialling. A replica that survived costs two dials at most.
 func (c *Client) Check(ctx context.Context, to Replica) quarantine.Liveness {
+	return check(ctx, func() quarantine.Liveness {
+		if c.pool(to.ID).sound() {
+			return quarantine.Listens
+		}
+		return dial(ctx, c.DialTimeout, to.Addr)
+	})
+}
+
+// CheckAddr finds out by dialling whether a replica still listens.
+func CheckAddr(ctx context.Context, timeout time.Duration, addr string) quarantine.Liveness {
+	return check(ctx, func() quarantine.Liveness { return dial(ctx, timeout, addr) })
+}
+
+func check(ctx context.Context, look func() quarantine.Liveness) quarantine.Liveness {
 	state := quarantine.Unknown
 	for _, pause := range checkPauses {
 		if !timing.Sleep(ctx, pause) {
 			return state
 		}
-		state = c.look(ctx, to)
-		if state == quarantine.Ended {
+		if state = look(); state == quarantine.Ended {
 			return state
 		}
 	}
 	return state
 }
 
-func (c *Client) look(ctx context.Context, to Replica) quarantine.Liveness {
-	if p := c.pool(to.ID); p.sound() {
-		return quarantine.Listens
-	}
-	return Dial(ctx, c.DialTimeout, to.Addr)
-}
-
-// Dial looks whether anything listens at an address.
-func Dial(ctx context.Context, timeout time.Duration, addr string) quarantine.Liveness {
+func dial(ctx context.Context, timeout time.Duration, addr string) quarantine.Liveness {
 	conn, err := sockets.Dialer(timeout).DialContext(ctx, "tcp", addr)
 	switch {
 	case err == nil:
