Prompts and service calls of threadwall's own interface are guarded, too

Change: dispatch and services ask the guard before each send and after each failure, and tell it what became of it; peers tell each other within the domain by news, between domains by the summary, and give a VM that starts what is quarantined. The refusal is 422, which no client tries again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/threadwall/threadwall/internal/confsync"
 	"github.com/threadwall/threadwall/internal/dispatch"
 	"github.com/threadwall/threadwall/internal/engine"
+	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/gateway"
 	"github.com/threadwall/threadwall/internal/hlc"
@@ -33,12 +35,14 @@
 	"github.com/threadwall/threadwall/internal/orders"
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/peers"
+	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/services"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/timing"
+	"github.com/threadwall/threadwall/internal/upstream"
 )
 
 // beliefCapacity is how many cache beliefs a VM holds: 2 MB of table, room for
@@ -61,6 +65,8 @@
 	Lease    *lease.Lease
 	Orders   *orders.Reconciler
 
+	events   *eventlog.Log // what is decided about requests that crash targets
+	crashes  *quarantine.Ledger
 	ready    readiness
 	probes   probeState
 	callers  *http.Server
@@ -107,7 +113,9 @@
 			cacheview.New(beliefCapacity, nil), loadview.New(), policy, nil),
 		Engine:  engine.NewClient(s.DialTimeout.D()),
 		Settler: claims.NewSettler(store),
+		events:  eventlog.New(cmp.Or[io.Writer](o.LogTo, io.Discard), map[string]string{"vm": string(s.VM)}),
 	}
+	d.crashes = quarantine.NewLedger(d.events, nil)
 	d.build()
 	return d, nil
 }
@@ -121,13 +129,19 @@
 	d.Node = &peers.Node{
 		VM: s.VM, Domain: s.FailureDomain, Incarnation: ids.Incarnation(time.Now().UnixMilli()),
 		Fleet: d.Fleet, Shares: shares, Events: d.Events,
-		Config: confsync.New(d.Config.Adopt),
+		Config: confsync.New(d.Config.Adopt), Crashes: d.crashes,
 	}
+	guard := &quarantine.Guard{Rank: d.Node.FleetRank, Watch: &quarantine.Watch{
+		Ledger: d.crashes,
+		Check: func(ctx context.Context, _ ids.Target, addr string) quarantine.Liveness {
+			return upstream.CheckAddr(ctx, s.DialTimeout.D(), addr)
+		},
+	}}
 	d.Node.Platform = confsync.New(d.Node.AdoptPlatform)
 	d.Node.Init()
 	runner := &services.Runner{
 		Fleet: d.Fleet, Ledger: claims.NewLedger(d.Store, s.VM, d.Settler, nil), Events: d.Events,
-		Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil), Domain: s.FailureDomain,
+		Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil), Domain: s.FailureDomain, Guard: guard,
 	}
 	runner.Init(s.DialTimeout.D())
 	d.Gateway = &gateway.Gateway{
@@ -136,7 +150,7 @@
 		Dispatcher: &dispatch.Dispatcher{
 			Fleet: d.Fleet, Engine: d.Engine, Events: d.Events, Gate: d.Limiter,
 			Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil),
-			VM:     s.VM, Domain: s.FailureDomain, Idle: s.IdleTimeout.D(), Stats: &dispatch.Stats{},
+			Guard:  guard, VM: s.VM, Domain: s.FailureDomain, Idle: s.IdleTimeout.D(), Stats: &dispatch.Stats{},
 		},
 	}
 	d.Lease = lease.New(d.Store, "orders/"+string(s.FailureDomain), s.VM, lease.DefaultTuning, nil)
@@ -226,6 +240,7 @@
 	d.duties.Wait()
 	d.Node.Close()
 	d.Log.Info().Str("step", "stop").Msg("threadwalld stopped")
+	d.events.Close()
 	return nil
 }
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -220,6 +220,7 @@
 
 func (d *Daemon) forget(ctx context.Context) {
 	for timing.Sleep(ctx, forgetEvery) {
+		d.crashes.Sweep()
 		if n := d.Fleet.Members.Forget(time.Now()); n > 0 {
 			d.Events.Record(timeline.Event{Kind: timeline.KindMember, Text: "members that are gone were forgotten"}, nil)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/cacheview"
@@ -22,6 +23,7 @@
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timeline"
@@ -52,6 +54,8 @@
 	Events *timeline.Log
 	Budget *retry.Budget
 	Gate   Gate
+	// Guard keeps prompts that crash targets from further ones. Nil: none are.
+	Guard  *quarantine.Guard
 	VM     ids.VM
 	Domain ids.FailureDomain
 	Idle   time.Duration // longest silence of a target within an answer
@@ -75,6 +79,8 @@
 	attempts int
 	started  bool // something was delivered
 	mayRan   bool // an attempt ended in another way than not-run
+	guarded  quarantine.Call
+	hungUp   bool // the current attempt's target ended its connection
 	text     deliveredText
 	prior    cacheview.Prior // of the current attempt's target
 }
@@ -86,6 +92,7 @@
 	defer cancel()
 	d.Budget.Deposit()
 	r := &run{d: d, p: p, sink: sink}
+	r.guarded = d.Guard.Call(p.Request, quarantine.Request{Workspace: p.Workspace, Method: http.MethodPost, URI: p.Path, Body: p.body})
 	for {
 		err := r.attempt(ctx)
 		if err == nil {
@@ -104,8 +111,10 @@
 	switch {
 	case ctx.Err() != nil, r.attempts >= maxAttempts:
 		return false
-	case e.Code == outcome.CodeNoTarget, e.Code == outcome.CodeOverloaded:
+	case e.Code == outcome.CodeNoTarget, e.Code == outcome.CodeOverloaded, e.Step == quarantine.Step:
 		return false
+	case r.guarded.Refusal(false) != nil:
+		return false // this attempt's crash may have been the last that it took
 	case errors.As(err, &caller) && e.Outcome == outcome.Ran:
 		return false
 	case r.started && !r.p.Template.Continue:
@@ -129,7 +138,7 @@
 		// The last attempt did not run; an earlier one may have.
 		e = outcome.Wrap(err, outcome.Unknown, e.Code, e.Step, e.Peer, e.Message).After(e.RetryAfter)
 	}
-	if e.Outcome == outcome.NotRun && e.RetryAfter == 0 {
+	if e.Outcome == outcome.NotRun && e.RetryAfter == 0 && e.Code != outcome.CodeQuarantined {
 		e.RetryAfter = retryNoTarget
 	}
 	if r.started {
@@ -140,6 +149,9 @@
 
 // attempt is one try: decide, send, relay.
 func (r *run) attempt(ctx context.Context) error {
+	if refusal := r.guarded.Refusal(r.attempts == 0); refusal != nil {
+		return refusal
+	}
 	choice, err := r.decide()
 	if err != nil {
 		return err
@@ -156,12 +168,31 @@
 	defer work.End()
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindAttempt, Request: r.p.Request, Attempt: call.Attempt, Peer: string(call.Target), Text: "begin"}, nil)
 	r.d.Stats.Attempts.Add(1)
+	sent := time.Now()
+	r.hungUp = false
 	err = r.send(ctx, call, choice, work)
+	r.guard(ctx, choice, sent, err)
 	r.mayRan = r.mayRan || err != nil && outcome.Of(err).Outcome != outcome.NotRun
 	r.learn(ctx, call, err)
 	return err
 }
 
+// guard tells what an attempt says of the request: that a target answered it and lives, or
+// that one hung up on it and may have ended.
+func (r *run) guard(ctx context.Context, c choice, sent time.Time, err error) {
+	var caller *engine.CallerError
+	switch {
+	case err == nil:
+		r.guarded.Answered(http.StatusOK)
+	case errors.As(err, &caller):
+		r.guarded.Answered(caller.Status)
+	case r.hungUp && ctx.Err() == nil && !errors.Is(err, errCallerGone) && r.d.Fleet.Members.State(c.target.ID, time.Now()) != routing.Leaving:
+		r.guarded.Broke(quarantine.Send{
+			Target: c.target.ID, Addr: c.target.Addr, Incarnation: c.target.Incarnation, Sent: sent, Broke: time.Now(),
+		}, false)
+	}
+}
+
 // choice is a decided target.
 type choice struct {
 	target routing.Target
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -22,6 +22,7 @@
 	Levels    []prefix.Level
 	Tokens    int32
 
+	body      []byte                     // as the caller sent it
 	fields    map[string]json.RawMessage // of the body to the target
 	wantUsage bool                       // the caller asked for usage in the stream
 }
@@ -88,7 +89,7 @@
 		return nil, eris.Errorf("the body is not valid JSON: %v", err)
 	}
 	p := &Prompt{
-		Request: req, Workspace: ws, Path: path, Stream: head.Stream,
+		Request: req, Workspace: ws, Path: path, Stream: head.Stream, body: body,
 		wantUsage: head.StreamOptions.IncludeUsage,
 	}
 	if err := json.Unmarshal(body, &p.fields); err != nil {
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -54,6 +54,7 @@
 	outcome.CodeInProgress:      http.StatusConflict,
 	outcome.CodeOutcomeUnknown:  http.StatusConflict,
 	outcome.CodeNotReady:        http.StatusServiceUnavailable,
+	outcome.CodeQuarantined:     http.StatusUnprocessableEntity, // no client tries that again
 }
 
 func (g *Gateway) mark(c *gin.Context, req ids.Request, o outcome.Outcome) {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -23,6 +23,7 @@
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/peerpb"
 	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/ring"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timeline"
@@ -47,6 +48,8 @@
 	Platform    *confsync.Store
 	Shares      *admission.Shares
 	Events      *timeline.Log
+	// Crashes are the requests under which targets crashed. Nil: peers are told of none.
+	Crashes *quarantine.Ledger
 
 	Leaving  atomic.Bool
 	outbox   *gossip.Outbox
@@ -144,7 +147,7 @@
 		last.Prefixes = append(last.Prefixes, uint64(b.ID))
 		last.Work = uint32(b.Work)
 	}
-	return n.outbox.Waiting()
+	return n.outbox.Waiting() || n.Crashes.Waiting()
 }
 
 // Tell sends the news at hand to every peer of the domain. The heartbeat goes
@@ -158,7 +161,9 @@
 		news.Beat = b
 	}
 	n.outbox.Fill(news, newsBytes)
-	for _, t := range n.tellersOf(ctx) {
+	tellers := n.tellersOf(ctx)
+	news.Suspects = suspectsProto(n.Crashes.Due(len(tellers)))
+	for _, t := range tellers {
 		t.ring.TryPut(news)
 	}
 }
@@ -202,6 +207,7 @@
 		Vm: string(n.VM), Incarnation: uint64(n.Incarnation), Hlc: uint64(n.Events.Clock().Now()),
 		Beat: n.beat(), FailureDomain: string(n.Domain),
 	}
+	s.Suspects = suspectsProto(n.Crashes.All())
 	for ws, rate := range n.Shares.DomainDemand(farPrefix) {
 		s.Demands = append(s.Demands, &peerpb.Demand{Workspace: ws, Decirequests: uint32(rate * 10)})
 	}
@@ -228,6 +234,7 @@
 func (n *Node) absorbSummary(s *peerpb.Summary, addr string) {
 	n.Events.Clock().Observe(hlc.Stamp(s.Hlc))
 	n.heard(ids.VM(s.Vm), s.Incarnation, s.Beat, addr)
+	n.heardSuspects(ids.VM(s.Vm), s.Suspects, true)
 	n.Shares.Hello(farPrefix + s.FailureDomain)
 	for _, d := range s.Demands {
 		n.Shares.Told(farPrefix+s.FailureDomain, d.Workspace, float64(d.Decirequests)/10)
@@ -240,6 +247,7 @@
 	if m.Beat != nil {
 		n.heard(vm, incarnation, m.Beat, "")
 	}
+	n.heardSuspects(vm, m.Suspects, false)
 	for _, r := range m.Reports {
 		n.reported(r)
 	}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -64,7 +64,7 @@
 	defer n.gate.Release(1)
 	out := &peerpb.StateSnapshot{
 		Config: snapshotProto(n.Config.Since(0)), Platform: snapshotProto(n.Platform.Since(0)),
-		Hlc: uint64(n.Events.Clock().Now()), Vms: n.knownVMs(r.Vm),
+		Hlc: uint64(n.Events.Clock().Now()), Vms: n.knownVMs(r.Vm), Suspects: suspectsProto(n.Crashes.All()),
 	}
 	for _, t := range n.Fleet.Members.Targets(time.Now()) {
 		if report := t.Report; report.Seq > 0 {
@@ -114,6 +114,7 @@
 		}
 	}
 	n.Fleet.Refresh()
+	n.heardSuspects(ids.VM(addr), snap.Suspects, false)
 	n.Events.Clock().Observe(hlc.Stamp(snap.Hlc))
 	for _, v := range snap.Vms {
 		n.heard(ids.VM(v.Vm), v.Incarnation, v.Beat, "")
--- /dev/null
+++ b/internal/peers/suspects.go
@@ -0,0 +1,60 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/peerpb"
+	"github.com/threadwall/threadwall/internal/quarantine"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// suspectsProto renders what is told of requests under which targets crashed.
+func suspectsProto(reports []quarantine.Report) []*peerpb.Suspect {
+	out := make([]*peerpb.Suspect, 0, len(reports))
+	for i := range reports {
+		r := &reports[i]
+		s := &peerpb.Suspect{Fingerprint: r.Request[:], Answers: r.Answers, Trials: r.Trials, Quarantined: r.Quarantined}
+		for _, c := range r.Crashes {
+			s.Crashes = append(s.Crashes, &peerpb.Crash{Target: uint64(c.Replica), SentMs: uint64(c.SentMs), EndedMs: uint64(c.EndedMs)})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// heardSuspects takes in what a peer tells of them. One whose fingerprint has another length
+// is left out.
+func (n *Node) heardSuspects(from ids.VM, suspects []*peerpb.Suspect, passOn bool) {
+	if n.Crashes == nil || len(suspects) == 0 {
+		return
+	}
+	reports := make([]quarantine.Report, 0, len(suspects))
+	for _, s := range suspects {
+		r := quarantine.Report{Answers: s.Answers, Trials: s.Trials, Quarantined: s.Quarantined}
+		if copy(r.Request[:], s.Fingerprint) != len(r.Request) {
+			continue
+		}
+		for _, c := range s.Crashes {
+			r.Crashes = append(r.Crashes, quarantine.ReportedCrash{
+				Replica: quarantine.Replica(c.Target), SentMs: int64(c.SentMs), EndedMs: int64(c.EndedMs),
+			})
+		}
+		reports = append(reports, r)
+	}
+	n.Crashes.Heard(from, reports, passOn)
+}
+
+// FleetRank is how many VMs come before this one for what one VM of the fleet does, by
+// rendezvous. Those of other domains count as alive: who waits for one that is not loses
+// time, and no more.
+func (n *Node) FleetRank(name ids.Target) int {
+	own, before := routing.VMWeight(name, n.VM), 0
+	for _, p := range n.Fleet.Members.Peers(time.Now()) {
+		alive := p.State >= routing.Joining || p.FailureDomain != n.Domain
+		if p.ID != n.VM && alive && routing.VMWeight(name, p.ID) > own {
+			before++
+		}
+	}
+	return before
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -19,10 +20,15 @@
 	return Replica(xxh3.HashStringSeed(string(t), uint64(inc)))
 }
 
+// next names an incarnation that came after this one and is not known by its number.
+func (r Replica) next() Replica {
+	return Replica(xxh3.Hash(binary.BigEndian.AppendUint64(nil, uint64(r))))
+}
+
 // Crash is the end of a replica while it ran a request.
 type Crash struct {
 	Replica Replica
-	Sent    time.Time // of the run that ended with it; the last one, if there were several
+	Sent    time.Time // of the run that ended with it
 	Ended   time.Time
 }
 
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -221,13 +221,17 @@
 
 // add takes a crash in; false: it was known.
 func (e *entry) add(c Crash) bool {
-	i := slices.IndexFunc(e.crashes, func(k Crash) bool { return k.Replica == c.Replica })
-	if i >= 0 {
-		known := &e.crashes[i]
-		if c.Sent.After(known.Sent) {
-			known.Sent = c.Sent // a detail that peers need not be told
+	for {
+		known := e.crashOf(c.Replica)
+		if known == nil {
+			break
 		}
-		return false
+		if !c.Sent.After(known.Ended.Add(agesDiffer)) {
+			return false
+		}
+		// The replica has started again under its name, and this VM took it for the
+		// incarnation before.
+		c.Replica = c.Replica.next()
 	}
 	e.crashes = append(e.crashes, c)
 	slices.SortFunc(e.crashes, func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
@@ -237,6 +241,20 @@
 	return true
 }
 
+// agesDiffer is by how much VMs differ about when something was: ages in messages grow on
+// their way.
+const agesDiffer = 100 * time.Millisecond
+
+// crashOf returns what is known of a replica's end; nil: nothing.
+func (e *entry) crashOf(r Replica) *Crash {
+	for i := range e.crashes {
+		if e.crashes[i].Replica == r {
+			return &e.crashes[i]
+		}
+	}
+	return nil
+}
+
 // last returns when the last crash was; the zero time: there is none.
 func (e *entry) last() time.Time {
 	if len(e.crashes) == 0 {
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -127,6 +127,30 @@
 	}
 }
 
+// TestStartsAgainUnknown crashes a target again and again that starts again under its name,
+// before the VMs know of the new incarnation: each end counts, at all VMs, and once.
+func TestStartsAgainUnknown(t *testing.T) {
+	c := newClock()
+	a, b := c.ledger(), c.ledger()
+	for i, l := range []*Ledger{a, b, a} {
+		c.crash(l, "q", "same")
+		report := l.Due(1)
+		for _, other := range []*Ledger{a, b} {
+			c.now = c.now.Add(20 * time.Millisecond)
+			other.Heard("p", report, false)
+			other.Heard("p", report, false)
+		}
+		for _, l := range []*Ledger{a, b} {
+			if n := len(l.cases[named("q")].crashes); n != i+1 {
+				t.Fatalf("%d crashes are known after %d", n, i+1)
+			}
+		}
+	}
+	if !quarantined(a, "q") || !quarantined(b, "q") {
+		t.Error("not quarantined")
+	}
+}
+
 // TestLedgersAgree tells the same crashes in any order, twice, and by way of others.
 func TestLedgersAgree(t *testing.T) {
 	c := newClock()
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,6 +92,39 @@
 	}
 }
 
+// All returns what a VM that knows nothing is to be told: what is quarantined, and the
+// latest of the rest.
+func (l *Ledger) All() []Report {
+	if l.Empty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := slices.Collect(maps.Keys(l.cases))
+	slices.SortFunc(all, func(a, b Fingerprint) int { return -l.cases[a].compare(l.cases[b]) })
+	all = all[:min(len(all), maxTold)]
+	out := make([]Report, 0, len(all))
+	for _, f := range all {
+		out = append(out, l.cases[f].report(f, l.now()))
+	}
+	return out
+}
+
+// Waiting tells whether something is to be told.
+func (l *Ledger) Waiting() bool {
+	if l.Empty() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.cases {
+		if e.copies > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // retell returns the quarantined request whose turn it is to be told again. The lock is
 // held.
 func (l *Ledger) retell(now time.Time, peers int) (Fingerprint, bool) {
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -21,9 +21,11 @@
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timeline"
+	"github.com/threadwall/threadwall/internal/upstream"
 )
 
 // HeaderIdempotencyKey is the caller's name for a call, passed on to targets.
@@ -47,6 +49,8 @@
 	ContentType string
 	Body        []byte
 	Key         string
+
+	guarded quarantine.Call
 }
 
 // Runner runs service calls. Safe for concurrent use.
@@ -55,6 +59,8 @@
 	Ledger *claims.Ledger
 	Events *timeline.Log
 	Budget *retry.Budget
+	// Guard keeps calls that crash targets from further ones. Nil: none are.
+	Guard  *quarantine.Guard
 	Domain ids.FailureDomain
 	http   *http.Client
 }
@@ -80,6 +86,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Template.Deadline.D())
 	defer cancel()
 	r.Budget.Deposit()
+	c.guarded = r.Guard.Call(c.Request, quarantine.Request{Workspace: c.Workspace, Method: c.Method, URI: c.Template.Service + c.Path, Body: c.Body})
+	if refusal := c.guarded.Refusal(true); refusal != nil {
+		return nil, refusal // before it is claimed: it will not run
+	}
 	if c.Template.Repeatable {
 		return r.repeatable(ctx, c)
 	}
@@ -101,7 +111,7 @@
 			// The last attempt did not run; an earlier one may have.
 			e = outcome.Wrap(err, outcome.Unknown, e.Code, e.Step, e.Peer, e.Message).After(e.RetryAfter)
 		}
-		if len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || !r.Budget.Withdraw() {
+		if len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || c.guarded.Refusal(false) != nil || !r.Budget.Withdraw() {
 			return nil, e
 		}
 	}
@@ -149,7 +159,7 @@
 			return a, nil
 		}
 		e := outcome.Of(err)
-		if e.Outcome != outcome.NotRun || len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || !r.Budget.Withdraw() {
+		if e.Outcome != outcome.NotRun || len(tried) >= maxAttempts || target == "" || ctx.Err() != nil || c.guarded.Refusal(false) != nil || !r.Budget.Withdraw() {
 			return nil, e
 		}
 	}
@@ -189,11 +199,24 @@
 	work := r.Fleet.Load.Sent(target.ID, 0, time.Now())
 	defer work.End()
 	r.Events.Record(timeline.Event{Kind: timeline.KindAttempt, Request: c.Request, Attempt: attempt, Peer: string(target.ID), Text: "begin"}, nil)
+	sent := time.Now()
 	a, err := r.send(ctx, c, attempt, target)
+	r.guard(ctx, c, target, sent, a, err)
 	r.learn(ctx, c, attempt, target.ID, err)
 	return a, target.ID, err
 }
 
+// guard tells what an attempt says of the request: that a target answered it and lives, or
+// that one hung up on it and may have ended.
+func (r *Runner) guard(ctx context.Context, c *Call, t routing.Target, sent time.Time, a *claims.Answer, err error) {
+	switch {
+	case err == nil:
+		c.guarded.Answered(a.Status)
+	case upstream.HungUp(err) && ctx.Err() == nil && r.Fleet.Members.State(t.ID, time.Now()) != routing.Leaving:
+		c.guarded.Broke(quarantine.Send{Target: t.ID, Addr: t.Addr, Incarnation: t.Incarnation, Sent: sent, Broke: time.Now()}, false)
+	}
+}
+
 func (r *Runner) pick(c *Call, tried []ids.Target) (routing.Target, error) {
 	sc := r.Fleet.Acquire()
 	defer r.Fleet.Release(sc)
