--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -29,6 +29,12 @@
 		known[calls[i].id] = true
 		c.call(&calls[i])
 	}
+	for _, repeats := range w.fatal {
+		for _, k := range repeats {
+			known[k.id] = true
+		}
+	}
+	c.fatalBound()
 	for id := range c.runs {
 		if !known[id] {
 			c.say("request %s ran, and no caller sent it", id)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,9 @@
 		for _, p := range w.vms {
 			p.signal(syscall.SIGKILL)
 		}
+		w.mu.Lock()
+		w.wiped = append(w.wiped, time.Now())
+		w.mu.Unlock()
 		sleep(rng, 500*time.Millisecond)
 		for _, p := range w.vms {
 			w.restart(p, syscall.SIGKILL, rng)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -59,8 +59,11 @@
 	keys      [keyCount]string
 	keyNumber int
 	weights   int
-	trouble   time.Time // when anything but a VM's own trouble last began or ended
-	active    int       // such troubles that go on
+	fatal     map[string][]fatalCall // repeats, by their body
+	crashes   int                    // of replicas, under them
+	wiped     []time.Time            // when all VMs were killed
+	trouble   time.Time              // when anything but a VM's own trouble last began or ended
+	active    int                    // such troubles that go on
 }
 
 // replica is a stand-in behind a proxy.
@@ -98,7 +101,7 @@
 
 // newWorld starts everything: vms processes, engines and service replicas.
 func newWorld(dir, program string, vms, directFleet int) (*world, error) {
-	w := &world{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, born: map[string]time.Time{}, left: map[string]time.Time{}, weights: 1}
+	w := &world{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, born: map[string]time.Time{}, left: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1}
 	w.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -152,6 +155,7 @@
 		r.Model, r.Pieces, r.Pause = model, pieces, 5*time.Millisecond
 		r.SetVersion(w.weights)
 	}
+	r.Fatal = &platformlab.Fatal{Body: fatalBody, Work: fatalWork, Crashed: func(*platformlab.Replica) { w.crashUnder(r) }}
 	w.mu.Unlock()
 	if err := r.Listen(w.ledger); err != nil {
 		return err
