--- a/spec/check.sh
+++ b/spec/check.sh
@@ -32,6 +32,7 @@
 holds lease -DPAUSES
 bites lease -DNO_WAITOUT
 bites lease -DFROM_END
+bites lease -DSTANDS_STILL
 bites lease -DPAUSES -DNO_FENCE
 holds config
 bites config -DNO_MONOTONE
@@ -42,3 +43,4 @@
 bites proof -DFROM_NEWS
 bites proof -DNO_AGE
 bites proof -DEARLY_CHECK
+bites proof -DSTANDS_STILL
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -1,8 +1,8 @@
 /* The orders lease, as internal/lease and internal/orders do it, in ticks.
  *
  * Two VMs try for the lease; each renews, is paused, and sends orders that take
- * time. Time is one global tick, which both clocks count equally fast; each VM
- * knows only spans on its own.
+ * time. Time is one global tick, which both clocks count equally fast, also while
+ * a VM is suspended; each VM knows only spans on its own.
  *
  *   here                      in the code
  *   tryLease                  lease.Lease.Try
@@ -18,6 +18,7 @@
  * Switches, each of which must make a check fail:
  *   NO_WAITOUT   a successor does not wait for orders in flight
  *   FROM_END     a lease counts from the answer, not from before the write
+ *   STANDS_STILL a VM's clock may not count time in which the VM is suspended
  *   NO_FENCE     the target that checks fencing numbers does not (with PAUSES)
  */
 
@@ -46,12 +47,21 @@
 bool stale = false;   /* it followed an old number after a newer one */
 bool overlap = false;
 
+#ifdef STANDS_STILL
+byte stood[3];        /* how long the VM's clock has stood still */
+#define OWN (now - stood[me])
+#define STAND if :: stood[1]++ :: skip fi; if :: stood[2]++ :: skip fi
+#else
+#define OWN now
+#define STAND skip
+#endif
+
 /* Time passes only when nobody is within a step: the steps' own time is drawn as
    explicit ticks in them. */
 active proctype time() {
 end:
   do
-  :: atomic { now < HORIZON -> now++; if :: now >= busyUntil -> busyFence = 0; busyUntil = 0 :: else fi }
+  :: atomic { now < HORIZON -> now++; STAND; if :: now >= busyUntil -> busyFence = 0; busyUntil = 0 :: else fi }
   od
 }
 
@@ -61,7 +71,7 @@
   :: now >= HORIZON -> break
 
   :: /* tryLease: read */
-     atomic { now != lastTry && version < WRITES -> lastTry = now; began = now; v = version; f = fence };
+     atomic { now != lastTry && version < WRITES -> lastTry = now; began = OWN; v = version; f = fence };
      if
      :: holder == me && v > 0 -> skip
      :: holder != me && v > 0 ->
@@ -83,18 +93,18 @@
        fi
      };
 #ifdef FROM_END
-     until = now + DURATION - MARGIN;
+     until = OWN + DURATION - MARGIN;
 #else
      until = began + DURATION - MARGIN;
 #endif
-next: atomic { began = 0; v = 0; f = 0; if :: now >= until -> until = 0 :: else fi }
+next: atomic { began = 0; v = 0; f = 0; if :: OWN >= until -> until = 0 :: else fi }
 
   :: /* an order, begun while the token holds */
 #ifdef PAUSES
-     (now < until);
+     (OWN < until);
      /* paused between look and send */
 #else
-     atomic { now < until ->
+     atomic { OWN < until ->
        if :: busyFence != 0 && busyFence != myFence && now < busyUntil -> overlap = true :: else fi;
        busyFence = myFence; busyUntil = now + ORDER };
 #endif
--- a/spec/proof.pml
+++ b/spec/proof.pml
@@ -16,6 +16,7 @@
  *   FROM_NEWS     a reader counts a peer's age from the arrival of its answer
  *   NO_AGE        a reader takes a peer's answer for as new as its question
  *   EARLY_CHECK   a request is admitted by a judgement made before it came
+ *   STANDS_STILL  a VM's clock may not count time in which the VM is suspended
  */
 
 #define TTL   2
@@ -29,12 +30,23 @@
 byte proof[2];       /* when what the VM has was the newest; VMs begin with a proof at 0 */
 bool sure[2];        /* the last judgement, for EARLY_CHECK */
 
-#define FRESH(i) (!knows[i] && now - proof[i] < TTL)
+#ifdef STANDS_STILL
+byte stood[2];       /* how long the VM's clock has stood still */
+#define OWN(i) (now - stood[i])
+#else
+#define OWN(i) now
+#endif
+
+#define FRESH(i) (!knows[i] && OWN(i) - proof[i] < TTL)
 
 active proctype clock() {
 end:
   do
+#ifdef STANDS_STILL
+  :: atomic { now < MAXT -> now++; if :: stood[0]++ :: skip fi; if :: stood[1]++ :: skip fi }
+#else
   :: atomic { now < MAXT -> now++ }
+#endif
   od
 }
 
@@ -47,12 +59,12 @@
   byte sent; bool gone;
 end:
   do
-  :: sent = now;
+  :: sent = OWN(0);
      gone = (takenAt != NEVER);
      atomic {
        knows[0] = knows[0] || gone;
 #ifdef FROM_ANSWER
-       proof[0] = now;
+       proof[0] = OWN(0);
 #else
        if
        :: sent > proof[0] -> proof[0] = sent
@@ -69,12 +81,12 @@
   byte sent, age, at; bool gone;
 end:
   do
-  :: sent = now;
-     atomic { gone = knows[0]; age = now - proof[0] }
+  :: sent = OWN(1);
+     atomic { gone = knows[0]; age = OWN(0) - proof[0] }
      atomic {
        knows[1] = knows[1] || gone;
 #ifdef FROM_NEWS
-       at = now - age;
+       at = OWN(1) - age;
 #else
 #ifdef NO_AGE
        at = sent;
