Soak: VMs that are suspended; a trial of a quarantined request is not spent where no replica can take it

TestTrialWaitsForAReplica: the trial was used up by a call that found no replica, and a request that was quarantined for nothing stayed so for ten minutes.

--- a/cmd/threadwalld/edge.go
+++ b/cmd/threadwalld/edge.go
@@ -5,9 +5,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/fx"
 
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/edge"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/platform"
@@ -21,6 +23,9 @@
 // read again at SIGHUP.
 func runEdge(s settings.Settings, path string) error {
 	debug.SetMemoryLimit(int64(float64(s.Edge.MemoryMB<<20) * heapShare))
+	if d := s.Edge.TestSuspension.D(); d > 0 {
+		go suspendAtSignal(d)
+	}
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	app := fx.New(
@@ -38,3 +43,12 @@
 	app.Run()
 	return nil
 }
+
+// suspendAtSignal lets the VM seem to have been suspended for d at each SIGUSR2.
+func suspendAtSignal(d time.Duration) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR2)
+	for range signals {
+		clock.Skip(d)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -157,6 +157,9 @@
 	if err != nil {
 		return err
 	}
+	if refusal := r.guarded.Sending(r.attempts == 0); refusal != nil {
+		return refusal
+	}
 	r.attempts++
 	r.tried = append(r.tried, choice.target.ID)
 	call := &engine.Call{
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/quarantine"
@@ -206,3 +207,29 @@
 		})
 	}
 }
+
+// TestTrialWaitsForAReplica asks for a quarantined request whose trial is due while no replica
+// can take it: the trial is kept for a time when one can, and lifts the quarantine.
+func TestTrialWaitsForAReplica(t *testing.T) {
+	const trialDue = 15 * time.Second
+	clock.Skip(trialDue)
+	defer clock.Skip(-trialDue)
+	s := newStandIn(t, "a", ok("fine"))
+	tf := newFleet(t, route(catalog.Once, 1), s)
+	ledger := tf.watchCrashes()
+	quarantineHello(ledger, 3)
+	tf.f.Fleet.Members.Platform(nil, clock.Now()) // with what follows it counts as dead
+	tf.f.Fleet.Members.Busy("a", clock.Now().Add(time.Hour))
+	tf.f.Fleet.Refresh()
+	if resp, _, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("without a replica: got %v, %v", resp, err)
+	}
+	tf.f.Fleet.Members.Platform([]platform.Record{recordOf("a", s.addr, 1)}, clock.Now())
+	tf.f.Fleet.Members.Ready("a")
+	tf.f.Fleet.Refresh()
+	for i := range 3 {
+		if resp, _, err := tf.ask(t); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("call %d with a replica: got %v, %v", i, resp, err)
+		}
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -123,6 +123,9 @@
 		return refusal
 	}
 	c, refusal := r.decide()
+	if refusal == nil {
+		refusal = r.guarded.Sending(r.sends == 0) // a trial is not spent where no replica can take it
+	}
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -58,16 +58,26 @@
 }
 
 // Refusal refuses a call whose request crashes replicas, or returns nil. It is asked before
-// each send: the bounds on repeats count within one call, and such a request that came
-// again under a new id each time ended 48 replicas in six seconds, 3 to 9 with it. first
-// is set for the first send of a call, which may be a trial.
+// a replica is chosen: the bounds on repeats count within one call, and such a request that
+// came again under a new id each time ended 48 replicas in six seconds, 3 to 10 with it.
+// first is set before the first send of a call, which may be a trial.
 func (c *Call) Refusal(first bool) *outcome.Error {
+	return c.refusal(first, (*Ledger).TrialDue)
+}
+
+// Sending refuses as Refusal does, when a replica is chosen. A trial is used up by it; one
+// that no replica could take is not.
+func (c *Call) Sending(first bool) *outcome.Error {
+	return c.refusal(first, (*Ledger).Trial)
+}
+
+func (c *Call) refusal(first bool, trial func(l *Ledger, f Fingerprint, rank int) bool) *outcome.Error {
 	ledger := c.ledger()
 	if ledger.Empty() {
 		return nil
 	}
 	crashes, yes := ledger.Quarantined(c.Fingerprint())
-	if !yes || first && ledger.Trial(c.Fingerprint(), c.rank()) {
+	if !yes || first && trial(ledger, c.Fingerprint(), c.rank()) {
 		return nil
 	}
 	return outcome.New(outcome.NotRun, outcome.CodeQuarantined, Step, "",
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -99,22 +99,35 @@
 	return len(e.crashes), true
 }
 
-// Trial tells whether a quarantined request may be sent once, and notes that it is. rank is
-// how many living VMs come before this one for that; each waits for those before it, which
-// may not get the request.
+// TrialDue tells whether a quarantined request may be sent once. rank is how many living VMs
+// come before this one for that; each waits for those before it, which may not get the
+// request.
+func (l *Ledger) TrialDue(f Fingerprint, rank int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trialDue(f, rank)
+}
+
+// Trial is TrialDue, and notes that the request is sent.
 func (l *Ledger) Trial(f Fingerprint, rank int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.cases[f]
-	if e == nil || e.trials >= maxTrials || l.now().Sub(e.last()) < time.Duration(rank+1)*trialAfter {
+	if !l.trialDue(f, rank) {
 		return false
 	}
+	e := l.cases[f]
 	e.trials++
 	e.changed, e.copies = l.now(), ownCopies
 	l.logCase("quarantine-trial", f, "")
 	return true
 }
 
+// trialDue is TrialDue. The lock is held.
+func (l *Ledger) trialDue(f Fingerprint, rank int) bool {
+	e := l.cases[f]
+	return e != nil && e.trials < maxTrials && l.now().Sub(e.last()) >= time.Duration(rank+1)*trialAfter
+}
+
 // Counts returns how many requests are remembered, and how many of them are quarantined.
 func (l *Ledger) Counts() (cases, quarantined int) {
 	l.mu.Lock()
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -196,6 +196,9 @@
 	if err != nil {
 		return nil, "", err
 	}
+	if refusal := c.guarded.Sending(len(tried) == 0); refusal != nil {
+		return nil, "", refusal
+	}
 	r.Fleet.Members.Trying(target.ID, clock.Now())
 	work := r.Fleet.Load.Sent(target.ID, 0, clock.Now())
 	defer work.End()
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -47,6 +47,9 @@
 	// tree of VMs: told one by one, loads would be older than the requests that they
 	// speak of. Default 100.
 	TreeFleet int `json:"tree_fleet,omitempty" validate:"min=0"`
+	// TestSuspension is for tests: at SIGUSR2 the clock by which trust runs out goes on by
+	// so much, as after a suspension of the VM. Default 0: the signal is not handled.
+	TestSuspension durations.Duration `json:"test_suspension,omitempty"`
 	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
 	Grace durations.Duration `json:"grace,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/lab/platformlab"
-	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // A request that crashes each replica that runs it, and is repeated at all VMs.
@@ -32,29 +31,6 @@
 	calm bool // nothing was wrong with its VM for a while
 }
 
-// fatalSeeds is in how many seeds there are such requests: one in three. They are drawn
-// apart from the other faults, which stay what they were in each seed.
-const fatalSeeds = 3
-
-// injectFatal repeats such requests until ctx ends, if the seed has any. The function that
-// it returns waits for the last, and tells how many there were.
-func (w *world) injectFatal(ctx context.Context, seed uint64) (wait func() int) {
-	if seed%fatalSeeds != 0 {
-		return func() int { return 0 }
-	}
-	rng := rand.New(rand.NewPCG(seed, fatalSeeds))
-	rounds := make(chan int, 1)
-	go func() {
-		n := 0
-		for timing.Sleep(ctx, time.Duration(rng.Int64N(int64(time.Second)))) {
-			w.repeatFatal(rng)
-			n++
-		}
-		rounds <- n
-	}()
-	return func() int { return <-rounds }
-}
-
 // crashUnder ends a replica that such a request has crashed; another one comes.
 func (w *world) crashUnder(r *replica) {
 	end := w.begin()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -54,7 +54,7 @@
 		"store": "http://" + store.Addr(), "store_timeout": "500ms",
 		"edge": map[string]any{
 			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
-			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet,
+			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet, "test_suspension": suspension.String(),
 		},
 	}
 	data, err := json.Marshal(s)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -66,9 +67,9 @@
 	calling, stop := context.WithCancel(ctx)
 	c.run(calling, o.Callers, o.Seed)
 	faulty, done := context.WithTimeout(ctx, o.Faults)
-	fatal := w.injectFatal(faulty, o.Seed)
+	apart := w.injectApart(faulty, o.Seed)
 	w.inject(faulty, rand.New(rand.NewPCG(o.Seed, 0)), func(name string) { report.Faults[name]++ })
-	report.Faults["a request crashes replicas"] = fatal()
+	maps.Copy(report.Faults, apart())
 	done()
 	w.aftermath(&report)
 	time.Sleep(afterTime)
