--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -66,8 +66,8 @@
 	quarantined bool
 	// answers grows when the request is answered: the crashes from before count no more.
 	answers uint32
-	// trials are the sends that were let through since the last crash, to find out whether
-	// the request is quarantined for nothing.
+	// trials are the sends that were let through since it was quarantined, to find out
+	// whether that is for nothing.
 	trials  uint32
 	changed time.Time
 	copies  int // how often peers are still to be told of it
