--- /dev/null
+++ b/internal/quarantine/merge_test.go
@@ -0,0 +1,78 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/storetest"
+)
+
+func TestMain(m *testing.M) {
+	storetest.FixSeed()
+	m.Run()
+}
+
+// TestLedgersConverge draws crashes, answers and trials at several VMs, and messages that come
+// late, twice, in any order or not at all. Once all have told each other all, they agree on
+// what is quarantined and on what is held against each request, and more words change
+// nothing. A request that was never held against anything is never quarantined.
+func TestLedgersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newClock()
+		const vms = 3
+		var all [vms]*Ledger
+		for i := range all {
+			all[i] = c.ledger()
+		}
+		type message struct {
+			from int
+			what []Report
+		}
+		var late []message
+		requests := []string{"a", "b", "c"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			request := rapid.SampledFrom(requests).Draw(t, "request")
+			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				replica := replicaNamed(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "replica")))
+				all[vm].Crashed(Finding{named(request), Crash{Replica: replica, Sent: c.now.Add(-50 * time.Millisecond), Ended: c.now}})
+			case 2:
+				all[vm].Answered(named(request))
+			case 3:
+				late = append(late, message{vm, all[vm].Due(vms - 1)})
+			case 4:
+				if len(late) > 0 {
+					m := late[rapid.IntRange(0, len(late)-1).Draw(t, "message")]
+					all[vm].Heard(ids.VM(fmt.Sprint(m.from)), m.what, rapid.Bool().Draw(t, "passOn"))
+				}
+			}
+		}
+		for range 2 * vms {
+			for i, l := range all {
+				told := l.All()
+				for j, o := range all {
+					if i != j {
+						o.Heard(ids.VM(fmt.Sprint(i)), told, false)
+					}
+				}
+			}
+		}
+		for _, request := range append(requests, "never held against anything") {
+			_, want := all[0].Quarantined(named(request))
+			for i, l := range all[1:] {
+				if _, got := l.Quarantined(named(request)); got != want {
+					t.Errorf("%s: quarantined at VM 0: %v, at VM %d: %v", request, want, i+1, got)
+				}
+			}
+			if want && request == "never held against anything" {
+				t.Error("a request is quarantined that nothing was held against")
+			}
+		}
+	})
+}
