--- a/internal/cli/queries/logs.go
+++ b/internal/cli/queries/logs.go
@@ -21,7 +21,9 @@
 	Event   string
 	Request string
 	Target  string // the target or dependency that the line is about
-	fields  map[string]any
+	// Fingerprint names the request over its repeats, in lines about what it did.
+	Fingerprint string
+	fields      map[string]any
 }
 
 // Bounds of an explanation.
@@ -54,7 +56,7 @@
 
 func newLogLine(fields map[string]any) logLine {
 	text := func(name string) string { s, _ := fields[name].(string); return s }
-	l := logLine{VM: text("vm"), Event: text("event"), Request: text("request"), Target: text("target"), fields: fields}
+	l := logLine{VM: text("vm"), Event: text("event"), Request: text("request"), Target: text("target"), Fingerprint: text("fingerprint"), fields: fields}
 	if l.Target == "" {
 		l.Target = text("dependency")
 	}
@@ -62,17 +64,24 @@
 	return l
 }
 
-// explainLogs returns the lines about a request, and those about its VM's beliefs
-// of the targets that it met shortly before, in the order of time.
+// repeatEvents are the lines that tell what the repeats of a request did to targets, and what
+// VMs made of it. They count at all VMs and from long before: a request is turned away for
+// what its repeats did elsewhere.
+var repeatEvents = []string{"crashed-under", "quarantined", "quarantine-trial", "quarantine-lifted"}
+
+// explainLogs returns the lines about a request, those about its VM's beliefs of the targets
+// that it met shortly before, and those about its repeats, in the order of time.
 func explainLogs(lines []logLine, request string) []logLine {
 	var own []logLine
-	targets := map[string]bool{}
+	targets, prints := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.Request == request {
 			own = append(own, l)
 			targets[l.Target] = true
+			prints[l.Fingerprint] = true
 		}
 	}
+	delete(prints, "")
 	if len(own) == 0 {
 		return nil
 	}
@@ -83,6 +92,10 @@
 		inTime := !l.Time.Before(first) && !l.Time.After(last)
 		if l.Request == "" && inTime && l.VM == own[0].VM && (l.Target == "" || targets[l.Target] || strings.HasPrefix(l.Target, "store ")) {
 			out = append(out, l)
+			continue
+		}
+		if l.Request != request && prints[l.Fingerprint] && slices.Contains(repeatEvents, l.Event) && !l.Time.After(last) {
+			out = append(out, l)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b logLine) int { return a.Time.Compare(b.Time) })
--- a/internal/cli/queries/logs_test.go
+++ b/internal/cli/queries/logs_test.go
@@ -34,3 +34,31 @@
 		t.Fatal("an unknown request was explained")
 	}
 }
+
+const repeatLogs = `
+{"vm":"vm-2","event":"crashed-under","request":"r1","fingerprint":"f1","target":"e1","time":"2026-12-02T09:59:01.000Z"}
+{"vm":"vm-3","event":"crashed-under","request":"r2","fingerprint":"f1","target":"e2","time":"2026-12-02T09:59:02.000Z"}
+{"vm":"vm-3","event":"crashed-under","request":"r3","fingerprint":"f2","target":"e2","time":"2026-12-02T09:59:02.000Z"}
+{"vm":"vm-2","event":"quarantined","fingerprint":"f1","told_by":"","crashes":3,"time":"2026-12-02T09:59:03.000Z"}
+{"vm":"vm-1","event":"quarantined","fingerprint":"f1","told_by":"vm-2","crashes":3,"time":"2026-12-02T09:59:03.200Z"}
+{"vm":"vm-2","event":"end","request":"r4","fingerprint":"f1","status":400,"time":"2026-12-02T10:00:00.000Z"}
+{"vm":"vm-1","event":"end","request":"q1","fingerprint":"f1","status":400,"code":"quarantined","time":"2026-12-02T10:00:01.000Z"}
+{"vm":"vm-1","event":"quarantine-lifted","fingerprint":"f1","time":"2026-12-02T10:00:02.000Z"}
+`
+
+// TestExplainRepeats explains a request that was refused for what its repeats did: which
+// targets ended under them, at which VMs, who found it and who told whom.
+func TestExplainRepeats(t *testing.T) {
+	lines, err := readLogs(strings.NewReader(repeatLogs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range explainLogs(lines, "q1") {
+		got = append(got, l.VM+" "+l.Event)
+	}
+	const want = "vm-2 crashed-under|vm-3 crashed-under|vm-2 quarantined|vm-1 quarantined|vm-1 end"
+	if strings.Join(got, "|") != want {
+		t.Fatalf("got %q, want %q", strings.Join(got, "|"), want)
+	}
+}
