--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -33,7 +33,7 @@
 	// are forgotten first, so an attacker has to end replicas to push another one out.
 	maxCases = 512
 	// maxCrashes bounds the crashes that are remembered of one request; the oldest go first.
-	// With maxCases a ledger holds 350 KB at most.
+	// With maxCases a ledger takes 541 KB at most (TestSize).
 	maxCrashes = 16
 )
 
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -20,10 +20,10 @@
 	ownCopies = 3
 	// passedCopies is how many rounds pass on what was heard.
 	passedCopies = 2
-	// maxTold bounds the cases in one message, of about 40 bytes each and 14 a crash.
+	// maxTold bounds the cases in one message, of 22 bytes each and 16 a crash.
 	maxTold = 24
 	// retoldPerSecond bounds the cases that a VM hears again, from all peers together:
-	// 0.6 KB/s with three crashes each.
+	// 0.7 KB/s with three crashes each.
 	retoldPerSecond = 10
 	// retellLeast is the least pause between two that one VM tells again.
 	retellLeast = 150 * time.Millisecond
