--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -40,7 +40,7 @@
 	// last seven minutes at 10 requests a second.
 	answeredPlaces = 4096
 	// maxCrashes bounds the crashes that are remembered of one request; the oldest go first.
-	// With maxCases a ledger takes 541 KB at most (TestSize).
+	// With maxCases a ledger takes 549 KB at most (TestSize).
 	maxCrashes = 16
 )
 
