--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,7 +12,9 @@
 //   - Events of a stream go out in order, each whole and once, also when another
 //     replica goes on behind the last one.
 //   - A call with an API key is sent only while this VM can prove that its
-//     catalog was the newest a short while ago.
+//     catalog was the newest a short while ago, also if the VM was suspended since.
+//   - A request under which replicas crash again and again is kept from further
+//     ones, whichever VM it comes to (package quarantine).
 //
 // # Stages
 //
