The same request is forgotten first on every run; the attack is played by ten fleets

Ruled out: load (it is in virtual time). Change: of equals the lowest fingerprint goes first; ten fleets, on all processors. The bound of 5% stands: 34 of 690.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -107,6 +109,23 @@
 
 func playFleet(s fleetScenario, seed uint64) fleetResult { return traceFleet(s, seed).res }
 
+// playFleets plays as many fleets at a time as there are processors, and returns what became
+// of each, by seed.
+func playFleets(s fleetScenario, seeds int) []fleetResult {
+	results := make([]fleetResult, seeds)
+	var all sync.WaitGroup
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for seed := range results {
+		all.Go(func() {
+			free <- struct{}{}
+			defer func() { <-free }()
+			results[seed] = playFleet(s, uint64(seed))
+		})
+	}
+	all.Wait()
+	return results
+}
+
 // traceFleet plays a fleet and returns it as it is at the end.
 func traceFleet(s fleetScenario, seed uint64) *fleetSim {
 	f := &fleetSim{fleetScenario: s, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
@@ -396,8 +415,7 @@
 			const seeds = 10 // 40 were played by hand, with the same verdict
 			var sum fleetResult
 			worst, most := 0, 0
-			for seed := range uint64(seeds) {
-				r := playFleet(s, seed)
+			for seed, r := range playFleets(s, seeds) {
 				worst, most = max(worst, r.late), max(most, r.ended)
 				sum.ended += r.ended
 				sum.others += r.others
@@ -425,10 +443,9 @@
 		vms: 6, domains: 2, fatal: 1, fatalTwice: true, fatalEvery: 250 * time.Millisecond, crashAfter: [2]int{20, 150},
 		popular: 12, regular: true, fatalFrom: 10 * time.Second, seconds: 70,
 	}
-	const seeds = 2 // 10 were played by hand: 30 of 690
+	const seeds = 10
 	var sum fleetResult
-	for seed := range uint64(seeds) {
-		r := playFleet(s, seed)
+	for _, r := range playFleets(s, seeds) {
 		sum.ended += r.ended
 		sum.others += r.others
 		sum.wronged += r.wronged
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -30,7 +30,7 @@
 	// make one each, and a VM that has not heard yet one more; the fleet may send three. One
 	// that was answered before is tried again and again, trialAfter apart, and needs more
 	// crashes: while somebody ended eight replicas a second with ever new requests, one of
-	// each second was turned away 191 times in 590; now 30 times in 690 (TestFleetUnderAttack).
+	// each second was turned away 191 times in 590; now 34 times in 690 (TestFleetUnderAttack).
 	maxTrials = 1
 	// maxCases bounds the requests that are remembered. A replica takes those that it runs
 	// and that wait there with it, some tens at once. Beyond, those with the fewest crashes
@@ -238,7 +238,7 @@
 	var least Fingerprint
 	var found *entry
 	for f, e := range l.cases {
-		if found == nil || e.compare(found) < 0 {
+		if found == nil || cmp.Or(e.compare(found), bytes.Compare(f[:], least[:])) < 0 {
 			least, found = f, e
 		}
 	}
