--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -20,7 +20,7 @@
 	r.guarded = r.f.Guard.Call(r.call.ID, request)
 }
 
-// blame has it found out whether the replica of a failed attempt has ended with it. One
+// blame starts a check whether the replica of a failed attempt has ended with it. One
 // that had to leave ends by itself.
 func (r *run) blame(ctx context.Context, t *try, err *outcome.Error) {
 	if err.Outcome != outcome.Unknown || !upstream.HungUp(err) || ctx.Err() != nil || endedHere(err) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// Broke has it found out whether the replica of a send that broke off has ended with it.
+// Broke starts a check whether the replica of a send that broke off has ended with it.
 // ended is set if that is known.
 func (c *Call) Broke(s Send, ended bool) {
 	if c.ledger() == nil {
