Workspaces keep to their allowances over all VMs: one limiter for both front ends

Change: package allowance. One bucket for the fleet on each VM, in debt where calls cross, fed by what VMs tell each other as decaying sums; calls are thinned out by chance, whatever they cost; what VMs that are not heard were asked for is kept for them; a VM that starts has an equal part and no burst. The bucket follows from the window in which operators count, with 0.4 of what they tolerate. The gateway's rates go by the same limiter; admission.Shares and its tests go. What they checked is checked of the limiter: TestSidesOfACut (sides of a cut together have one limit; within 0.001 as VMs now go by what they heard, 0.0001 before), TestSilentPeer, TestSharedRate with the same bounds. TestAdmit let callers come back within 1 s, all at the moment at which one of them has room; now they are spread over the time in which all have, which is asserted instead. Other failure domains' demand is no longer told to relays only; their VMs count with equal parts.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,17 +3,17 @@
 // when to come back.
 //
 // Three gates stand one behind the other: the VM's own capacity, the workspace's
-// rate and concurrency (this VM's share of them, see Shares), and overload: when
+// rate (package allowance) and this VM's part of its concurrency, and overload: when
 // the predicted wait grows, workspaces above their fair share are refused first,
 // and past a bound that depends on priority everybody is.
 package admission
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -44,16 +44,11 @@
 	UsageHalfLife: 5 * time.Second, MaxInFlight: 2048,
 }
 
-// Sharer tells which part of a workspace's limits this VM may use, in 0..1.
-type Sharer interface {
-	Share(ws ids.Workspace, now time.Time) float64
-}
-
 // Limiter is the gatekeeper of one VM. Safe for concurrent use.
 type Limiter struct {
-	tuning Tuning
-	shares Sharer
-	now    func() time.Time
+	tuning  Tuning
+	allowed *allowance.Limiter
+	now     func() time.Time
 
 	mu       sync.Mutex
 	inFlight int
@@ -62,45 +57,44 @@
 }
 
 // space is one workspace's use of this VM.
-type space struct {
-	limiter  *rate.Limiter
-	inFlight int
-}
+type space struct{ inFlight int }
 
-// New returns a limiter. now is nil for the wall clock.
-func New(t Tuning, shares Sharer, now func() time.Time) *Limiter {
+// New returns a limiter that keeps workspaces to their allowances. now is nil for that of
+// package clock.
+func New(t Tuning, allowed *allowance.Limiter, now func() time.Time) *Limiter {
 	if now == nil {
 		now = clock.Now
 	}
-	return &Limiter{tuning: t, shares: shares, now: now, spaces: map[ids.Workspace]*space{}, usage: newUsage(t.UsageHalfLife)}
+	return &Limiter{tuning: t, allowed: allowed, now: now, spaces: map[ids.Workspace]*space{}, usage: newUsage(t.UsageHalfLife)}
 }
 
 // burstSeconds is how many seconds of its rate a workspace may use at once.
 const burstSeconds = 2
 
+// AllowanceOf returns what a workspace may use over all VMs, in requests.
+func AllowanceOf(l config.Limits) allowance.Limit {
+	return allowance.Limit{Rate: l.RequestsPerSecond, Burst: max(l.RequestsPerSecond*burstSeconds, 1)}
+}
+
 // retryCapacity is when to come back after a refusal for capacity.
 const retryCapacity = 500 * time.Millisecond
 
 // Admit takes one request in. The release function must be called once when the
 // request ends.
 func (l *Limiter) Admit(ws ids.Workspace, limits config.Limits) (release func(), refusal *outcome.Error) {
-	now := l.now()
-	share := l.shares.Share(ws, now)
+	l.allowed.SetLimit(ws, AllowanceOf(limits))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.inFlight >= l.tuning.MaxInFlight {
 		return nil, refuse(outcome.CodeOverloaded, "this VM is full", retryCapacity)
 	}
-	perSecond := limits.RequestsPerSecond * share
-	s := l.space(ws, perSecond)
-	if s.inFlight >= max(1, int(float64(limits.Concurrency)*share)) {
+	s := l.space(ws)
+	if s.inFlight >= max(1, int(float64(limits.Concurrency)*l.allowed.Part(ws))) {
 		return nil, refuse(outcome.CodeRateLimited, "the workspace has too many requests in flight", retryCapacity)
 	}
-	s.limiter.SetLimitAt(now, rate.Limit(perSecond))
-	s.limiter.SetBurstAt(now, burst(perSecond))
-	if !s.limiter.AllowN(now, 1) {
-		wait := time.Duration((1 - s.limiter.TokensAt(now)) / perSecond * float64(time.Second))
-		return nil, refuse(outcome.CodeRateLimited, "the workspace is over its rate", wait)
+	judged := l.allowed.Take(allowance.Call{Workspace: ws, Cost: 1, Draw: rand.Float64()})
+	if !judged.Admitted {
+		return nil, refuse(outcome.CodeRateLimited, "the workspace is over its rate", judged.ComeBack)
 	}
 	l.inFlight++
 	s.inFlight++
@@ -112,13 +106,11 @@
 	return outcome.New(outcome.NotRun, code, "admit", "", message).After(after)
 }
 
-func burst(perSecond float64) int { return max(1, int(perSecond*burstSeconds)) }
-
-// space returns a workspace's use; at first sight it has its whole burst.
-func (l *Limiter) space(ws ids.Workspace, perSecond float64) *space {
+// space returns a workspace's use.
+func (l *Limiter) space(ws ids.Workspace) *space {
 	s := l.spaces[ws]
 	if s == nil {
-		s = &space{limiter: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond))}
+		s = &space{}
 		l.spaces[ws] = s
 	}
 	return s
--- a/internal/capacity/news.go
+++ b/internal/capacity/news.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/confsync"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -101,7 +101,7 @@
 func newsNode(vm string) (*peers.Node, *grpc.Server, string, error) {
 	f := fleet.New(membership.New(ids.VM(vm), membership.DefaultTuning), cacheview.New(128<<10, nil), loadview.New(), routing.NewCost(), nil)
 	n := &peers.Node{
-		VM: ids.VM(vm), Domain: "fd", Incarnation: 1_700_000_000_000, Fleet: f, Shares: admission.NewShares(nil),
+		VM: ids.VM(vm), Domain: "fd", Incarnation: 1_700_000_000_000, Fleet: f, Allowances: allowance.New(ids.VM(vm), nil),
 		Events: timeline.NewLog(ids.VM(vm), hlc.New(nil), 16),
 		Config: confsync.New(func(objectapi.Revision, []objectapi.Object) {}), Platform: confsync.New(func(objectapi.Revision, []objectapi.Object) {}),
 	}
@@ -116,11 +116,19 @@
 	return n, srv, l.Addr().String(), nil
 }
 
+// ampleRate is a limit that nothing meets, in requests/s.
+const ampleRate = 1e6
+
 // drive does what the daemon's gossip duty does, with dispatches and demand at
 // the given rates. It returns how many beliefs it made.
 func drive(ctx context.Context, n *peers.Node, i int, spec NewsSpec) int {
 	const heartbeat, news = time.Second, 250 * time.Millisecond
 	last, made, debt := time.Time{}, 0, 0.0
+	workspaces := make([]ids.Workspace, spec.Workspaces)
+	for w := range workspaces {
+		workspaces[w] = ids.Workspace(fmt.Sprint("workspace-", w))
+		n.Allowances.SetLimit(workspaces[w], allowance.Limit{Rate: ampleRate, Burst: ampleRate})
+	}
 	for step := 0; ctx.Err() == nil; step++ {
 		pause := n.NewsEvery(news, heartbeat)
 		for debt += spec.Dispatches * pause.Seconds(); debt >= 1; debt-- {
@@ -128,8 +136,8 @@
 			id := prefix.ID(uint64(i+1)<<40 + uint64(made))
 			n.Fleet.Cache.Expect(ids.Target(fmt.Sprint("engine-", (made*7+i)%spec.Targets)), []prefix.Level{{ID: id, Tokens: 9000}}, 3000)
 		}
-		for w := range spec.Workspaces {
-			n.Shares.Share(ids.Workspace(fmt.Sprint("workspace-", w)), time.Now())
+		for _, ws := range workspaces {
+			n.Allowances.Take(allowance.Call{Workspace: ws, Cost: 1})
 		}
 		if time.Since(last) >= heartbeat {
 			n.Beat()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -93,6 +93,28 @@
 	Keys     []string
 	Priority *int // goes before the route's priority
 	Isolated bool // shares no KV cache with other workspaces
+	// Allowance is what it may use over all VMs together.
+	Allowance Allowance
+}
+
+// Allowance is what a workspace may use over all VMs together.
+type Allowance struct {
+	Rate   float64 // units/s; zero, like Burst: there is no limit
+	Burst  float64 // units at once beyond it
+	Tokens bool    // units are tokens; otherwise requests
+	Plain  int64   // tokens of a request that names none
+}
+
+// Cost is what a request costs that names so many tokens, in units; zero: it names none.
+func (a *Allowance) Cost(tokens int64) float64 {
+	switch {
+	case !a.Tokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return float64(a.Plain)
+	}
 }
 
 // Limits bound what a caller may send.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/claims"
 	"github.com/threadwall/threadwall/internal/clock"
@@ -62,6 +63,7 @@
 	Engine   *engine.Client
 	Settler  *claims.Settler
 	Limiter  *admission.Limiter
+	allowed  *allowance.Limiter
 	Gateway  *gateway.Gateway
 	Lease    *lease.Lease
 	Orders   *orders.Reconciler
@@ -123,14 +125,14 @@
 
 func (d *Daemon) build() {
 	s := d.Settings
-	shares := admission.NewShares(nil)
+	d.allowed = allowance.New(s.VM, nil)
 	tuning := admission.DefaultTuning
 	tuning.MaxInFlight = s.MaxInFlight
-	d.Limiter = admission.New(tuning, shares, nil)
+	d.Limiter = admission.New(tuning, d.allowed, nil)
 	d.Node = &peers.Node{
 		VM: s.VM, Domain: s.FailureDomain, Incarnation: ids.Incarnation(time.Now().UnixMilli()),
-		Fleet: d.Fleet, Shares: shares, Events: d.Events,
-		Config: confsync.New(d.Config.Adopt), Crashes: d.crashes,
+		Fleet: d.Fleet, Allowances: d.allowed, Events: d.Events,
+		Config: confsync.New(d.adopt), Crashes: d.crashes,
 	}
 	guard := &quarantine.Guard{Rank: d.Node.FleetRank, Watch: &quarantine.Watch{
 		Ledger: d.crashes,
@@ -160,6 +162,16 @@
 	d.ready.set(false, "starting")
 }
 
+// adopt puts a revision of the configuration in force.
+func (d *Daemon) adopt(rev objectapi.Revision, objects []objectapi.Object) {
+	d.Config.Adopt(rev, objects)
+	limits := map[ids.Workspace]allowance.Limit{}
+	for ws, w := range d.Config.Get().Workspaces {
+		limits[ws] = admission.AllowanceOf(w.Limits)
+	}
+	d.allowed.SetLimits(limits)
+}
+
 // headerTimeout bounds reading a request's head.
 const headerTimeout = 10 * time.Second
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/claims"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/config"
@@ -44,6 +45,7 @@
 		"probe":          d.probe,
 		"feed":           d.feed,
 		"refresh":        d.refresh,
+		"allowances":     d.sweepAllowances,
 		"settle":         d.Settler.Run,
 		"forget":         d.forget,
 		"orders":         d.orders,
@@ -219,6 +221,13 @@
 	}
 }
 
+// sweepAllowances notices VMs that no longer tell what they let in.
+func (d *Daemon) sweepAllowances(ctx context.Context) {
+	for timing.Sleep(ctx, allowance.SweepEvery) {
+		d.allowed.Sweep()
+	}
+}
+
 func (d *Daemon) forget(ctx context.Context) {
 	for timing.Sleep(ctx, forgetEvery) {
 		d.crashes.Sweep()
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"sync/atomic"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -70,6 +71,7 @@
 	Late        *forward.LateCounts       `json:"late"`     // answers, by why they were late
 	Refusals    *forward.RefusalCounts    `json:"refusals"` // and failures, by code and step
 	Crashes     CrashMetrics              `json:"crashes"`
+	Allowances  []allowance.Status        `json:"allowances"`
 	Bytes       *traffic.Meter            `json:"bytes"`       // exchanged, by purpose
 	StoreCalls  *objectapi.Counted        `json:"store_calls"` // by method and kind
 	News        NewsMetrics               `json:"news"`
@@ -153,7 +155,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowed.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lease"
@@ -56,6 +57,7 @@
 		"trim":       every(trimEvery, func() { d.Forward.Upstream.Trim(clock.Now()) }),
 		"sweep":      every(sweepEvery, d.Replicas.Sweep),
 		"clock":      func(ctx context.Context) { clock.Watch(ctx, d.woke) },
+		"allowances": every(allowance.SweepEvery, d.allowed.Sweep),
 		"forget":     every(forgetEvery, d.crashes.Sweep),
 		"log":        every(logEvery, d.Log.Tell),
 		"usage":      every(usageEvery, d.tellUsage),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,6 +34,7 @@
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
@@ -109,6 +110,7 @@
 	feeds   *kvfeed.Feeds
 	budgets *retry.Services
 	crashes *quarantine.Ledger
+	allowed *allowance.Limiter
 	news    *news.Exchange
 	vms     vmList
 	reader  *mirror.Reader
@@ -223,6 +225,8 @@
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
 	}}
+	d.allowed = allowance.New(s.VM, nil)
+	d.Forward.Allowances = d.allowed
 	d.Forward.KeyTTL.Store(keyAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{
 		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, Tells: d.tells, Contact: d.contact, Log: d.Log,
@@ -248,7 +252,7 @@
 			d.Fleet.Members.PeerLost(peer, silent, clock.Now())
 		},
 		StoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
-		Lapsed:    d.lapsed, HeardLapsed: d.heardLapsed, Crashes: d.crashes,
+		Lapsed:    d.lapsed, HeardLapsed: d.heardLapsed, Crashes: d.crashes, Allowances: d.allowed,
 		Resolve: d.resolve, Caches: d.cacheChanges, HeardCache: d.Fleet.Cache.Hear,
 	}
 	d.vms.d = d
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -47,7 +47,7 @@
 	space := func(prefix string, next follow.Handler) *mirror.Space {
 		return &mirror.Space{Prefix: prefix, Next: d.Weights.Clock.Watched(next), Bell: bell}
 	}
-	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, Adopted: d.Replicas.Publish, Log: d.Log}
+	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, Adopted: d.adopted, Log: d.Log}
 	spaces := []*mirror.Space{
 		space(d.adapter.PrefixConfig, catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -109,11 +109,14 @@
 		c.at[o.Key] = r
 	}
 	c.d.budgets.SetVMs(len(c.at))
+	names := make([]ids.VM, 0, len(c.at))
 	peers := make([]news.Peer, 0, len(c.at))
 	for _, r := range c.at {
 		peers = append(peers, news.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr, LinkMbps: r.LinkMbps})
+		names = append(names, r.VM)
 	}
 	c.d.news.SetPeers(peers)
+	c.d.allowed.SetVMs(names)
 	c.d.Log.Belief("vms").Int("count", len(c.at)).Send()
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 //     replica goes on behind the last one.
 //   - A call with an API key is sent only while this VM can prove that its
 //     catalog was the newest a short while ago, also if the VM was suspended since.
+//   - Workspaces keep to their allowances over all VMs together (package allowance).
 //   - A request under which replicas crash again and again is kept from further
 //     ones, whichever VM it comes to (package quarantine).
 //
@@ -30,6 +31,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -45,6 +47,7 @@
 	ID        ids.Request
 	Key       string        // API key; empty: none
 	Deadline  time.Duration // how long the caller waits, from the call's arrival; zero: not said
+	Tokens    int64         // of its prompt and at most of its answer; zero: not said
 	Prompt    *Prompt       // nil: none described
 	LastEvent string        // the caller has a stream up to this event
 }
@@ -109,6 +112,8 @@
 	KV       *Planner
 	Weights  WantedWeights
 	Log      *eventlog.Log
+	// Allowances bounds what workspaces use over all VMs. Nil: nothing does.
+	Allowances *allowance.Limiter
 	// Guard keeps requests that crash replicas from further ones. Nil: none are.
 	Guard *quarantine.Guard
 	// LearnWeights is told what weights a replica says it has.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -40,6 +40,7 @@
 	progress progress
 	proofAge time.Duration // of the catalog, when the call was judged by it
 	guarded  quarantine.Call
+	taken    taken
 }
 
 // retryWhenReady is when a caller should come back to a VM that lacks something it
@@ -64,6 +65,7 @@
 	ctx, cancel := context.WithTimeout(req.Context(), clock.Until(r.ends))
 	defer cancel()
 	defer f.calls.add(r.ends, cancel)()
+	defer r.settle()
 	r.serve(ctx)
 }
 
@@ -108,7 +110,7 @@
 	}
 	r.service = r.route.Pick(r.f.Fleet.Seed() * weightStride)
 	r.ends = r.end()
-	return nil
+	return r.allow()
 }
 
 // weightStride spreads consecutive calls over a route's weights.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,7 +27,7 @@
 	loads      map[uint32]*peerpb.TargetReport
 	dispatches []*peerpb.Dispatch // newest last
 	demands    map[uint32]*peerpb.Demand
-	told       map[uint32]uint32 // demands as last told
+	told       map[uint32]*peerpb.Demand // demands as last told
 	dropped    uint64
 }
 
@@ -35,7 +35,7 @@
 func New() *Outbox {
 	return &Outbox{
 		urgent: map[uint32]*peerpb.TargetReport{}, loads: map[uint32]*peerpb.TargetReport{},
-		demands: map[uint32]*peerpb.Demand{}, told: map[uint32]uint32{},
+		demands: map[uint32]*peerpb.Demand{}, told: map[uint32]*peerpb.Demand{},
 	}
 }
 
@@ -70,13 +70,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	told, ok := o.told[d.Workspace]
-	diff := float64(d.Decirequests) - float64(told)
-	if ok && max(diff, -diff) <= demandChange*float64(told) {
+	if ok && !changed(told.Decirequests, d.Decirequests) && !changed(told.Decioffered, d.Decioffered) {
 		return
 	}
 	o.demands[d.Workspace] = d
 }
 
+// changed tells whether a figure differs from what was told by more than demandChange.
+func changed(told, is uint32) bool {
+	diff := float64(is) - float64(told)
+	return max(diff, -diff) > demandChange*float64(told)
+}
+
 // Waiting returns whether there is anything to tell beside the heartbeat.
 func (o *Outbox) Waiting() bool {
 	o.mu.Lock()
@@ -104,7 +109,7 @@
 	for _, k := range slices.Sorted(maps.Keys(o.demands)) {
 		if d := o.demands[k]; fits(d) {
 			n.Demands = append(n.Demands, d)
-			o.told[k] = d.Decirequests
+			o.told[k] = d
 			delete(o.demands, k)
 		}
 	}
--- a/internal/news/digest.go
+++ b/internal/news/digest.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/ids"
 )
 
@@ -23,6 +24,8 @@
 	Named   []Named      `cbor:"4,keyasint,omitempty"`
 	Lapsed  []Lapsed     `cbor:"5,keyasint,omitempty"`
 	Events  []event      `cbor:"6,keyasint,omitempty"`
+	// Uses are sums by workspace.
+	Uses []allowance.Use `cbor:"7,keyasint,omitempty"`
 }
 
 // wireSilent are the targets that don't answer one VM.
@@ -79,7 +82,7 @@
 // left out: each is passed on once.
 func sum(parts []heardDigest, now time.Time) digest {
 	var out digest
-	loads := map[shortID]wireLoad{}
+	loads, uses := map[shortID]wireLoad{}, map[uint32]allowance.Use{}
 	for _, p := range parts {
 		for _, l := range p.Loads {
 			s := loads[l.Target]
@@ -87,6 +90,9 @@
 				Target: l.Target, InFlight: s.InFlight + l.InFlight, Pending: s.Pending + l.Pending, Bound: s.Bound + l.Bound,
 			}
 		}
+		for _, u := range p.Uses {
+			uses[u.Workspace] = uses[u.Workspace].Plus(u)
+		}
 		out.Members = append(out.Members, p.Members...)
 		out.Silent = append(out.Silent, p.Silent...)
 		age := now.Sub(p.at).Milliseconds()
@@ -102,6 +108,10 @@
 	for _, l := range loads {
 		out.Loads = append(out.Loads, l)
 	}
+	for _, u := range uses {
+		out.Uses = append(out.Uses, u)
+	}
+	slices.SortFunc(out.Uses, func(a, b allowance.Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	slices.SortFunc(out.Loads, func(a, b wireLoad) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -26,6 +26,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -64,6 +65,8 @@
 	Lapsed *Lapsed
 	// Crashes are requests under which replicas crashed.
 	Crashes []quarantine.Report
+	// Uses are what this VM lets workspaces use, along with Seq.
+	Uses []allowance.Use
 	// Report and Total are what several VMs say, in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -160,6 +163,8 @@
 	HeardLapsed func(l Lapsed)
 	// Crashes keeps the requests under which replicas crashed. Nil: none are told of.
 	Crashes *quarantine.Ledger
+	// Allowances bounds what workspaces use over all VMs. Nil: nothing does.
+	Allowances *allowance.Limiter
 	// Meter counts the bytes that are sent. Nil: nothing does.
 	Meter *traffic.Meter
 
@@ -313,6 +318,9 @@
 		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
 	}
 	x.Load.Peer(m.VM, m.Life, m.Seq, loads, clock.Now())
+	if !x.isLarge() { // the tree's totals say it all
+		x.Allowances.Heard(m.VM, m.Life, m.Seq, m.Uses)
+	}
 	x.PeerSilent(m.VM, m.Silent)
 	for _, n := range m.Named {
 		x.HeardNamed(n)
@@ -367,8 +375,8 @@
 	x.Load.Own(func(t ids.Target, l loadview.PeerLoad) {
 		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), Bound: l.Bound})
 	})
-	m := Message{Loads: loads, Silent: x.Silent(), Named: x.Named(), Lapsed: x.Lapsed(), Crashes: x.Crashes.Due(len(x.list()))}
-	if len(loads) == 0 && x.told == 0 && len(m.Silent) == 0 && len(m.Named) == 0 && m.Lapsed == nil && len(m.Crashes) == 0 && x.idle < idleRounds {
+	m := Message{Loads: loads, Silent: x.Silent(), Named: x.Named(), Lapsed: x.Lapsed(), Crashes: x.Crashes.Due(len(x.list())), Uses: x.Allowances.Told()}
+	if len(loads) == 0 && len(m.Uses) == 0 && x.told == 0 && len(m.Silent) == 0 && len(m.Named) == 0 && m.Lapsed == nil && len(m.Crashes) == 0 && x.idle < idleRounds {
 		x.idle++
 		return
 	}
--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/routing"
 )
@@ -75,6 +76,7 @@
 	avoid    map[ids.VM]avoided
 	round    uint64
 	own      [ownRounds][]Load            // by round
+	ownUses  [ownRounds][]allowance.Use   // by round
 	up, down []event                      // to be passed on
 	again    []event                      // told in the last round, to be told once more
 	lost     map[ids.FailureDomain]uint64 // domains whose root is not known, and since which round
@@ -299,7 +301,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.round++
-	t.own[t.round%ownRounds] = loads
+	t.own[t.round%ownRounds], t.ownUses[t.round%ownRounds] = loads, own.Uses
 	own.addMember(member{shortenVM(self), uint16(t.round)})
 	parts := append([]heardDigest{{own, now}}, fresh(t.children, now)...)
 	up, down := t.dueEvents()
@@ -391,7 +393,7 @@
 }
 
 // without takes this VM's own part out of a total.
-func (t *tree) without(self ids.VM, total []Load, members []member) []Load {
+func (t *tree) without(self ids.VM, total []Load, uses []allowance.Use, members []member) ([]Load, []allowance.Use) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	me := shortenVM(self)
@@ -400,11 +402,13 @@
 		if m.vm != me || behind >= ownRounds {
 			continue
 		}
-		for _, l := range t.own[(t.round-uint64(behind))%ownRounds] {
+		round := (t.round - uint64(behind)) % ownRounds
+		for _, l := range t.own[round] {
 			subtract(total, l)
 		}
+		uses = allowance.Without(uses, t.ownUses[round])
 	}
-	return total
+	return total, uses
 }
 
 func subtract(total []Load, l Load) {
--- a/internal/news/treetell.go
+++ b/internal/news/treetell.go
@@ -79,7 +79,7 @@
 		}
 		d.Silent = append(d.Silent, w)
 	}
-	d.Named = x.Named()
+	d.Named, d.Uses = x.Named(), x.Allowances.Told()
 	if l := x.Lapsed(); l != nil {
 		d.Lapsed = append(d.Lapsed, *l)
 	}
@@ -164,6 +164,7 @@
 	for _, m := range members {
 		if p, ok := x.tree.peerOf(m.vm); ok {
 			x.note(p.VM, 0, now)
+			x.Allowances.Present(p.VM)
 		}
 	}
 	total := make([]Load, 0, len(d.Loads))
@@ -173,7 +174,9 @@
 		}
 	}
 	loads := map[ids.Target]loadview.PeerLoad{}
-	for _, l := range x.tree.without(x.VM, total, members) {
+	total, uses := x.tree.without(x.VM, total, d.Uses, members)
+	x.Allowances.HeardFleet(uses)
+	for _, l := range total {
 		loads[l.Target] = loadview.PeerLoad{InFlight: l.InFlight, Pending: float64(l.Pending), Bound: l.Bound}
 	}
 	x.Load.Peer(fleetVM, x.life, x.seq.Add(1), loads, now)
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
@@ -38,6 +39,7 @@
 	Total     *digest     `cbor:"13,keyasint,omitempty"`
 
 	Crashes []quarantine.Report `cbor:"14,keyasint,omitempty"`
+	Uses    []allowance.Use     `cbor:"15,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -69,7 +71,7 @@
 	w := wireMessage{
 		VM: m.VM, Seq: m.Seq, Life: m.Life, Order: m.Order, Named: m.Named,
 		StoreDown: m.StoreDown, Caches: group(m.Caches), Lapsed: m.Lapsed, Report: m.Report, Total: m.Total,
-		Crashes: m.Crashes,
+		Crashes: m.Crashes, Uses: m.Uses,
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
@@ -92,7 +94,7 @@
 	}
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Life: w.Life, Order: w.Order, Named: w.Named, StoreDown: w.StoreDown, Lapsed: w.Lapsed, Report: w.Report, Total: w.Total,
-		Crashes: w.Crashes,
+		Crashes: w.Crashes, Uses: w.Uses,
 	}
 	for _, l := range w.Loads {
 		if t, ok := resolve(uint32(l.Target)); ok {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/confsync"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -47,7 +47,7 @@
 	Fleet       *fleet.Fleet
 	Config      *confsync.Store
 	Platform    *confsync.Store
-	Shares      *admission.Shares
+	Allowances  *allowance.Limiter
 	Events      *timeline.Log
 	// Crashes are the requests under which targets crashed. Nil: peers are told of none.
 	Crashes *quarantine.Ledger
@@ -58,6 +58,7 @@
 	counter  atomic.Uint64
 	toldBeat atomic.Uint64
 	byHash   atomic.Pointer[map[uint32]ids.Target]
+	toldUse  map[uint32]bool // workspaces whose demand was told at the last heartbeat
 
 	mu      sync.Mutex
 	conns   map[string]*grpc.ClientConn
@@ -103,16 +104,17 @@
 
 // SetTargets takes in which targets and entry VMs there are.
 func (n *Node) SetTargets(records []platform.Record) {
-	vms, hashes := 0, map[uint32]ids.Target{}
+	var vms []ids.VM
+	hashes := map[uint32]ids.Target{}
 	for _, r := range records {
 		if r.Role == platform.RoleEntry {
-			vms++
+			vms = append(vms, ids.VM(r.ID))
 			continue
 		}
 		hashes[targetHash(ids.Target(r.ID))] = ids.Target(r.ID)
 	}
 	n.byHash.Store(&hashes)
-	n.Shares.SetVMs(vms)
+	n.Allowances.SetVMs(vms)
 }
 
 // targetHash names a target in messages. Two of a few thousand targets share one
@@ -131,11 +133,24 @@
 // Beat counts this VM's heartbeat on and gathers its demand.
 func (n *Node) Beat() {
 	n.counter.Add(1)
-	for _, d := range n.Shares.Demands() {
-		n.outbox.Demand(&peerpb.Demand{Workspace: admission.HashOf(d.Workspace), Decirequests: uint32(d.Rate * 10)})
+	told := map[uint32]bool{}
+	for _, u := range n.Allowances.Told() {
+		told[u.Workspace] = true
+		n.outbox.Demand(&peerpb.Demand{
+			Workspace: u.Workspace, Decirequests: uint32(allowance.Rate(u.Used) * deci), Decioffered: uint32(allowance.Rate(u.Offered) * deci),
+		})
 	}
+	for ws := range n.toldUse {
+		if !told[ws] {
+			n.outbox.Demand(&peerpb.Demand{Workspace: ws}) // told once more, with nothing
+		}
+	}
+	n.toldUse = told
 }
 
+// deci is in how many parts a request a second is told.
+const deci = 10
+
 // Gather takes up this VM's own dispatches, and tells whether there is any news.
 func (n *Node) Gather() bool {
 	var last *peerpb.Dispatch
@@ -209,15 +224,9 @@
 		Beat: n.beat(), FailureDomain: string(n.Domain),
 	}
 	s.Suspects = suspectsProto(n.Crashes.All())
-	for ws, rate := range n.Shares.DomainDemand(farPrefix) {
-		s.Demands = append(s.Demands, &peerpb.Demand{Workspace: ws, Decirequests: uint32(rate * 10)})
-	}
 	return s
 }
 
-// farPrefix marks another domain as a source of demand.
-const farPrefix = "domain/"
-
 func (n *Node) exchange(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -236,10 +245,6 @@
 	n.Events.Clock().Observe(hlc.Stamp(s.Hlc))
 	n.heard(ids.VM(s.Vm), s.Incarnation, s.Beat, addr)
 	n.heardSuspects(ids.VM(s.Vm), s.Suspects, true)
-	n.Shares.Hello(farPrefix + s.FailureDomain)
-	for _, d := range s.Demands {
-		n.Shares.Told(farPrefix+s.FailureDomain, d.Workspace, float64(d.Decirequests)/10)
-	}
 }
 
 // absorb takes in a peer's news.
@@ -256,7 +261,9 @@
 		n.dispatched(d)
 	}
 	for _, d := range m.Demands {
-		n.Shares.Told(string(vm), d.Workspace, float64(d.Decirequests)/10)
+		n.Allowances.HeardOne(vm, allowance.Use{
+			Workspace: d.Workspace, Used: allowance.Sum(float64(d.Decirequests) / deci), Offered: allowance.Sum(float64(d.Decioffered) / deci),
+		})
 	}
 }
 
@@ -266,7 +273,7 @@
 	if b == nil || !n.Fleet.Members.Heartbeat(vm, ids.Incarnation(incarnation), b.Counter, b.ConfigRevision, b.Leaving, clock.Now()) {
 		return
 	}
-	n.Shares.Hello(string(vm))
+	n.Allowances.Present(vm)
 	n.Config.Hear(objectapi.Revision(b.ConfigRevision))
 	if b.ConfigRevision > uint64(n.Config.Revision()) {
 		n.wants.TryPut(want{space: peerpb.KeySpace_CONFIG, vm: vm, addr: addr})
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -38,6 +38,17 @@
 	// RetryWindow is the time in which both are counted: in any window so long no more
 	// are made. Default 10s.
 	RetryWindow durations.Duration `json:"retry_window,omitempty"`
+	// AllowanceWindow is the time in which operators count what a workspace uses: over all
+	// VMs together no more than its rate over so long, and its burst. Default 0: its rate
+	// at any time, and its burst beyond it.
+	AllowanceWindow durations.Duration `json:"allowance_window,omitempty"`
+	// AllowanceExcess is how far beyond that a workspace may go, as a part of it. Some of
+	// it is used, so that nobody is turned away for what VMs do not know of each other.
+	// Default 0.
+	AllowanceExcess float64 `json:"allowance_excess,omitempty" validate:"min=0,max=1"`
+	// AllowanceSlack is how much further it may go, in what allowances are counted in,
+	// requests or tokens. Default 0.
+	AllowanceSlack float64 `json:"allowance_slack,omitempty" validate:"min=0"`
 	// DirectFleet is up to how many entry VMs each reads the platform's store by itself.
 	// In larger fleets one VM of each failure domain reads it for the others: fewer
 	// calls, but a VM may learn of a change a second later when that one fails.
--- a/internal/yardstick/workloads.go
+++ b/internal/yardstick/workloads.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/threadwall/threadwall/internal/admission"
+	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 )
@@ -194,7 +195,7 @@
 	gated := w
 	gated.Name = "overload, gate"
 	gated.Gate = func(now func() time.Time) gate {
-		return admission.New(admission.DefaultTuning, admission.NewShares(now), now)
+		return admission.New(admission.DefaultTuning, allowance.New("", now), now)
 	}
 	return []Workload{w, gated}
 }
