--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -69,14 +69,18 @@
 // deadline is how long callers wait.
 const deadline = 2 * time.Second
 
-// one makes one call to a random VM.
+// one makes one call of a random kind, with one of the keys that change.
 func (c *callers) one(rng *rand.Rand, transport *http.Transport) {
+	c.call(rng, transport, paths[rng.IntN(len(paths))], c.w.key(rng.IntN(keyCount)))
+}
+
+// call makes one call to a random VM.
+func (c *callers) call(rng *rand.Rand, transport *http.Transport, path, key string) {
 	w := c.w
 	out := call{
-		id: fmt.Sprintf("s%08d", c.number.Add(1)), path: paths[rng.IntN(len(paths))],
+		id: fmt.Sprintf("s%08d", c.number.Add(1)), path: path, key: key,
 		vm: w.vms[rng.IntN(len(w.vms))], version: w.confirmed(),
 	}
-	out.key = w.key(rng.IntN(keyCount))
 	calm := w.calm(out.vm)
 	out.sent = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,7 @@
 		}
 	}
 	c.fatalBound()
+	c.allowance(calls)
 	for id := range c.runs {
 		if !known[id] {
 			c.say("request %s ran, and no caller sent it", id)
@@ -72,6 +73,9 @@
 	_, gone := c.w.revoked[k.key]
 	born, replaced := c.w.born[k.key]
 	early := replaced && k.sent.Before(born.Add(inForce))
+	if k.key == limitedKey {
+		return k.status == http.StatusTooManyRequests
+	}
 	return k.status == http.StatusUnauthorized && (gone || early)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,7 @@
 	c := &callers{w: w}
 	calling, stop := context.WithCancel(ctx)
 	c.run(calling, o.Callers, o.Seed)
+	c.runLimited(calling, o.Seed)
 	faulty, done := context.WithTimeout(ctx, o.Faults)
 	apart := w.injectApart(faulty, o.Seed)
 	w.inject(faulty, rand.New(rand.NewPCG(o.Seed, 0)), func(name string) { report.Faults[name]++ })
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -84,6 +84,9 @@
 type tenant struct {
 	Name    string   `json:"name"`
 	APIKeys []string `json:"apiKeys"`
+	// Allowance, in requests; zero: none.
+	RatePerS float64 `json:"ratePerS,omitempty"`
+	Burst    float64 `json:"burst,omitempty"`
 }
 
 // confirm is when the store confirmed a version.
@@ -115,6 +118,9 @@
 		w.keys[i] = w.newKey()
 		w.config.Tenants = append(w.config.Tenants, tenant{Name: fmt.Sprint("t", i), APIKeys: []string{w.keys[i]}})
 	}
+	w.config.Tenants = append(w.config.Tenants, tenant{
+		Name: limitedWorkspace, APIKeys: []string{limitedKey}, RatePerS: limitedRate, Burst: limitedBurst,
+	})
 	w.write()
 	w.store.Put("versions", model, map[string]any{"model": model, "version": w.weights})
 	for range 3 {
