Allowances: VMs that start read who the others are first; demand that comes up is seen sooner

A sum that forgets within 1 s takes demand that has come up 0.3 s ago for a quarter. Change: sums forget within 0.5 s; nothing limited is let in before the list is read.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -18,8 +18,12 @@
 
 const ws ids.Workspace = "w"
 
-// alone is the allowances of a VM that knows of no other.
-func alone(now func() time.Time) *allowance.Limiter { return allowance.New("vm", now) }
+// alone is the allowances of a VM that is the only one.
+func alone(now func() time.Time) *allowance.Limiter {
+	l := allowance.New("vm", now)
+	l.SetVMs([]ids.VM{"vm"})
+	return l
+}
 
 func TestAdmit(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/internal/allowance/decaying.go
+++ b/internal/allowance/decaying.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// memory is within how long a decaying sum forgets all but a 1/e of what went in. Longer,
-// and a VM whose demand changes is taken to go on as before for longer; shorter, and a
-// message that is lost leaves a gap: two rounds of news of 100 VMs are 1 s.
-const memory = time.Second
+// memory is within how long a decaying sum forgets all but a 1/e of what went in: about one
+// round of news of 100 VMs. Longer, and demand that comes up is taken for less than it is: of
+// four VMs that were all killed, under callers that ask for ten times the limit, 1.3 to
+// 2.1 s of the rate were used beyond it where 1.15 s are tolerated (with 1 s; three seeds of
+// the soak, none of them with 0.5 s).
+const memory = 500 * time.Millisecond
 
 // decaying is a sum that forgets. Divided by memory it is the present rate; and what went in
 // between two looks is what the sum has grown by, plus the rate over the time between them.
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -43,6 +43,7 @@
 	mu       sync.Mutex
 	accounts map[uint32]*account
 	vms      map[ids.VM]*peer // listed VMs but this one
+	listed   bool             // the list has been read
 	fleet    *peer            // stands for all others where only their sum is told; nil: it is not
 	// starting is set until this VM knows what others do; first and served count the VMs
 	// whose first word it heard, and those that had been serving by then.
@@ -62,7 +63,7 @@
 	parts  map[uint32]float64 // kept for it while it is silent, by workspace; others: an equal part
 }
 
-// New returns a limiter for one VM that knows of no other. now is nil for that of package
+// New returns a limiter for one VM that has not read yet which others there are. now is nil for that of package
 // clock.
 func New(self ids.VM, now func() time.Time) *Limiter {
 	if now == nil {
@@ -101,7 +102,7 @@
 	a := l.account(HashOf(ws), now)
 	a.name = ws
 	a.setLimit(limit, now)
-	if now.Sub(l.started) < startFor && len(l.vms) > 0 {
+	if !l.listed || now.Sub(l.started) < startFor && len(l.vms) > 0 {
 		a.level = min(a.level, 0) // a VM that starts beside others has no burst of its own
 	}
 }
@@ -114,7 +115,9 @@
 	Age time.Duration
 }
 
-// Take lets a call in, and counts it, or not.
+// Take lets a call in, and counts it, or not. Until this VM has read which others there are
+// it lets in nothing that is limited: of four that were all killed each took itself for the
+// only one for some ms after their start, and had the whole burst.
 func (l *Limiter) Take(c Call) Judged {
 	now := l.now()
 	l.mu.Lock()
@@ -125,6 +128,11 @@
 	}
 	a.last = now
 	a.advance(now)
+	if !l.listed {
+		a.refusals++
+		a.refused += c.Cost
+		return Judged{Verdict: Verdict{ComeBack: shortestReturn}, State: a.state(c.Cost, now)}
+	}
 	out := Judged{State: a.state(c.Cost, now), Age: l.age(now)}
 	out.Settle = l.settle()
 	out.Verdict = l.decide(out.State, c.Draw)
@@ -239,7 +247,7 @@
 			l.drop(p, now)
 		}
 	}
-	l.vms = listed
+	l.vms, l.listed = listed, true
 	l.reserveAnew(now)
 }
 
--- a/internal/allowance/limiter_test.go
+++ b/internal/allowance/limiter_test.go
@@ -105,6 +105,7 @@
 func TestReturn(t *testing.T) {
 	clock := newAt()
 	l := New("a", clock.now)
+	l.SetVMs([]ids.VM{"a"})
 	l.SetLimits(limits(Limit{10, 100}))
 	for i := range 100 {
 		c := Call{Workspace: "w", Cost: 90}
@@ -119,6 +120,31 @@
 	}
 }
 
+// TestStartWithoutTheList: a VM that has read the limits and not yet which others there are has
+// no burst, nor does it have one when it finds out.
+func TestStartWithoutTheList(t *testing.T) {
+	clock := newAt()
+	l := New("a", clock.now)
+	l.SetLimits(limits(Limit{20, 20}))
+	if s := l.Take(Call{Workspace: "w", Cost: 1}); s.Admitted || s.ComeBack <= 0 {
+		t.Fatalf("before the list was read: %+v", s)
+	}
+	if s := l.Take(Call{Workspace: "unlimited", Cost: 1}); !s.Admitted {
+		t.Fatalf("a workspace without a limit: %+v", s)
+	}
+	clock.pass(20 * time.Millisecond)
+	l.SetVMs([]ids.VM{"a", "b", "c", "d"})
+	in := 0
+	for i := range 100 {
+		if l.Take(Call{Workspace: "w", Cost: 1, Draw: float64(i%10) / 10}).Admitted {
+			in++
+		}
+	}
+	if in > 6 {
+		t.Fatalf("%d calls at once were let in on one of four VMs that start; a quarter of a second's rate is 5", in)
+	}
+}
+
 // TestBounds: the bucket gives out in a window what is allowed and no more than the part of the
 // tolerance that is aimed at.
 func TestBounds(t *testing.T) {
--- a/internal/allowance/ways_play_test.go
+++ b/internal/allowance/ways_play_test.go
@@ -112,6 +112,12 @@
 		p.down = func(_ int, t time.Duration) bool { return once(t) || again(t) }
 		p.side = cutAt(hotFrom, 4)
 	})
+	add("ten times the limit at 4 VMs, all killed", func(p *pattern) {
+		p.vms = 4
+		p.demand = spread(4, func(t time.Duration) float64 { return map[bool]float64{true: 10 * rate, false: usual}[t >= hotFrom] })
+		once, again := between(hotFrom+500*time.Millisecond, hotFrom+800*time.Millisecond), between(hotFrom+2*time.Second, hotFrom+2300*time.Millisecond)
+		p.down = func(_ int, t time.Duration) bool { return once(t) || again(t) }
+	})
 	add("hot, restarted in turn", func(p *pattern) {
 		p.down = func(vm int, t time.Duration) bool {
 			from := hotFrom + time.Duration(vm)*70*time.Millisecond
--- a/internal/soak/allowance.go
+++ b/internal/soak/allowance.go
@@ -23,6 +23,20 @@
 	limitedSlack  = 15.0
 )
 
+// timeOfDay is how the soak's logs give times.
+const timeOfDay = "15:04:05.000"
+
+// wipedAt is when all VMs were killed.
+func (w *world) wipedAt() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, at := range w.wiped {
+		out = append(out, at.Format(timeOfDay))
+	}
+	return out
+}
+
 // runLimited starts the callers of the limited workspace; they call until ctx ends.
 func (c *callers) runLimited(ctx context.Context, seed uint64) {
 	for i := range limitedCallers {
@@ -49,6 +63,7 @@
 	}
 	allowed := limitedRate*limitedWindow.Seconds() + limitedBurst
 	bound := allowed*(1+limitedExcess) + limitedSlack
+	most, when := 0, time.Time{}
 	for _, end := range sent {
 		n := 0
 		for _, at := range sent {
@@ -56,9 +71,12 @@
 				n++
 			}
 		}
-		if float64(n) > bound {
-			c.say("%d calls of the limited workspace ran in %v, %.0f are allowed", n, limitedWindow, allowed)
-			return
+		if n > most {
+			most, when = n, end
 		}
 	}
+	if float64(most) > bound {
+		c.say("%d calls of the limited workspace ran in the %v before %s, %.0f are allowed; all VMs were killed at %v",
+			most, limitedWindow, when.Format(timeOfDay), allowed, c.w.wipedAt())
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,9 @@
 	{7000, "VMs that read the store through a peer became unready by turns: waits and questions did not follow short key lifetimes (edge TestProofsOutlastTheirWay)"},
 	{1796241844309321909, "all engines were told to load at once though half of them could have served meanwhile (rollout TestSomeServeMeanwhile)"},
 	{1796242706000003003, "a failure in place of a broken stream's rest ended the stream as if it were whole (forward TestFailureInPlaceOfTheRest)"},
+	{54, "VMs that were killed together took demand that came up for too little (allowance TestPatterns)"},
+	{61, "the same, killed three times in a row"},
+	{74, "the same"},
 	{110, "a decision took the snapshot from before a change that was being taken in (fleet TestSnapshotShowsMarkedChanges)"},
 }
 
--- a/internal/yardstick/workloads.go
+++ b/internal/yardstick/workloads.go
@@ -187,6 +187,12 @@
 	return []Workload{base, herd, bare}
 }
 
+// listed returns a limiter of a VM that is the only one.
+func listed(l *allowance.Limiter) *allowance.Limiter {
+	l.SetVMs(nil)
+	return l
+}
+
 // Overload returns a workload that asks for more than the engines can compute,
 // with and without admission's overload gate.
 func Overload(seed uint64) []Workload {
@@ -195,7 +201,7 @@
 	gated := w
 	gated.Name = "overload, gate"
 	gated.Gate = func(now func() time.Time) gate {
-		return admission.New(admission.DefaultTuning, allowance.New("", now), now)
+		return admission.New(admission.DefaultTuning, listed(allowance.New("", now)), now)
 	}
 	return []Workload{w, gated}
 }
