--- /dev/null
+++ b/internal/allowance/bench_test.go
@@ -0,0 +1,65 @@
+package allowance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// benchLimiter knows vms VMs that tell of the use of all workspaces.
+func benchLimiter(vms, workspaces int) (*Limiter, []Use, []ids.Workspace) {
+	l := New("self", nil)
+	var names []ids.VM
+	for i := range vms {
+		names = append(names, nameOf(i))
+	}
+	l.SetVMs(append(names, "self"))
+	limits := map[ids.Workspace]Limit{}
+	var uses []Use
+	var spaces []ids.Workspace
+	for i := range workspaces {
+		ws := ids.Workspace(fmt.Sprint("w", i))
+		limits[ws] = Limit{1e9, 1e9}
+		uses = append(uses, Use{Workspace: HashOf(ws), Used: 1000, Offered: 1000})
+		spaces = append(spaces, ws)
+	}
+	l.SetLimits(limits)
+	for i := range vms {
+		l.Heard(names[i], 1, 1, uses)
+	}
+	return l, uses, spaces
+}
+
+// BenchmarkTake is one verdict on a VM of 90, with 16 workspaces.
+func BenchmarkTake(b *testing.B) {
+	l, _, spaces := benchLimiter(89, 16)
+	i := 0
+	for b.Loop() {
+		l.Take(Call{Workspace: spaces[i%len(spaces)], Cost: 9200})
+		i++
+	}
+}
+
+// BenchmarkHeard takes in one word of a peer about all workspaces, in fleets whose VMs tell each
+// other (90, 16 workspaces) and in one of 580 workspaces.
+func BenchmarkHeard(b *testing.B) {
+	for _, n := range []int{16, 580} {
+		b.Run(fmt.Sprint(n, " workspaces"), func(b *testing.B) {
+			l, uses, _ := benchLimiter(89, n)
+			seq := uint64(1)
+			for b.Loop() {
+				seq++
+				l.Heard("vm0", 1, seq, uses)
+			}
+		})
+	}
+}
+
+// BenchmarkHeardFleet takes in one total of a tree of 380 VMs.
+func BenchmarkHeardFleet(b *testing.B) {
+	l, uses, _ := benchLimiter(379, 580)
+	for b.Loop() {
+		l.HeardFleet(uses)
+	}
+}
