--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -23,10 +23,10 @@
 //
 // # What is not known
 //
-// A VM that is listed and not heard may be serving behind a cut. From silentAfter on, the
-// part of the limit by what it was asked for when it was last heard is kept for it, so that the sides of
-// a cut together have one limit. A VM that has just started has heard nobody: it has an equal
-// part, and no burst.
+// A VM that is listed and not heard may be serving behind a cut. From silentAfter on, a part of
+// the limit is kept for it, by what it was asked for when it was last heard, so that the sides
+// of a cut together have one limit. A VM that has just started has heard nobody: it has an
+// equal part, and no burst.
 package allowance
 
 import (
@@ -144,6 +144,15 @@
 	Offered   float32
 }
 
+// mostUsed bounds what a VM can say, in units; what is beyond is garbled.
+const mostUsed = 1e12
+
+// plausible tells whether both sums are numbers that a VM can have counted. One that is none
+// would stay in the sums of all for good.
+func (u Use) plausible() bool {
+	return u.Used >= 0 && u.Used < mostUsed && u.Offered >= 0 && u.Offered < mostUsed
+}
+
 // Plus adds the use of the same workspace by another VM.
 func (u Use) Plus(o Use) Use {
 	return Use{Workspace: o.Workspace, Used: u.Used + o.Used, Offered: u.Offered + o.Offered}
--- a/internal/allowance/limiter_test.go
+++ b/internal/allowance/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -145,6 +146,28 @@
 	}
 }
 
+// TestGarbledUse: numbers that no VM can have counted are left out.
+func TestGarbledUse(t *testing.T) {
+	clock := newAt()
+	l := New("a", clock.now)
+	l.SetVMs([]ids.VM{"a", "b"})
+	l.SetLimits(limits(Limit{100, 100}))
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for i, u := range []Use{{Used: nan}, {Offered: nan}, {Used: inf}, {Used: -5}, {Offered: inf}} {
+		u.Workspace = HashOf("w")
+		clock.pass(SweepEvery)
+		l.Heard("b", 1, uint64(i+1), []Use{u})
+		l.HeardOne("b", u)
+	}
+	clock.pass(2 * startFor)
+	l.Sweep()
+	l.Heard("b", 1, 100, nil)
+	clock.pass(SweepEvery)
+	if s := l.Take(Call{Workspace: "w", Cost: 1, Draw: 0.99}); !s.Admitted {
+		t.Fatalf("after garbled words: %+v", s)
+	}
+}
+
 // TestBounds: the bucket gives out in a window what is allowed and no more than the part of the
 // tolerance that is aimed at.
 func TestBounds(t *testing.T) {
