Answers: what a replica says of itself is decoded and logged

The adapter decodes them into membership.Signals and each VM logs what is news (replica-signals). Nothing acts on it yet.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,7 @@
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvcache"
+	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/upstream"
@@ -81,6 +82,7 @@
 	Misfit  bool               // the replica has other weights, or another identity, than asked for
 	Replica ids.Target         // who answered; empty: it does not say
 	Weights ids.WeightsVersion // the weights that it has; empty: it does not say
+	Signals membership.Signals // what the replica asks for
 }
 
 // Dialect translates between headers and this package's types. It decides nothing.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -195,6 +195,7 @@
 	if !r.superseded(t.c) && reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
 		r.f.LearnWeights(t.c.target.ID, reply.Weights)
 	}
+	t.signaled(&reply)
 	if e := t.judge(a, reply); e != nil {
 		return e
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -104,13 +104,14 @@
 
 	mu      sync.RWMutex
 	targets map[ids.Target]*target
+	signals map[ids.Target]*signaled
 	peers   map[ids.VM]*peer
 	version uint64 // grows when the set of targets or a descriptor changes
 }
 
 // New returns an empty table for this VM.
 func New(self ids.VM, tuning Tuning) *Table {
-	return &Table{self: self, tuning: tuning, targets: map[ids.Target]*target{}, peers: map[ids.VM]*peer{}}
+	return &Table{self: self, tuning: tuning, targets: map[ids.Target]*target{}, signals: map[ids.Target]*signaled{}, peers: map[ids.VM]*peer{}}
 }
 
 // Platform takes in the platform's whole list. Members that it no longer holds
