Tests: replicas that name a limit are sent more (red)

The stand-ins' replicas say in their answers what they take, that they leave and that they want a rest, and keep what arrived.

--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -31,8 +31,9 @@
 
 // Ledger records what all replicas ran. Safe for concurrent use.
 type Ledger struct {
-	mu   sync.Mutex
-	runs []Run
+	mu       sync.Mutex
+	runs     []Run
+	arrivals []Arrival
 }
 
 func (l *Ledger) add(r Run) {
@@ -84,6 +85,7 @@
 	orders    int
 	// answers decides, if set, what happens to a request instead of the usual.
 	answers atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
+	signals atomic.Pointer[Signals]
 	silent  atomic.Bool // no connection is answered
 	ended   atomic.Bool // a request has crashed it
 }
@@ -290,6 +292,9 @@
 	if err != nil {
 		return
 	}
+	if r.signal(w, req) {
+		return
+	}
 	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 	r.mu.Lock()
 	version, busy := r.version, r.busy
