A replica that says in an answer that it leaves gets no more calls

Callers' calls went to replicas up to seconds after an answer had told the same VM that they leave, where they may be cut off: the store was silent, and only its entry made a replica leave. Ruled out: an older word that takes it back (no such line, no pause in the sends) and a want of others (other replicas were eligible).

What an answer says of leaving now holds for the incarnation, like a refusal or an entry that says so, and all three are kept beside the entry: one that is garbled, gone for a while or written again as ready takes nothing back, since a target that is listed anew recalls it. A new incarnation ends it. Looked for elsewhere: a refusal's and an entry's own leaving were forgotten with the entry, too (TestLeavingIsKept).

--- a/internal/forward/signals.go
+++ b/internal/forward/signals.go
@@ -12,6 +12,7 @@
 	if !change.Any() {
 		return
 	}
+	t.r.f.Fleet.MarkDirty()
 	s := &reply.Signals
 	t.r.f.Log.Belief("replica-signals").Str("target", string(id)).Uint64("incarnation", uint64(inc)).Str("request", string(t.r.call.ID)).
 		Bool("leaving", s.Leaving).Int64("rest_ms", s.Rest.Milliseconds()).
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/platform"
 	"github.com/threadwall/threadwall/internal/ratelimit"
@@ -155,7 +156,9 @@
 	m.reborn(r.Incarnation, r.Weights, now)
 	if r.State == platform.StateLeaving && r.Incarnation >= m.incarnation {
 		m.leaving = true
+		t.signaledOf(ids.Target(r.ID), r.Incarnation, now).leave()
 	}
+	m.recall(t.signals[ids.Target(r.ID)])
 }
 
 // reborn starts a new life if inc is later than the known one.
@@ -287,12 +290,15 @@
 	}
 }
 
-// Leaves records that the target itself refused work because it is leaving.
+// Leaves records that the target itself refused work because it is leaving, or has ended.
 func (t *Table) Leaves(id ids.Target, inc ids.Incarnation) {
+	now := clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.targets[id]; m != nil && inc >= m.incarnation {
-		m.leaving = true
+	k := t.signaledOf(id, inc, now)
+	k.leave()
+	if m := t.targets[id]; m != nil {
+		m.recall(k)
 	}
 }
 
--- /dev/null
+++ b/internal/membership/signals_test.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/platform"
+	"github.com/threadwall/threadwall/internal/routing"
+)
+
+// TestLeavingIsKept keeps a target that said that it leaves out of use for the rest of its
+// incarnation, whoever it told and whatever its entry says later. A new incarnation ends that.
+func TestLeavingIsKept(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	list := func(table *Table, state platform.State, inc ids.Incarnation) routing.State {
+		table.Platform([]platform.Record{{ID: "t", Role: platform.RoleService, State: state, Incarnation: inc}}, now)
+		return table.State("t", now)
+	}
+	for name, leave := range map[string]func(*Table){
+		"answer":  func(table *Table) { table.Signaled("t", 2, Signals{Leaving: true}, now, now) },
+		"refusal": func(table *Table) { table.Leaves("t", 2) },
+		"entry":   func(table *Table) { list(table, platform.StateLeaving, 2) },
+	} {
+		table := New("vm", DefaultTuning)
+		list(table, platform.StateLive, 2)
+		leave(table)
+		if got := list(table, platform.StateLive, 2); got != routing.Leaving {
+			t.Errorf("%s: the entry says ready, and the target is %v", name, got)
+		}
+		table.Remove("t")
+		if got := list(table, platform.StateLive, 2); got != routing.Leaving {
+			t.Errorf("%s: the entry was gone and is back, and the target is %v", name, got)
+		}
+		if got := list(table, platform.StateLive, 3); got == routing.Leaving {
+			t.Errorf("%s: the target has started again and still counts as leaving", name)
+		}
+		table.Signaled("t", 2, Signals{Leaving: true}, now, now)
+		if got := list(table, platform.StateLive, 3); got == routing.Leaving {
+			t.Errorf("%s: an answer of the incarnation before counts", name)
+		}
+	}
+}
+
+// TestSignalsAreForgotten bounds what is kept of targets that are gone.
+func TestSignalsAreForgotten(t *testing.T) {
+	now, table := time.Unix(1_000_000, 0), New("vm", DefaultTuning)
+	for i := range 10 * signalsKept {
+		table.Signaled(ids.Target(fmt.Sprint("t", i)), 1, Signals{Leaving: true}, now, now)
+		now = now.Add(signalsFor / signalsKept)
+	}
+	if n := len(table.signals); n > 2*signalsKept {
+		t.Errorf("%d targets' signals are kept", n)
+	}
+}
