--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -23,20 +23,32 @@
 	if listed == 0 {
 		return ratelimit.Standing{Rank: unknownFleet, Living: 1, Listed: unknownFleet}
 	}
-	alive, own := c.living(), c.d.Settings
-	before := func(vm ids.VM, d ids.FailureDomain) bool {
-		if near, ownNear := d == domain, own.FailureDomain == domain; near != ownNear {
-			return near
-		}
-		return routing.VMWeight(id, vm) > routing.VMWeight(id, own.VM)
+	alive := c.living()
+	return ratelimit.Standing{
+		Rank: alive.rankOf(id, domain, c.d.Settings.VM), Living: len(alive.domain), Listed: max(listed, len(alive.domain)),
+	}
+}
+
+// rankOf is how many living VMs come before a VM for a target. It is always asked for the same
+// VM, so the answers are kept as long as the same VMs live.
+func (l *livingVMs) rankOf(id ids.Target, domain ids.FailureDomain, vm ids.VM) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rank, ok := l.ranks[id]; ok {
+		return rank
 	}
-	s := ratelimit.Standing{Living: len(alive.domain), Listed: max(listed, len(alive.domain))}
-	for vm, d := range alive.domain {
-		if vm != own.VM && before(vm, d) {
-			s.Rank++
+	rank, near, weight := 0, l.domain[vm] == domain, routing.VMWeight(id, vm)
+	for other, d := range l.domain {
+		if otherNear := d == domain; otherNear != near {
+			if otherNear {
+				rank++
+			}
+		} else if routing.VMWeight(id, other) > weight {
+			rank++
 		}
 	}
-	return s
+	l.ranks[id] = rank
+	return rank
 }
 
 // heardLimit takes in what a peer knows of a target's limit.
--- a/internal/edge/living.go
+++ b/internal/edge/living.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	readers map[ids.Target][]ids.VM
+	ranks   map[ids.Target]int // of this VM
 }
 
 // livingFor is how long a look at which VMs live is used.
@@ -53,7 +54,7 @@
 	if same && len(domain) == len(c.alive.domain) {
 		return c.alive
 	}
-	l := &livingVMs{in: map[ids.FailureDomain][]livingVM{}, domain: domain, readers: map[ids.Target][]ids.VM{}}
+	l := &livingVMs{in: map[ids.FailureDomain][]livingVM{}, domain: domain, readers: map[ids.Target][]ids.VM{}, ranks: map[ids.Target]int{}}
 	for vm, d := range domain {
 		l.in[d] = append(l.in[d], livingVM{vm, d})
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,6 +36,7 @@
 	}
 	c.fatalBound()
 	c.allowance(calls)
+	c.signals(calls)
 	for id := range c.runs {
 		if !known[id] {
 			c.say("request %s ran, and no caller sent it", id)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -33,6 +33,8 @@
 	faulty  time.Time // when the last fault on it or on its path to the store began or ended
 	faults  int       // those that last
 	stopped bool      // SIGTERM was sent, it has not started again
+	// signalled are the times at which the process got a signal or started.
+	signalled []time.Time
 }
 
 // newProcess writes settings for a VM and starts it. In fleets beyond directFleet VMs
@@ -88,6 +90,7 @@
 	}
 	gone := make(chan struct{})
 	p.cmd, p.gone, p.stopped = cmd, gone, false
+	p.signalled = append(p.signalled, time.Now())
 	go func() {
 		_ = cmd.Wait() // how it ended shows in its log
 		p.mu.Lock()
@@ -103,6 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faulty = time.Now()
+	p.signalled = append(p.signalled, p.faulty)
 	if s == syscall.SIGTERM {
 		p.stopped = true
 	}
@@ -111,6 +115,19 @@
 	}
 }
 
+// signalledBetween tells whether the process got a signal or started between two moments: it
+// may have forgotten what it knew.
+func (p *process) signalledBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.signalled {
+		if at.After(from) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
 // touch notes a fault on the process's path.
 func (p *process) touch() {
 	p.mu.Lock()
