--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -197,7 +197,7 @@
 	e.mu.Lock()
 	leaving, loading := e.leaving, e.loading
 	e.mu.Unlock()
-	if !leaving && !loading && !e.faults.take(FaultRefuse) {
+	if !leaving && !loading && !e.faults.refuse(w.Header()) {
 		return false
 	}
 	w.Header().Set(engine.HeaderOutcome, "not-run")
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	FaultCross      Fault = "cross"       // send an event of another answer
 	FaultStall      Fault = "stall"       // say nothing for a while
 	FaultRefuse     Fault = "refuse"      // refuse with a true "not run"
+	FaultRest       Fault = "rest"        // refuse like that, and ask for RestTime of rest
 	FaultForget     Fault = "forget"      // not know an answer that is to be resumed
 	FaultLostAnswer Fault = "lost-answer" // run the call, lose the answer
 	FaultFail       Fault = "fail"        // answer 500 without having run
@@ -31,6 +33,9 @@
 // faultFromEvent is the first event of a stream that faults touch.
 const faultFromEvent = 3
 
+// RestTime is what FaultRest asks for.
+const RestTime = 2 * time.Second
+
 // stallTime is how long FaultStall is silent.
 const stallTime = 3 * time.Second
 
@@ -79,6 +84,22 @@
 	return true
 }
 
+// refuse tells whether a call is turned away by a fault, and says in h what the target wants.
+func (f *Faults) refuse(h http.Header) bool {
+	if f.take(FaultRest) {
+		h.Set("Retry-After", strconv.Itoa(int(RestTime.Seconds())))
+		return true
+	}
+	return f.take(FaultRefuse)
+}
+
+// Struck returns how often a fault has struck.
+func (f *Faults) Struck(name Fault) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Hits[name]
+}
+
 // lossy leaves entries out of a batch of cache events.
 func (f *Faults) lossy(events []cacheview.Event) []cacheview.Event {
 	if len(events) < 4 || !f.take(FaultLateEvents) {
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -72,7 +72,7 @@
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderRequestID))
 	w.Header().Set(engine.HeaderIncarnation, strconv.FormatUint(uint64(s.incarnation), 10))
-	if s.faults.take(FaultRefuse) {
+	if s.faults.refuse(w.Header()) {
 		w.Header().Set(engine.HeaderOutcome, "not-run")
 		http.Error(w, "not now", http.StatusServiceUnavailable)
 		return
