Targets of our own interface have the rest that they ask for, too

It goes the way of the other signals, by one reader (retry.After) and one way into membership (Fleet.Signaled), so decisions keep it whoever asks. When a call that nobody can take should come back is worked out once for all three paths (Fleet.ComeBack).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -214,7 +214,7 @@
 	rec := routing.NewRecord(r.d.Fleet.PolicyName(), &req, &snap.View, sc.Inputs, &sc.Routing, dec)
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindDecision, Request: r.p.Request, Peer: string(rec.Chosen)}, rec)
 	if dec.Index < 0 {
-		return choice{}, r.noTarget(sc)
+		return choice{}, r.noTarget(&req, snap, sc)
 	}
 	if r.attempts == 0 && r.d.Gate != nil {
 		predicted := time.Duration(float64(dec.PredictedTTFT) * float64(time.Second))
@@ -228,11 +228,11 @@
 // retryNoTarget is when a caller should come back when no target serves.
 const retryNoTarget = 2 * time.Second
 
-func (r *run) noTarget(sc *fleet.Scratch) error {
+func (r *run) noTarget(req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch) error {
 	if sc.Routing.Filtered[routing.WrongModel] == len(sc.Inputs) {
 		return outcome.New(outcome.NotRun, outcome.CodeUnknownModel, "route", "", "no target serves model "+string(r.p.Model))
 	}
-	return outcome.New(outcome.NotRun, outcome.CodeNoTarget, "route", "", "no target can take the request now").After(retryNoTarget)
+	return outcome.New(outcome.NotRun, outcome.CodeNoTarget, "route", "", "no target can take the request now").After(r.d.Fleet.ComeBack(req, snap, sc, retryNoTarget))
 }
 
 // learn feeds the end of an attempt back into membership and the time line.
@@ -249,10 +249,7 @@
 	var caller *engine.CallerError
 	switch {
 	case errors.As(err, &refusal):
-		if refusal.Leaving {
-			r.d.Fleet.Members.Leaves(call.Target, refusal.Incarnation)
-			r.d.Fleet.MarkDirty()
-		}
+		r.d.Fleet.Signaled(call.Target, refusal.Incarnation, refusal.Signals(), clock.Now())
 	case errors.As(err, &caller) && e.Outcome == outcome.Ran:
 		r.d.Fleet.Members.Succeeded(call.Target)
 	case ctx.Err() == context.Canceled:
--- a/internal/e2e/rest_test.go
+++ b/internal/e2e/rest_test.go
@@ -9,7 +9,8 @@
 )
 
 // Engines and services that refuse calls may say for how long they want nothing more, as HTTP
-// has it. On the platform's way that was not read; on the way of our own callers neither.
+// has it. Neither the way of opaque calls nor that of our own callers read it: a service that
+// refused was asked again at the next call, three times within the two seconds that it wanted.
 
 // TestRestsAreKept has half of the engines and one of the replicas of each service refuse and
 // ask for two seconds of rest: a VM sends each of them one call in that time, and callers are
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,7 +21,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/retry"
 )
 
 // Headers between threadwall and targets.
@@ -88,6 +90,7 @@
 // Refusal is a target's word that it did not run a call.
 type Refusal struct {
 	Leaving     bool
+	Rest        time.Duration // it wants nothing from this VM for so long; zero: it does not say
 	Incarnation ids.Incarnation
 	Status      int
 }
@@ -170,7 +173,7 @@
 func statusError(resp *http.Response, a *Answer, call *Call) error {
 	peer := string(call.Target)
 	if resp.Header.Get(HeaderOutcome) == headerNotRun {
-		cause := &Refusal{Leaving: resp.Header.Get(HeaderLeaving) == "true", Incarnation: a.Incarnation, Status: resp.StatusCode}
+		cause := ReadRefusal(resp)
 		return outcome.Wrap(cause, outcome.NotRun, outcome.CodeUpstream, "answer", peer, errorPeerRefused)
 	}
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
@@ -181,6 +184,20 @@
 	return outcome.Wrap(cause, outcome.Unknown, outcome.CodeUpstream, "answer", peer, errorPeerFailed)
 }
 
+// Signals are what the target says of itself. Leaving holds for one incarnation, so it counts
+// only where the target names its own.
+func (r *Refusal) Signals() membership.Signals {
+	return membership.Signals{Leaving: r.Leaving && r.Incarnation != 0, Rest: r.Rest}
+}
+
+// ReadRefusal reads what an answer says of its target that says that the call did not run.
+func ReadRefusal(resp *http.Response) *Refusal {
+	return &Refusal{
+		Leaving: resp.Header.Get(HeaderLeaving) == "true", Rest: retry.After(resp.Header),
+		Incarnation: incarnationOf(resp.Header), Status: resp.StatusCode,
+	}
+}
+
 func incarnationOf(h http.Header) ids.Incarnation {
 	n, _ := strconv.ParseUint(h.Get(HeaderIncarnation), 10, 64)
 	return ids.Incarnation(n)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -169,39 +169,6 @@
 	return sum / float64(n)
 }
 
-// usual is how many requests a second a target gets from all VMs, about: as many as the
-// others of its service.
-func (f *Fleet) usual(id ids.Target) float64 {
-	s := f.snap.Load()
-	service := ""
-	s.mark(id, func(i int) { service = s.View.Targets[i].Service })
-	n := 0
-	for i := range s.View.Targets {
-		if s.View.Targets[i].Service == service && s.base[i].State > routing.Leaving {
-			n++
-		}
-	}
-	return f.crossing.perTarget(service, n, f.now())
-}
-
-// Wait returns when this VM could send a request to a target that Decide passed over for what
-// that asked for, counted from now. room is the time between two such requests; zero: many
-// may be sent then. known is false if there is no such target.
-func (f *Fleet) Wait(r *routing.Request, snap *Snapshot, sc *Scratch) (wait, room time.Duration, known bool) {
-	for i := range sc.Inputs {
-		serves := routing.ServesFilter{}.Check(r, &snap.View.Targets[i], &sc.Inputs[i]) == routing.Passed
-		if !serves || !sc.Inputs[i].RateLimited && !sc.Inputs[i].Resting || sc.Inputs[i].State <= routing.Leaving {
-			continue
-		}
-		w, between, ok := f.Members.Limits.Wait(snap.View.Targets[i].ID)
-		w = max(w, snap.rest(i, f.now()))
-		if ok && (!known || w < wait) {
-			wait, room, known = w, between, true
-		}
-	}
-	return wait, room, known
-}
-
 // StateOf returns a target's state.
 func (f *Fleet) StateOf(id ids.Target) routing.State { return f.Members.State(id, f.now()) }
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -73,7 +72,7 @@
 	snap, d := f.Fleet.Decide(&req, r.tried, sc)
 	if d.Index < 0 {
 		r.logNoTarget(sc)
-		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(r.comeBack(&req, snap, sc))
+		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(f.Fleet.ComeBack(&req, snap, sc, retryNoTarget))
 	}
 	c := choice{
 		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), queue: seconds(d.QueueWait), rate: d.Rate,
@@ -93,23 +92,6 @@
 	return c, refusal
 }
 
-// longestReturn bounds when a caller should come back: other VMs may have room sooner.
-const longestReturn = 3 * time.Second
-
-// comeBack is when a caller should come back for whom there is no replica. Where replicas
-// asked not to be sent more, that is when the first of them takes a request again, and some
-// time besides by chance, for one request in that time is all that it takes.
-func (r *run) comeBack(req *routing.Request, snap *fleet.Snapshot, sc *fleet.Scratch) time.Duration {
-	wait, room, known := r.f.Fleet.Wait(req, snap, sc)
-	if !known {
-		return retryNoTarget
-	}
-	if room > 0 {
-		wait += rand.N(room)
-	}
-	return min(max(wait, retryNoTarget), longestReturn)
-}
-
 func seconds(s float32) time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
 
 // homeOf returns the address of the home, unless that is the choice itself or has
--- a/internal/forward/signals.go
+++ b/internal/forward/signals.go
@@ -1,18 +1,14 @@
 package forward
 
-import "github.com/threadwall/threadwall/internal/clock"
-
 // signaled takes in what the replica says of itself, whatever the answer is worth.
 func (t *try) signaled(reply *Reply) {
 	id, inc := t.c.target.ID, t.c.target.Incarnation
 	if t.r.superseded(t.c) || reply.Replica != "" && reply.Replica != id {
 		return // it speaks of another incarnation
 	}
-	change := t.r.f.Fleet.Members.Signaled(id, inc, reply.Signals, t.sent, clock.Now())
-	if !change.Any() {
+	if !t.r.f.Fleet.Signaled(id, inc, reply.Signals, t.sent).Any() {
 		return
 	}
-	t.r.f.Fleet.MarkDirty()
 	s := &reply.Signals
 	t.r.f.Log.Belief("replica-signals").Str("target", string(id)).Uint64("incarnation", uint64(inc)).Str("request", string(t.r.call.ID)).
 		Bool("leaving", s.Leaving).Int64("rest_ms", s.Rest.Milliseconds()).
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -227,7 +227,7 @@
 	req := routing.Request{Service: c.Template.Service, FailureDomain: r.Domain, Seed: r.Fleet.Seed()}
 	snap, d := r.Fleet.Decide(&req, tried, sc)
 	if d.Index < 0 {
-		return routing.Target{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "route", "", "no replica of the service can take the call now").After(retryNoTarget)
+		return routing.Target{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "route", "", "no replica of the service can take the call now").After(r.Fleet.ComeBack(&req, snap, sc, retryNoTarget))
 	}
 	return snap.View.Targets[d.Index], nil
 }
@@ -258,11 +258,7 @@
 
 func readAnswer(resp *http.Response, attempt ids.Attempt, t ids.Target) (*claims.Answer, error) {
 	if resp.Header.Get(engine.HeaderOutcome) == outcome.NotRun.String() {
-		inc, _ := strconv.ParseUint(resp.Header.Get(engine.HeaderIncarnation), 10, 64)
-		cause := &engine.Refusal{
-			Leaving: resp.Header.Get(engine.HeaderLeaving) == "true", Incarnation: ids.Incarnation(inc), Status: resp.StatusCode,
-		}
-		return nil, outcome.Wrap(cause, outcome.NotRun, outcome.CodeUpstream, "answer", string(t), "the target refused the call")
+		return nil, outcome.Wrap(engine.ReadRefusal(resp), outcome.NotRun, outcome.CodeUpstream, "answer", string(t), "the target refused the call")
 	}
 	if echo := resp.Header.Get(engine.HeaderAttempt); echo != "" && echo != string(attempt) {
 		return nil, outcome.New(outcome.Unknown, outcome.CodeUpstream, "answer", string(t), "the target sent the answer of another call")
@@ -287,9 +283,8 @@
 	switch {
 	case err == nil:
 		r.Fleet.Members.Succeeded(t)
-	case errors.As(err, &refusal) && refusal.Leaving:
-		r.Fleet.Members.Leaves(t, refusal.Incarnation)
-		r.Fleet.MarkDirty()
+	case errors.As(err, &refusal) && (refusal.Leaving || refusal.Rest > 0):
+		r.Fleet.Signaled(t, refusal.Incarnation, refusal.Signals(), clock.Now())
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller left; this says nothing about the target.
 	default: // also when the call's time ran out on it
