--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,13 +23,43 @@
 	{110, "a decision took the snapshot from before a change that was being taken in (fleet TestSnapshotShowsMarkedChanges)"},
 }
 
-// TestSoak runs the daemon as processes under drawn faults for some seconds. Bounds in
-// time are left out: CI's machine may be busy.
-func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "threadwalld")
+// openSeeds are seeds that broke a promise whose cause is not mended.
+var openSeeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{211, "VMs that are killed and start again forget a workspace's debt: killed together twice in 1.4 s and one by one after that, they let 106 calls in within 3 s, 103 are tolerated"},
+}
+
+// TestOpenSeeds runs such seeds as they were found, bounds in time included. How they fall in
+// time is not fixed, so they may pass.
+func TestOpenSeeds(t *testing.T) {
+	program := build(t)
+	for _, r := range openSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: r.seed, VMs: 4, Callers: 12, Faults: 12 * time.Second})
+		if err != nil {
+			t.Fatalf("seed %d: %v", r.seed, err)
+		}
+		if len(report.Broken) > 0 {
+			t.Errorf("seed %d (%s): %v, logs %v", r.seed, r.cause, report.Broken, report.Logs)
+		}
+	}
+}
+
+// build builds the daemon.
+func build(t *testing.T) (program string) {
+	t.Helper()
+	program = filepath.Join(t.TempDir(), "threadwalld")
 	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/threadwalld").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return program
+}
+
+// TestSoak runs the daemon as processes under drawn faults for some seconds. Bounds in
+// time are left out: CI's machine may be busy.
+func TestSoak(t *testing.T) {
+	program := build(t)
 	for _, r := range regressions {
 		report, err := Run(t.Context(), Options{Program: program, Seed: r.seed, VMs: 3, Callers: 6, Faults: 3 * time.Second, Busy: true})
 		if err != nil {
