--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -107,6 +107,15 @@
 
 // play plays a pattern with one way.
 func play(p pattern, seed uint64, build func(vm int, now func() time.Time) way) figures {
+	x := run(p, seed, build)
+	x.out.beyond = x.mostBeyond()
+	x.out.short = max(x.out.owed-x.out.served, 0) / max(x.out.owed, 1)
+	x.out.long = x.longPart()
+	return x.out
+}
+
+// run plays a pattern to its end.
+func run(p pattern, seed uint64, build func(vm int, now func() time.Time) way) *player {
 	x := &player{
 		p: p, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1_000_000, 0), build: build,
 		vms: make([]way, p.vms), life: make([]int64, p.vms), next: make([]time.Duration, p.vms), mail: map[time.Duration][]func(){},
@@ -131,10 +140,7 @@
 			}
 		}
 	}
-	x.out.beyond = x.mostBeyond()
-	x.out.short = max(x.out.owed-x.out.served, 0) / max(x.out.owed, 1)
-	x.out.long = x.longPart()
-	return x.out
+	return x
 }
 
 // lives kills and starts VMs.
@@ -308,6 +314,18 @@
 	return most
 }
 
+// most is the most that was used in a window of a length.
+func (x *player) most(length time.Duration) float64 {
+	used, most, n := 0.0, 0.0, int(length/tick)
+	for i, u := range x.used {
+		if used += u; i >= n {
+			used -= x.used[i-n]
+		}
+		most = max(most, used)
+	}
+	return most
+}
+
 // longPart compares the longest tenth of calls with all.
 func (x *player) longPart() float64 {
 	// The tenth of a log-normal distribution of this width begins at 2.03 times its mean.
