A VM that is told to read its settings right after its start goes on

It is taken as the process is initialised now.

What is left is the start of the process itself, before any code of ours runs.

--- a/cmd/threadwalld/edge.go
+++ b/cmd/threadwalld/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/edge"
+	"github.com/threadwall/threadwall/internal/hangup"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/platform"
 )
@@ -26,12 +27,10 @@
 	if d := s.Edge.TestSuspension.D(); d > 0 {
 		go suspendAtSignal(d)
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, edge.Options{
-			Adapter: platform.New(s), LogTo: os.Stdout, Hangup: hangup,
+			Adapter: platform.New(s), LogTo: os.Stdout, Hangup: hangup.Signals(),
 			Reload: func() (settings.Settings, error) { return settings.Load(path) },
 		}),
 		fx.StopTimeout(s.Edge.Grace.D()+stopMargin),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	{54, "VMs that were killed together took demand that came up for too little (allowance TestPatterns)"},
 	{61, "the same, killed three times in a row"},
 	{74, "the same"},
+	{221, "a VM that got SIGHUP right after its start ended without a word (hangup TestHangupAtStart)"},
 	{110, "a decision took the snapshot from before a change that was being taken in (fleet TestSnapshotShowsMarkedChanges)"},
 }
 
