--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	{54, "VMs that were killed together took demand that came up for too little (allowance TestPatterns)"},
 	{61, "the same, killed three times in a row"},
 	{74, "the same"},
+	{211, "VMs that had just started took what was asked of them for a tenth (allowance TestKilledAgainAndAgain)"},
 	{221, "a VM that got SIGHUP right after its start ended without a word (hangup TestHangupAtStart)"},
 	{110, "a decision took the snapshot from before a change that was being taken in (fleet TestSnapshotShowsMarkedChanges)"},
 }
@@ -29,7 +30,7 @@
 	seed  uint64
 	cause string
 }{
-	{211, "VMs that are killed and start again forget a workspace's debt: killed together twice in 1.4 s and one by one after that, they let 106 calls in within 3 s, 103 are tolerated"},
+	{323, "a rollout takes two of three engines out of service while the third has asked the VMs for a rest: calls are refused"},
 }
 
 // TestOpenSeeds runs such seeds as they were found, bounds in time included. How they fall in
