--- a/internal/fleet/signals.go
+++ b/internal/fleet/signals.go
@@ -57,13 +57,17 @@
 
 // wait returns when this VM could send a request to a target that Decide passed over for what
 // that asked for, counted from now. room is the time between two such requests; zero: many
-// may be sent then. known is false if there is no such target.
+// may be sent then. known is false if there is no such target, or one that was passed over for
+// what passes sooner: a breaker, or an attempt of this request.
 func (f *Fleet) wait(r *routing.Request, snap *Snapshot, sc *Scratch) (wait, room time.Duration, known bool) {
 	for i := range sc.Inputs {
-		serves := routing.ServesFilter{}.Check(r, &snap.View.Targets[i], &sc.Inputs[i]) == routing.Passed
-		if !serves || !sc.Inputs[i].RateLimited && !sc.Inputs[i].Resting || sc.Inputs[i].State <= routing.Leaving {
+		in := &sc.Inputs[i]
+		if in.State <= routing.Leaving || (routing.ServesFilter{}).Check(r, &snap.View.Targets[i], in) != routing.Passed {
 			continue
 		}
+		if !in.RateLimited && !in.Resting {
+			return 0, 0, false
+		}
 		w, between, ok := f.Members.Limits.Wait(snap.View.Targets[i].ID)
 		w = max(w, snap.rest(i, f.now()))
 		if ok && (!known || w < wait) {
