--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -84,7 +84,7 @@
 func (a *account) state(cost float64, now time.Time) State {
 	return State{
 		Limit: a.limit, Level: a.level, Reserved: a.reserved, Cost: cost,
-		Demand: flow(a.asked(now) + a.othersOffered),
+		Demand: flow(a.asked(now) + a.othersOffered), Came: flow(a.offered.now(now) + a.othersOffered),
 	}
 }
 
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -50,6 +50,8 @@
 	Level float64
 	// Demand is what callers ask of all VMs that are heard, this call left out, in units/s.
 	Demand float64
+	// Came is Demand without what is taken to have been asked before this VM started, in units/s.
+	Came float64
 	// Cost is the call's, in units.
 	Cost float64
 	// Reserved is the part of the limit that is kept for VMs that are not heard.
@@ -127,7 +129,7 @@
 func (s State) comeBack(draw float64) time.Duration {
 	rate := max(s.rate(), leastRate)
 	wait := max(-s.Level, 0) / rate
-	spread := max(s.Demand-rate, 0) / rate
+	spread := max(s.Came-rate, 0) / rate
 	after := time.Duration((wait + draw*spread) * float64(time.Second))
 	return min(max(after, 0), longestReturn) + time.Duration((1+draw)*float64(shortestReturn))
 }
