--- a/internal/forward/signals_test.go
+++ b/internal/forward/signals_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/outcome"
 )
 
 // TestSignalsCountWhateverTheAnswer heeds a rest that is asked for, and a leaving, on an answer
@@ -42,3 +47,23 @@
 		})
 	}
 }
+
+// TestSignalsAreAskedBeforeTheFirstByte holds a call up between the decision and the send, as a
+// slow connect or a suspended VM does. Meanwhile another answer says that the replica rests, or
+// leaves: nothing is sent, and the call goes to another replica or is refused as not run.
+func TestSignalsAreAskedBeforeTheFirstByte(t *testing.T) {
+	for name, s := range map[string]membership.Signals{"rest": {Rest: time.Minute}, "leaving": {Leaving: true}} {
+		tf := newFleet(t, route(catalog.Once, 1), newStandIn(t, "a", ok("")))
+		r := &run{f: tf.f, req: httptest.NewRequest(http.MethodPost, "/", nil), ends: time.Now().Add(time.Minute)}
+		c := &choice{}
+		c.target.ID, c.target.Incarnation = "a", 1
+		before := (&try{r: &run{f: r.f, req: r.req, ends: r.ends, route: &tf.f.Catalog.Get().Routes[0]}, c: c}).request().Before
+		if refusal := before(); refusal != nil {
+			t.Fatalf("%s: a call is held back without need: %v", name, refusal)
+		}
+		tf.f.Fleet.Signaled("a", 1, s, time.Now())
+		if refusal := before(); refusal == nil || refusal.Outcome != outcome.NotRun || !errors.Is(refusal, errLapsed) {
+			t.Errorf("%s: the call is sent all the same: %v", name, refusal)
+		}
+	}
+}
