Rest and leaving are asked again right before the first byte

A call that had been held up between the decision and the send (a connect of a second, a VM that stood still) went to a replica that had asked for a rest, or said that it leaves, meanwhile: both were looked at when the replica was chosen, and only the caller's time and key right before the write. They stand beside these now. The call goes to another replica; as nothing has reached the first, that takes nothing from the retry budget, as for a connection that could not be made.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -150,6 +150,18 @@
 	return nil
 }
 
+// lapsed refuses a send that is not allowed any more. Connecting may take a second, and the VM
+// may have stood still since the replica was chosen; it may have asked for a rest meanwhile.
+func (t *try) lapsed() *outcome.Error {
+	if refusal := t.r.lapsed(); refusal != nil {
+		return refusal
+	}
+	if !t.r.superseded(t.c) && t.r.f.Fleet.Members.Declines(t.c.target.ID, clock.Now()) {
+		return outcome.Wrap(errLapsed, outcome.NotRun, outcome.CodeUpstream, "send", string(t.c.target.ID), "the replica rests or leaves since it was chosen")
+	}
+	return nil
+}
+
 // errLapsed is the cause of a refusal for what has run out; it says nothing about the
 // replica that was chosen.
 var errLapsed = errors.New("what allowed the call has run out since it was admitted")
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -59,7 +59,7 @@
 	}
 	r.f.Dialect.WriteSend(h, &s)
 	return &upstream.Request{
-		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: r.body, Mine: r.mine, Before: r.lapsed,
+		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: r.body, Mine: r.mine, Before: t.lapsed,
 	}
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -101,7 +101,7 @@
 		return false
 	case r.guarded.Refusal(false) != nil:
 		return false // this attempt's crash may have been the last that it took
-	case err.Step != stepDial && !r.f.Budgets.Of(r.service).Withdraw():
+	case !nothingSent(err) && !r.f.Budgets.Of(r.service).Withdraw():
 		r.f.Stats.BudgetEmpty.Add(1)
 		r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").Send()
 		return false
@@ -117,6 +117,10 @@
 // stepDial is the step at which nothing has reached a replica.
 const stepDial = "dial"
 
+// nothingSent tells whether an attempt ended before anything of it reached the replica: it
+// counts neither as a repeat nor against the replica's limit.
+func nothingSent(err *outcome.Error) bool { return err.Step == stepDial || errors.Is(err, errLapsed) }
+
 // attempt is one try: decide, send, judge, pass the answer on.
 func (r *run) attempt(ctx context.Context) *outcome.Error {
 	if refusal := r.guarded.Refusal(r.sends == 0); refusal != nil {
@@ -320,8 +324,8 @@
 		return
 	}
 	r.blame(ctx, t, err)
-	if err.Step == stepDial || errors.Is(err, errLapsed) {
-		r.f.Fleet.GiveBack(c.target.ID) // nothing has reached it
+	if nothingSent(err) {
+		r.f.Fleet.GiveBack(c.target.ID)
 	}
 	if err.Outcome == outcome.NotRun {
 		r.attempts--
--- a/internal/forward/signals_test.go
+++ b/internal/forward/signals_test.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// What a replica asks for was looked at when it was chosen. A call whose connection took a second,
+// or whose VM stood still, was sent by what had been known before.
+
 // TestSignalsAreAskedBeforeTheFirstByte holds a call up between the decision and the send, as a
 // slow connect or a suspended VM does. Meanwhile another answer says that the replica rests, or
 // leaves: nothing is sent, and the call goes to another replica or is refused as not run.
--- a/internal/membership/signals.go
+++ b/internal/membership/signals.go
@@ -53,6 +53,14 @@
 	return change
 }
 
+// Declines tells whether a target takes nothing from this VM now: it leaves, or rests.
+func (t *Table) Declines(id ids.Target, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m := t.targets[id]
+	return m != nil && (m.leaving || now.Before(m.restUntil))
+}
+
 const (
 	// signalsKept is how many targets' signals are kept before old ones are forgotten.
 	signalsKept = 256
