A peer's word of a limit counts for the incarnation that this VM knows

A garbled incarnation in a datagram, larger than any, was taken in and shut out all that the replica says of its limit itself, for ten minutes (TestHeardLimitOfAnotherIncarnation; found by reading).

--- a/internal/fleet/signals.go
+++ b/internal/fleet/signals.go
@@ -6,6 +6,7 @@
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/membership"
+	"github.com/threadwall/threadwall/internal/ratelimit"
 	"github.com/threadwall/threadwall/internal/routing"
 )
 
@@ -22,6 +23,13 @@
 	return change
 }
 
+// HeardLimit takes in what a peer knows of a target's limit, and returns whether that is news. A
+// word of another incarnation than this VM knows waits until it knows that one, too: a garbled
+// one would shut out all that the target says itself.
+func (f *Fleet) HeardLimit(w ratelimit.Word) (changed bool) {
+	return w.Incarnation == f.Members.Incarnation(w.Target) && f.Members.Limits.Heard(w)
+}
+
 // usual is how many requests a second a target gets from all VMs, about: as many as the
 // others of its service.
 func (f *Fleet) usual(id ids.Target) float64 {
--- a/internal/fleet/signals_test.go
+++ b/internal/fleet/signals_test.go
@@ -51,3 +51,20 @@
 		t.Errorf("come back after %v, one rests for 2s and the other takes a request in 10s", got)
 	}
 }
+
+// TestHeardLimitOfAnotherIncarnation leaves out what a peer says of an incarnation that this VM
+// does not know. Taken in, a garbled number would have shut out all that the target itself says.
+func TestHeardLimitOfAnotherIncarnation(t *testing.T) {
+	f := New(membership.New("vm", membership.DefaultTuning), cacheview.New(1024, nil), loadview.New(), routing.NewFetching(), nil)
+	f.Members.Platform([]platform.Record{{ID: "a", Role: platform.RoleService, Service: "svc", Incarnation: 1}}, time.Now())
+	f.Refresh()
+	if f.HeardLimit(ratelimit.Word{Target: "a", Incarnation: 1 << 60, Limit: ratelimit.PerSecond(9)}) {
+		t.Error("a word of an unknown incarnation counts")
+	}
+	if !f.Signaled("a", 1, membership.Signals{Limit: ratelimit.PerSecond(2)}, time.Now()).Limit {
+		t.Error("what the target says itself does not count")
+	}
+	if !f.HeardLimit(ratelimit.Word{Target: "a", Incarnation: 1, Limit: ratelimit.PerSecond(3)}) {
+		t.Error("a word of the known incarnation does not count")
+	}
+}
