--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -4,7 +4,7 @@
 // # The load
 //
 // A target in need names one or two requests a second and goes on answering, so it looks
-// idle and all VMs would send to it: 90 of them, one request each, are eight times what it
+// idle and all VMs would send to it: 90 of them, one request each, are several times what it
 // tolerates in a window. Which VM has how much left can't be asked for each request, and
 // some VMs may not hear each other.
 //
--- a/internal/ratelimit/play_test.go
+++ b/internal/ratelimit/play_test.go
@@ -227,8 +227,8 @@
 	return n
 }
 
-// worst looks at all windows that count. What was sent before the target named a limit does
-// so up to the limit's rate: no VM could have known.
+// worst looks at all windows that count. What was sent before the target named a limit is left
+// out: a target that got 8 a second is over a low limit by that alone.
 func (x *player) worst() float64 {
 	most := 0.0
 	for end := namedAt + contact; end < playFor; end += tick {
