--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -44,6 +44,19 @@
 	return Limit{Named: true, PerSecond: min(rate, maxPerSecond)}
 }
 
+// Lower returns the limit that binds where a target names two: the lower of those that can be
+// read.
+func Lower(a, b Limit) Limit {
+	switch {
+	case !a.Named, b.Named && a.Garbled:
+		return b
+	case !b.Named, b.Garbled, a.PerSecond <= b.PerSecond:
+		return a
+	default:
+		return b
+	}
+}
+
 // leastPerSecond is taken for lower limits, in requests/s: only an answer tells that a target
 // takes work again.
 const leastPerSecond = 0.1
