--- a/internal/allowance/decaying.go
+++ b/internal/allowance/decaying.go
@@ -6,10 +6,7 @@
 )
 
 // memory is within how long a decaying sum forgets all but a 1/e of what went in: about one
-// round of news of 100 VMs. Longer, and demand that comes up is taken for less than it is: of
-// four VMs that were all killed, under callers that ask for ten times the limit, 1.3 to
-// 2.1 s of the rate were used beyond it where 1.15 s are tolerated (with 1 s; three seeds of
-// the soak, none of them with 0.5 s).
+// round of news of 100 VMs. Longer, and demand that comes up is taken for less than it is.
 const memory = 500 * time.Millisecond
 
 // decaying is a sum that forgets. Divided by memory it is the present rate; and what went in
--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lab/draw"
 )
 
 // way is one VM's part of a way to bound a workspace's use over all VMs.
@@ -188,7 +189,7 @@
 	x.ideal = min(x.ideal+limit.Rate*dt, limit.Burst)
 	x.allowed, x.bursts, x.used = append(x.allowed, limit.Rate*dt), append(x.bursts, limit.Burst), append(x.used, 0)
 	for i, w := range x.vms {
-		for range x.poisson(x.p.demand(i, x.at) * dt / x.p.mean) {
+		for range draw.Poisson(x.rng, x.p.demand(i, x.at)*dt/x.p.mean) {
 			if w == nil {
 				continue // nobody is asked
 			}
@@ -212,15 +213,6 @@
 	}
 }
 
-func (x *player) poisson(mean float64) int {
-	n, p, limit := 0, x.rng.Float64(), math.Exp(-mean)
-	for p > limit {
-		n++
-		p *= x.rng.Float64()
-	}
-	return n
-}
-
 // words lets VMs tell each other.
 func (x *player) words() {
 	for i, w := range x.vms {
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -24,8 +24,8 @@
 	gapWeight = 32
 	// startFor is for how long a VM keeps to an equal part after its start, unless it finds
 	// that others have been serving: two rounds of news of 100 VMs. Of VMs that were all
-	// killed and start again none knows what is asked of the others; 90 of them used three
-	// bursts within the first second.
+	// killed and start again none knows what is asked of the others, and each would give out
+	// a whole burst.
 	startFor = time.Second
 )
 
--- a/internal/edge/living.go
+++ b/internal/edge/living.go
@@ -30,9 +30,8 @@
 // livingFor is how long a look at which VMs live is used.
 const livingFor = 50 * time.Millisecond
 
-// living returns the VMs that live. As long as they are the same, so is what is returned:
-// who reads each of 60 feeds, worked out anew for 110 VMs at each look, was 24% of their
-// processor time (profile at two calls a second and VM).
+// living returns the VMs that live. As long as they are the same, so is what is returned: what
+// follows from them costs a hash for each VM and target, and need not be worked out anew.
 func (c *vmList) living() *livingVMs {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -117,9 +117,8 @@
 	// shortestCaches is the least pause between two tellings of caches: what a prompt that
 	// was just computed saves the next one is known before the next one is decided.
 	shortestCaches = 50 * time.Millisecond
-	// messagesPerSecond bounds what a VM takes in: at 30 us each, 0.6% of a core. With
-	// 70, the loads of 69 VMs were a second old, and all sent to the engines that had
-	// looked idle then.
+	// messagesPerSecond bounds what a VM takes in. Fewer make loads so old that all VMs send to
+	// the engines that had looked idle.
 	messagesPerSecond = 200
 	// maxDatagram bounds a message, in bytes.
 	maxDatagram = 48 << 10
--- a/internal/ratelimit/play_test.go
+++ b/internal/ratelimit/play_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/lab/draw"
 )
 
 // way is one VM's part of a way to keep to a target's limit.
@@ -187,10 +188,10 @@
 }
 
 func (x *player) calls() {
-	for range x.poisson(max(x.p.wants, x.p.before) * tick.Seconds()) {
-		i, draw := x.rng.IntN(x.p.vms), x.rng.Float64()*max(x.p.wants, x.p.before)
+	for range draw.Poisson(x.rng, max(x.p.wants, x.p.before)*tick.Seconds()) {
+		i, by := x.rng.IntN(x.p.vms), x.rng.Float64()*max(x.p.wants, x.p.before)
 		w := x.vms[i]
-		if w == nil || !w.knows() && draw > x.p.before || w.knows() && draw > x.p.wants {
+		if w == nil || !w.knows() && by > x.p.before || w.knows() && by > x.p.wants {
 			continue
 		}
 		if w.take() {
@@ -218,15 +219,6 @@
 	})
 }
 
-func (x *player) poisson(mean float64) int {
-	n, p, limit := 0, x.rng.Float64(), math.Exp(-mean)
-	for p > limit {
-		n++
-		p *= x.rng.Float64()
-	}
-	return n
-}
-
 // worst looks at all windows that count. What was sent before the target named a limit is left
 // out: a target that got 8 a second is over a low limit by that alone.
 func (x *player) worst() float64 {
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -83,11 +83,8 @@
 	defaultBandRatio       = 0.05
 	defaultBandSeconds     = 0.002
 	defaultDistanceSeconds = 0.004
-	// defaultFetchDistanceSeconds is that where the KV cache moves and not the request: a body
-	// and an answer of some 20 KB between failure domains cost about a twenty-fifth of what a
-	// prompt is worth, as if it came a twenty-fifth of a second later. In time of all asked
-	// 0.700 with 0.004, 0.702 with 0.04; bytes between domains 0.83 of before (15 days with
-	// faults).
+	// defaultFetchDistanceSeconds is that where the KV cache moves and not the request: bytes
+	// between failure domains are dear, and a holder elsewhere is as good as one nearby.
 	defaultFetchDistanceSeconds = 0.04
 	defaultSlowStart            = 0.25
 	defaultPerSecondWait        = 4
@@ -108,10 +105,7 @@
 	// idle one with old weights.
 	defaultOldWeightsSeconds = 0.3
 	// defaultCrowd is how many calls may meet at a target before the VMs hear of each other:
-	// engines of 24 to 64 places take so many in one batch. 90 VMs before 90 engines, at 740
-	// calls/s and news of 0.4 s, look at 3 engines then. On five days with faults, paired,
-	// 0.834 of what callers asked was earned in time, against 0.811 with a fifth of the
-	// engines; half as many calls were no better (0.797 and 0.800 on three of the days).
+	// engines take so many in one batch.
 	defaultCrowd = 10
 	// defaultDrawn is how many targets are looked at whatever crosses: of two alone a VM may
 	// meet two that are slow.
