Allowances: calls are let in by draws that lie evenly, not by independent ones

Cause: each call was let in with the right chance by a draw of its own. A VM that sees a few calls a second then lets in far more or fewer than that part: the spread of 1,200 calls alone is 3%. The draws had no seed either, so the verdict of the test differed from run to run.

Ruled out: the shares of the two sides (0.25 and 0.75 as they should be). Change: the account draws for itself, by steps of the golden ratio from a start that differs by VM, workspace and start; Call.Draw is gone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,7 +9,6 @@
 package admission
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -92,7 +91,7 @@
 	if s.inFlight >= max(1, int(float64(limits.Concurrency)*l.allowed.Part(ws))) {
 		return nil, refuse(outcome.CodeRateLimited, "the workspace has too many requests in flight", retryCapacity)
 	}
-	judged := l.allowed.Take(allowance.Call{Workspace: ws, Cost: 1, Draw: rand.Float64()})
+	judged := l.allowed.Take(allowance.Call{Workspace: ws, Cost: 1})
 	if !judged.Admitted {
 		return nil, refuse(outcome.CodeRateLimited, "the workspace is over its rate", judged.ComeBack)
 	}
--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -41,6 +41,8 @@
 	othersUsed, othersOffered float64
 	reserved                  float64 // part of the limit kept for VMs that are not heard
 
+	draws uint64 // the last draw, as a part of 2^64
+
 	past   [pastLooks]float64 // what was asked of all at the last sweeps
 	looked int
 
@@ -48,6 +50,17 @@
 	refusals          int64
 }
 
+// goldenStep is 2^64 divided by the golden ratio.
+const goldenStep = 0x9E3779B97F4A7C15
+
+// nextDraw returns a number in [0, 1). Numbers in a row lie as evenly as can be, so that the part
+// of the calls that is let in is the part that may be: with independent draws a VM that sees
+// a few calls a second lets in far fewer or more than that.
+func (a *account) nextDraw() float64 {
+	a.draws += goldenStep
+	return float64(a.draws>>11) / (1 << 53)
+}
+
 // advance brings the level up to now.
 func (a *account) advance(now time.Time) {
 	dt := now.Sub(a.at).Seconds()
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -69,7 +69,6 @@
 type Call struct {
 	Workspace ids.Workspace
 	Cost      float64 // units
-	Draw      float64 // a random number in [0, 1)
 }
 
 // SetLimits puts the limits of all workspaces in force; those that are left out have none.
@@ -128,7 +127,7 @@
 	}
 	out := Judged{State: a.state(c.Cost, now), Age: l.age(now)}
 	out.Settle = l.settle()
-	out.Verdict = l.decide(out.State, c.Draw)
+	out.Verdict = l.decide(out.State, a.nextDraw())
 	a.offered.add(c.Cost, now)
 	if !out.Admitted {
 		a.refused += c.Cost
@@ -162,12 +161,17 @@
 func (l *Limiter) account(hash uint32, now time.Time) *account {
 	a := l.accounts[hash]
 	if a == nil {
-		a = &account{at: now, last: now, started: l.started, reserved: l.reservedOf(hash)}
+		a = &account{at: now, last: now, started: l.started, reserved: l.reservedOf(hash), draws: l.firstDraw(hash)}
 		l.accounts[hash] = a
 	}
 	return a
 }
 
+// firstDraw is where an account's draws begin: elsewhere on each VM, and after each start.
+func (l *Limiter) firstDraw(hash uint32) uint64 {
+	return xxh3.HashStringSeed(string(l.self), uint64(l.started.UnixNano())^uint64(hash))
+}
+
 // Part is the part of a workspace's limits that this VM may use: its part of what callers ask
 // of all VMs that are heard, and an equal part at least.
 func (l *Limiter) Part(ws ids.Workspace) float64 {
--- a/internal/forward/allowance.go
+++ b/internal/forward/allowance.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/allowance"
@@ -24,9 +23,7 @@
 	if r.f.Allowances == nil || r.workspace == nil {
 		return nil
 	}
-	call := allowance.Call{
-		Workspace: r.workspace.Name, Cost: r.workspace.Allowance.Cost(r.call.Tokens), Draw: rand.Float64(),
-	}
+	call := allowance.Call{Workspace: r.workspace.Name, Cost: r.workspace.Allowance.Cost(r.call.Tokens)}
 	judged := r.f.Allowances.Take(call)
 	if judged.Admitted {
 		r.taken = taken{call, clock.Now()}
