--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -1,6 +1,7 @@
 package platformlab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -72,6 +73,10 @@
 	Born    int64         // its start in Unix milliseconds; zero: it does not say
 	// Fatal is set for a replica that some requests crash.
 	Fatal *Fatal
+	// Software is the version of its software; empty: v1.
+	Software string
+	// Cold is for how long it says that it is slow after its start.
+	Cold time.Duration
 
 	store     *Store
 	ledger    *Ledger
@@ -146,6 +151,8 @@
 	Service string       `json:"service"`
 	Address string       `json:"address"`
 	Zone    string       `json:"zone"`
+	Version string       `json:"version"`
+	Cold    int64        `json:"coldLeftMs"`
 	Slots   int          `json:"slots"`
 	State   string       `json:"state"`
 	Models  []modelState `json:"models,omitempty"`
@@ -162,7 +169,7 @@
 
 func (r *Replica) register() {
 	r.mu.Lock()
-	e := entry{Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state, Born: r.Born}
+	e := entry{Version: cmp.Or(r.Software, "v1"), Cold: r.Cold.Milliseconds(), Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state, Born: r.Born}
 	if r.Model != "" {
 		e.Models = []modelState{{r.Model, r.version}}
 	}
--- a/internal/lab/platformlab/store.go
+++ b/internal/lab/platformlab/store.go
@@ -20,6 +20,7 @@
 type Object struct {
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 // Metadata names an object and its last change.
@@ -146,6 +147,27 @@
 	return o
 }
 
+// putStatus replaces the status of an object that is there. The lock is held.
+func (s *Store) putStatus(kind, name string, status json.RawMessage) Object {
+	o := s.kinds[kind][name]
+	if slices.Equal(o.Status, status) {
+		return o
+	}
+	s.rev++
+	o.Metadata.Rev, o.Status = s.rev, status
+	s.kinds[kind][name] = o
+	s.note(change{kind: kind, object: o})
+	return o
+}
+
+// Get returns an object; false: there is none.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	return o, ok
+}
+
 func (s *Store) note(c change) {
 	s.history = append(s.history, c)
 	close(s.changed)
@@ -157,6 +179,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefixObjects), "/")
+	name, isStatus := strings.CutSuffix(name, "/status")
 	s.mu.Lock()
 	t, cut := s.trouble, s.cut
 	s.calls[r.Method+" "+kind]++
@@ -185,7 +208,7 @@
 	case r.Method == http.MethodDelete:
 		s.Remove(kind, name)
 	default:
-		s.write(w, r, kind, name, t.LoseWrites)
+		s.write(w, r, kind, name, isStatus, t.LoseWrites)
 	}
 }
 
@@ -277,7 +300,7 @@
 	return events, false, s.rev
 }
 
-func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string, lose float64) {
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string, isStatus bool, lose float64) {
 	var in Object
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -296,6 +319,8 @@
 		o, status = old, http.StatusConflict
 	case !create && !known:
 		status = http.StatusNotFound
+	case isStatus:
+		o = s.putStatus(kind, name, in.Status)
 	default:
 		o = s.put(kind, name, in.Spec)
 	}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -49,6 +49,14 @@
 	// AllowanceSlack is how much further it may go, in what allowances are counted in,
 	// requests or tokens. Default 0.
 	AllowanceSlack float64 `json:"allowance_slack,omitempty" validate:"min=0"`
+	// Canaries tells that operators order versions of services' software, and that calls go
+	// to the version in service alone until then. Default false: calls go to all versions.
+	Canaries bool `json:"canaries,omitempty"`
+	// CanaryShare is the part of a service's calls that a version may get which turns out bad,
+	// over the time of its order. Default 0.1.
+	CanaryShare float64 `json:"canary_share,omitempty" validate:"min=0,max=1"`
+	// CanarySlack is how many calls it may get besides. Default 50.
+	CanarySlack float64 `json:"canary_slack,omitempty" validate:"min=0"`
 	// DirectFleet is up to how many entry VMs each reads the platform's store by itself.
 	// In larger fleets one VM of each failure domain reads it for the others: fewer
 	// calls, but a VM may learn of a change a second later when that one fails.
@@ -97,6 +105,8 @@
 	orDefault(&e.RetryBurst, 10)
 	orDefault(&e.DirectFleet, 12)
 	orDefault(&e.TreeFleet, 100)
+	orDefault(&e.CanaryShare, 0.1)
+	orDefault(&e.CanarySlack, 50)
 	orDefault(&e.MemoryMB, 256)
 	return e
 }
