Versions of a service's software are brought into service by order, proven, and rolled back

Cause: an entry's version was read nowhere, nor were orders for versions; targets of one service were taken for equal.

Change: package canary. One record a service in the store says which version gets calls; all VMs go by it. The lease's holder moves it on from what all VMs count of both versions at the same time: proving, loading, promoting, and the status when nobody has calls left at the old version.

Why it holds: each VM's gate goes by the store's record alone, whatever the others know or have forgotten. An order has one end since the status is written on condition that the order is the one that was judged, and the record follows where they differ (TestOneEnd lets two holders act on states as old as they like).

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/threadwall/threadwall/internal/allowance"
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -28,6 +29,7 @@
 	InFlight      int64                     `json:"in_flight"`
 	Targets       []membership.TargetStatus `json:"targets"`
 	Limits        []ratelimit.Status        `json:"limits,omitempty"` // rates that targets named
+	Canaries      []canary.Record           `json:"canaries,omitempty"`
 }
 
 // Status returns this VM's state at this moment.
@@ -37,7 +39,7 @@
 	s := Status{
 		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
-		Limits: d.Fleet.Members.Limits.Status(),
+		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(),
 	}
 	if c := d.Catalog.Get(); c != nil {
 		s.Catalog = c.Version
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,6 +36,7 @@
 
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/eventlog"
@@ -77,8 +78,13 @@
 	DecodeReplica func(o objectapi.Object) (platform.Record, error)
 	DecodeWeights func(value []byte) (follow.NamedWeights, error)
 
+	// DecodeOrder reads an operator's order for a version of a service's software, and
+	// EncodeOrderStatus renders what becomes of it.
+	DecodeOrder       func(o objectapi.Object) (canary.Order, error)
+	EncodeOrderStatus func(target ids.SoftwareVersion, end canary.End) ([]byte, error)
+
 	// Where things lie in the store.
-	PrefixConfig, KeyConfig, PrefixReplicas, PrefixWeights string
+	PrefixConfig, KeyConfig, PrefixReplicas, PrefixWeights, PrefixOrders string
 }
 
 // Options are what the process is run with.
@@ -111,12 +117,14 @@
 	budgets *retry.Services
 	crashes *quarantine.Ledger
 	allowed *allowance.Limiter
-	news    *news.Exchange
-	vms     vmList
-	reader  *mirror.Reader
-	mirrors *mirror.Server
-	ready   readiness
-	servers []*http.Server
+	// canaries is nil where operators order no versions of software.
+	canaries *canary.Controller
+	news     *news.Exchange
+	vms      vmList
+	reader   *mirror.Reader
+	mirrors  *mirror.Server
+	ready    readiness
+	servers  []*http.Server
 	// peerServer serves entry VMs.
 	peerServer *grpc.Server
 	cancel     context.CancelFunc
@@ -257,6 +265,7 @@
 		Resolve: d.resolve, Caches: d.cacheChanges, HeardCache: d.Fleet.Cache.Hear,
 	}
 	d.vms.d = d
+	d.buildCanaries()
 	d.Fleet.Members.Limits.Standing = d.standing
 	d.buildReader()
 	d.ready.set(false, "starting")
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -52,6 +53,9 @@
 		space(d.adapter.PrefixConfig, catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
 	}
+	if d.Forward.Software != nil {
+		spaces = append(spaces, space(canary.Prefix, d.Forward.Software))
+	}
 	d.mirrors = &mirror.Server{Spaces: spaces, Bell: bell}
 	d.reader = &mirror.Reader{Spaces: spaces, Before: d.vms.before, Introduce: d.listVMs, Direct: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,9 @@
 // places are a target's places in its batch, and how many are taken.
 type places struct{ slots, running int }
 
+// State returns one target's state by its index in View.
+func (s *Snapshot) State(i int) routing.State { return s.statuses[i].State }
+
 // Status returns one target's status by its index in View.
 func (s *Snapshot) Status(i int) *membership.TargetStatus { return &s.statuses[i] }
 
@@ -107,7 +110,7 @@
 		s.View.Targets[i] = routing.Target{
 			ID: st.ID, FailureDomain: st.Record.FailureDomain, Model: st.Record.Model,
 			Weights: st.Weights, Service: st.Record.Service, Incarnation: st.Incarnation,
-			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID), WeightsNumber: numberOf(st.Weights),
+			Addr: st.Record.Addr, Hash: routing.HashTarget(st.ID), WeightsNumber: numberOf(st.Weights), Software: st.Record.Software,
 		}
 		f.fill(s, i, assumed)
 	}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -37,6 +38,8 @@
 	home   string // address of the replica that computes shared parts which nobody is known to hold; empty: the target
 	fetch  string
 	save   string
+	pass   *canary.Pass // to the target's version; nil: versions are not told apart
+	calm   bool         // how long the answer takes shows how fast the target is
 }
 
 // retryNoTarget is when a caller should come back when no replica can serve: about
@@ -69,14 +72,14 @@
 	}
 	sc := f.Fleet.Acquire()
 	defer f.Fleet.Release(sc)
-	snap, d := f.Fleet.Decide(&req, r.tried, sc)
+	snap, d, pass := r.choose(&req, sc)
 	if d.Index < 0 {
 		r.logNoTarget(sc)
 		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(f.Fleet.ComeBack(&req, snap, sc, retryNoTarget))
 	}
 	c := choice{
 		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), queue: seconds(d.QueueWait), rate: d.Rate,
-		age: f.Fleet.LoadAge(snap, d.Index), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
+		age: f.Fleet.LoadAge(snap, d.Index), pass: pass, calm: calm(snap, d.Index, &sc.Inputs[d.Index]), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
 	}
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		wall := r.catalog.Wall(r.workspace)
@@ -88,6 +91,7 @@
 	refusal := r.shed(&c)
 	if refusal != nil {
 		f.Fleet.GiveBack(c.target.ID)
+		c.pass.End()
 	}
 	return c, refusal
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/allowance"
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -118,6 +119,8 @@
 	Allowances *allowance.Limiter
 	// Guard keeps requests that crash replicas from further ones. Nil: none are.
 	Guard *quarantine.Guard
+	// Software decides to which versions of a service's software calls go. Nil: to all.
+	Software *canary.Gate
 	// LearnWeights is told what weights a replica says it has.
 	LearnWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning       Tuning
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -156,6 +156,9 @@
 	if refusal := t.r.lapsed(); refusal != nil {
 		return refusal
 	}
+	if refusal := t.retired(); refusal != nil {
+		return refusal
+	}
 	if !t.r.superseded(t.c) && t.r.f.Fleet.Members.Declines(t.c.target.ID, clock.Now()) {
 		return outcome.Wrap(errLapsed, outcome.NotRun, outcome.CodeUpstream, "send", string(t.c.target.ID), "the replica rests or leaves since it was chosen")
 	}
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -22,6 +22,9 @@
 // WeightsVersion names one set of weights of a model.
 type WeightsVersion string
 
+// SoftwareVersion names a version of the software that a target runs. Empty: it does not say.
+type SoftwareVersion string
+
 // Incarnation numbers the lives of a VM or target. A larger number is a later
 // life; everything believed about an earlier life is void.
 type Incarnation uint64
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -28,6 +28,7 @@
 
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
@@ -70,6 +71,8 @@
 	Uses []allowance.Use
 	// Limits are rates that targets named, and the ends of such.
 	Limits []ratelimit.Word
+	// Canaries are what this VM has counted of versions that are being brought into service.
+	Canaries []canary.Report
 	// Report and Total are what several VMs say, in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -171,6 +174,8 @@
 	// is called with what a peer tells of one.
 	Limits     func() []ratelimit.Word
 	HeardLimit func(w ratelimit.Word)
+	// HeardCanaries is called with what a VM has counted of canaries.
+	HeardCanaries func(vm ids.VM, life int64, r []canary.Report)
 	// Meter counts the bytes that are sent. Nil: nothing does.
 	Meter *traffic.Meter
 
@@ -300,6 +305,10 @@
 	if len(m.Crashes) > 0 && x.Crashes != nil {
 		x.Crashes.Heard(m.VM, m.Crashes, x.isLarge())
 	}
+	if len(m.Canaries) > 0 && x.HeardCanaries != nil {
+		x.HeardCanaries(m.VM, m.Life, m.Canaries)
+		return
+	}
 	if m.Report != nil || m.Total != nil {
 		x.takeDigest(&m, clock.Now())
 		return
@@ -425,6 +434,19 @@
 	}
 }
 
+// TellCanaries tells one VM what this one has counted.
+func (x *Exchange) TellCanaries(to ids.VM, r []canary.Report) {
+	if to == x.VM {
+		x.HeardCanaries(x.VM, x.life, r)
+		return
+	}
+	for _, p := range x.list() {
+		if p.VM == to {
+			x.sendDigest(Message{VM: x.VM, Life: x.life, Canaries: r}, []Peer{p})
+		}
+	}
+}
+
 // TellStoreDown tells all peers that a store of KV cache does not answer.
 func (x *Exchange) TellStoreDown(addr string) {
 	if x.isLarge() {
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
+	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/quarantine"
@@ -41,6 +42,8 @@
 	Crashes []quarantine.Report `cbor:"14,keyasint,omitempty"`
 	Uses    []allowance.Use     `cbor:"15,keyasint,omitempty"`
 	Limits  []wireLimit         `cbor:"16,keyasint,omitempty"`
+
+	Canaries []canary.Report `cbor:"17,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -72,7 +75,7 @@
 	w := wireMessage{
 		VM: m.VM, Seq: m.Seq, Life: m.Life, Order: m.Order, Named: m.Named,
 		StoreDown: m.StoreDown, Caches: group(m.Caches), Lapsed: m.Lapsed, Report: m.Report, Total: m.Total,
-		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits),
+		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries,
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, Bound: l.Bound})
@@ -95,7 +98,7 @@
 	}
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Life: w.Life, Order: w.Order, Named: w.Named, StoreDown: w.StoreDown, Lapsed: w.Lapsed, Report: w.Report, Total: w.Total,
-		Crashes: w.Crashes, Uses: w.Uses,
+		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries,
 	}
 	for _, l := range w.Loads {
 		if t, ok := resolve(uint32(l.Target)); ok {
--- a/internal/objectapi/counted.go
+++ b/internal/objectapi/counted.go
@@ -14,7 +14,10 @@
 	tally.Counts
 }
 
-var _ Store = (*Counted)(nil)
+var (
+	_ Store       = (*Counted)(nil)
+	_ StatusStore = (*Counted)(nil)
+)
 
 // count notes one call. Keys begin with their kind, and there are few kinds.
 func (c *Counted) count(method, key string) {
@@ -57,3 +60,13 @@
 	c.count("watch", prefix)
 	return c.Store.Watch(ctx, prefix, after)
 }
+
+// UpdateStatus implements StatusStore, where the store does.
+func (c *Counted) UpdateStatus(ctx context.Context, key string, status []byte, version Revision) (Revision, error) {
+	c.count("status", key)
+	w, ok := c.Store.(StatusStore)
+	if !ok {
+		return 0, ErrUnavailable
+	}
+	return w.UpdateStatus(ctx, key, status, version)
+}
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -31,6 +31,16 @@
 	Value   []byte   `json:"value,omitempty"`
 	Version Revision `json:"version"`
 	Deleted bool     `json:"deleted,omitempty"` // only in watch events
+	// Created is the revision at which the object was created; zero: the store does not say.
+	Created Revision `json:"created,omitempty"`
+	// Status is what the system says of an operator's object; empty: nothing.
+	Status []byte `json:"status,omitempty"`
+}
+
+// StatusStore writes the status of objects that operators write.
+type StatusStore interface {
+	// UpdateStatus replaces an object's status if it still has the given version.
+	UpdateStatus(ctx context.Context, key string, status []byte, version Revision) (Revision, error)
 }
 
 // Errors that a Store returns, possibly wrapped.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -50,6 +51,10 @@
 	Weights       ids.WeightsVersion `json:"weights,omitempty"` // engines
 	Service       string             `json:"service,omitempty"` // plain services
 	Slots         int                `json:"slots,omitempty"`   // requests that a target works on at once; zero: not known
+	// Software is the version of the target's software; empty: it does not say.
+	Software ids.SoftwareVersion `json:"software,omitempty"`
+	// WarmAt is when the target is no longer slow after its start.
+	WarmAt time.Time `json:"warm_at,omitzero"`
 	// Orders counts the orders that an engine has accepted in this incarnation.
 	Orders uint64 `json:"orders,omitempty"`
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -137,6 +137,9 @@
 	// Ordering is called when a replica is about to get an order, and when it has
 	// been carried out.
 	Ordering func(id ids.Target, w ids.WeightsVersion, done bool)
+	// Retired tells whether a replica's software is about to be stopped: it gets no orders. Nil:
+	// none is.
+	Retired func(rec platform.Record) bool
 	// Gone is called for an incarnation of a replica that has ended, though it may still be
 	// listed.
 	Gone func(id ids.Target, inc ids.Incarnation)
@@ -166,7 +169,7 @@
 func (r *Rollout) Wants(context.Context) (map[ids.Target]orders.Want, error) {
 	wants, now := map[ids.Target]orders.Want{}, clock.Now()
 	for _, rec := range r.Replicas.Records() {
-		if rec.Role != platform.RoleEngine {
+		if rec.Role != platform.RoleEngine || r.Retired != nil && r.Retired(rec) {
 			continue
 		}
 		// A replica may have weights of which this VM has not heard yet. It keeps them.
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -25,7 +25,11 @@
 // SignalsFilter reads what the target itself asked for. No want of other targets lifts that.
 type SignalsFilter struct{}
 
+// SoftwareFilter reads the target's software: a version that is not in service gets no calls.
+type SoftwareFilter struct{}
+
 var (
+	_ Filter = SoftwareFilter{}
 	_ Filter = SignalsFilter{}
 	_ Filter = WeightsFilter{}
 	_ Filter = ServesFilter{}
@@ -69,6 +73,15 @@
 	return Passed
 }
 
+// Check implements Filter.
+func (SoftwareFilter) Check(r *Request, t *Target, _ *Input) Reason {
+	c := r.Software
+	if c != nil && (t.Software != c.Version || c.MostHash > 0 && t.Hash > c.MostHash) {
+		return OtherSoftware
+	}
+	return Passed
+}
+
 // Check implements Filter.
 func (TriedFilter) Check(_ *Request, _ *Target, in *Input) Reason {
 	if in.Tried {
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -91,7 +91,7 @@
 )
 
 // AllFilters are the filters of every policy.
-var AllFilters = []Filter{ServesFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}, SignalsFilter{}, WeightsFilter{}}
+var AllFilters = []Filter{ServesFilter{}, SoftwareFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}, SignalsFilter{}, WeightsFilter{}}
 
 // Defaults of the policy for opaque requests.
 const (
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -41,6 +41,7 @@
 	Hash          uint64 // of ID, for rendezvous
 	// WeightsNumber is Weights as a number; zero if it is none.
 	WeightsNumber uint64
+	Software      ids.SoftwareVersion
 }
 
 // View is an immutable list of targets.
@@ -100,6 +101,8 @@
 	// Pending is the target that computes the prompt's shared levels now, as far as
 	// this VM knows; empty: none.
 	Pending ids.Target
+	// Software narrows the choice to a version of the targets' software. Nil: any.
+	Software *SoftwareChoice
 	// Crossing is how many calls to the service other VMs have sent, about, that this one
 	// has not heard of; zero: none.
 	Crossing float32
@@ -112,6 +115,15 @@
 	Left  float32
 }
 
+// SoftwareChoice is a version of targets' software, or a part of the targets that run it.
+type SoftwareChoice struct {
+	Version ids.SoftwareVersion
+	// Part is the part of the version's targets that may be picked; zero: all.
+	Part float64
+	// MostHash bounds their hashes, where Part is less than all; zero: nothing does.
+	MostHash uint64
+}
+
 // Reason says why a filter turned a target down.
 type Reason uint8
 
@@ -125,6 +137,7 @@
 	OldWeights
 	RateLimited
 	Resting
+	OtherSoftware
 	reasonCount
 )
 
