A failure that is passed on to the caller counts against its replica, as the lesser evidence

What callers saw: where replicas of a service failed two thirds of the calls that may run once, half of the callers of these replicas got the failure, and the replicas went on getting an equal part.

Cause: such an answer can't be tried elsewhere, so it is passed on, and what is passed on counted as a success: it even made the failures of other calls there forgotten. Ruled out: the breaker (it must not open: the replica answers) and the scorer (it weighs FailRate for all calls alike).

Change: membership.FailedCall adds to the fail rate with 0.1 in place of the 0.25 of a failure that is tried again; the breaker stays out of it. A route that fails one call in seven at all replicas then shows as 0.06, half of what one request in flight costs, and moves no work; a replica that fails two thirds shows as 0.45.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -320,7 +320,12 @@
 		if t.framed {
 			r.guarded.Answered(r.status)
 		}
-		if !r.superseded(c) {
+		switch {
+		case r.superseded(c):
+		case r.status >= http.StatusInternalServerError:
+			// A target that fails calls which nobody may repeat would otherwise look idle and well.
+			members.FailedCall(c.target.ID, now)
+		default:
 			members.Succeeded(c.target.ID)
 		}
 		return
--- a/internal/membership/failrate.go
+++ b/internal/membership/failrate.go
@@ -15,6 +15,9 @@
 const (
 	// failGain is the weight of one attempt: three failures of ten show as 0.4.
 	failGain = 0.25
+	// failedCallGain is that of a failure that is passed on to the caller: the call may be at
+	// fault as well as the target.
+	failedCallGain = 0.1
 	// failHalfLife is how fast a rate fades when nothing fails.
 	failHalfLife = 3 * time.Second
 )
@@ -22,6 +25,11 @@
 // add takes in one attempt: 1 failed, 0 succeeded.
 func (f *failRate) add(failed float64) { f.value += failGain * (failed - f.value) }
 
+// addCall takes in a failure that was passed on.
+func (f *failRate) addCall(now time.Time) {
+	f.value, f.at = f.value+failedCallGain*(1-f.value), now
+}
+
 // now returns the faded rate.
 func (f *failRate) now(now time.Time) float32 {
 	if f.at.IsZero() {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -264,6 +264,17 @@
 	}
 }
 
+// FailedCall records that the target answered a request of this VM with a failure that was
+// passed on. It lives, and may be well: it opens no breaker.
+func (t *Table) FailedCall(id ids.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.fails = 0
+		m.failRate.addCall(now)
+	}
+}
+
 // Remove forgets a target that is gone for certain.
 func (t *Table) Remove(id ids.Target) {
 	t.mu.Lock()
