--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -71,6 +71,9 @@
 	TestSuspension durations.Duration `json:"test_suspension,omitempty"`
 	// Grace is how long the process has from SIGTERM until it is killed. Default 10s.
 	Grace durations.Duration `json:"grace,omitempty"`
+	// ReaderTimeout is how long a caller may leave a piece of its answer unread before its
+	// connection is cut, so that it holds no memory and no replica for longer. Default 5s.
+	ReaderTimeout durations.Duration `json:"reader_timeout,omitempty"`
 	// MemoryMB is the memory that the process may use. Default 256.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"min=0"`
 	// LinkMbps is the width of the VM's link, in Mbit/s. In large fleets the VMs with the
@@ -107,6 +110,7 @@
 	orDefault(&e.TreeFleet, 100)
 	orDefault(&e.CanaryShare, 0.1)
 	orDefault(&e.CanarySlack, 50)
+	e.ReaderTimeout = durations.Duration(e.ReaderTimeout.Or(5 * time.Second))
 	orDefault(&e.MemoryMB, 256)
 	return e
 }
