What is held for callers that don't read is bounded in time and memory, and their replicas are free

What callers saw: a caller that read nothing, or a byte now and then, kept its call for good, and with it a part of its answer, two connections and a place at its replica.

Cause: writes to callers had no deadline (a call's context ends no write), answers of up to 512 KB were read whole however many there were, and the timer that watches a replica's silence ran on while the caller was waited for. Ruled out: bodies (bounded by memory and time already; a replica that reads none of them is left for another).

Change: each piece of 16 KB has a deadline; a budget over the VM and each workspace for answers that are read whole, beyond which they pass through piece by piece; small kernel buffers on both sides; the replica's connection is given back as soon as its answer is read; silence is not counted while the caller is waited for.

Why it holds: nothing that is kept for a call outlives the deadline of the piece that its caller has not taken, and what is kept meanwhile comes out of a bounded budget.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -62,7 +62,9 @@
 	Attempts    int64                     `json:"attempts"`
 	Retries     int64                     `json:"retries"`
 	BudgetEmpty int64                     `json:"retry_budget_empty"`
-	Withdrawn   int64                     `json:"withdrawn"` // sends that had not begun when their target's weights became too old
+	Unread      int64                     `json:"unread"`       // calls that were cut off since their callers did not read
+	AnswerBytes int64                     `json:"answer_bytes"` // held by answers that are read whole
+	Withdrawn   int64                     `json:"withdrawn"`    // sends that had not begun when their target's weights became too old
 	Events      int64                     `json:"stream_events"`
 	Fetches     int64                     `json:"kv_fetches"`
 	Saves       int64                     `json:"kv_saves"`
@@ -157,6 +159,7 @@
 	return Metrics{
 		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
 		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(),
+		Unread: s.Unread.Load(), AnswerBytes: f.AnswerBytes(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,6 +59,7 @@
 	"github.com/threadwall/threadwall/internal/rollout"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/settings"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/traffic"
 	"github.com/threadwall/threadwall/internal/upstream"
@@ -157,6 +158,11 @@
 	prefillRate = 50_000
 	// bodyShare is the part of the memory that callers' bodies may take.
 	bodyShare = 0.25
+	// answersOfOne is the part of the memory for answers that one workspace may take.
+	answersOfOne = 0.5
+	// callerBuffer is the kernel's write buffer of a caller's connection, in bytes: what a caller
+	// leaves unread counts as the VM's memory.
+	callerBuffer = 32 << 10
 	// keyMargin is taken off the age that a proof may have, for the way from here to
 	// the replica.
 	keyMargin = 300 * time.Millisecond
@@ -224,6 +230,8 @@
 		Tuning: forward.Tuning{
 			MaxBodies:   int64(float64(edge.MemoryMB<<20) * bodyShare),
 			MaxInFlight: int64(s.MaxInFlight),
+			MaxAnswers:  edge.AnswerMB << 20, MaxAnswersOfOne: int64(float64(edge.AnswerMB<<20) * answersOfOne),
+			ReaderTimeout: edge.ReaderTimeout.D(),
 		},
 	}
 	d.crashes = quarantine.NewLedger(d.Log, nil)
@@ -331,6 +339,9 @@
 			cancel()
 			return eris.Wrapf(err, "listen on %s", l.addr)
 		}
+		if l.addr == d.Settings.Listen {
+			listener = sockets.Bounded(listener, callerBuffer)
+		}
 		d.servers = append(d.servers, l.server)
 		d.run(l.addr, func() error { return l.server.Serve(listener) })
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -99,7 +99,9 @@
 	Requests, Refused, Shed, Failed, Broken, Attempts, Retries, BudgetEmpty atomic.Int64
 	// Withdrawn are sends that were ended since the replica had not begun them when its
 	// weights became too old.
-	Withdrawn              atomic.Int64
+	Withdrawn atomic.Int64
+	// Unread are calls that were cut off since their callers did not read.
+	Unread                 atomic.Int64
 	Fetches, Saves, Events atomic.Int64
 }
 
@@ -143,6 +145,7 @@
 	calls     underWay
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
+	answers   answerMemory
 }
 
 // Tuning holds the bounds of the request path. Settings fill it.
@@ -151,9 +154,17 @@
 	MaxBodies int64
 	// MaxInFlight bounds calls in flight.
 	MaxInFlight int64
+	// MaxAnswers bounds the answers that are read whole before they are passed on, in bytes,
+	// and MaxAnswersOfOne those of one workspace. Zero: none is.
+	MaxAnswers, MaxAnswersOfOne int64
+	// ReaderTimeout is how long a caller may leave a piece of its answer unread. Zero: for good.
+	ReaderTimeout time.Duration
 }
 
 var _ http.Handler = (*Forwarder)(nil)
 
+// AnswerBytes returns how much the answers hold that are read whole, in bytes.
+func (f *Forwarder) AnswerBytes() int64 { return f.answers.Held() }
+
 // InFlight returns how many calls are being served.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -51,6 +51,8 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r := &run{f: f, w: w, req: req, received: clock.Now()}
 	f.Stats.Requests.Add(1)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // that of the call before
+	defer r.expectRead()                                            // what is still buffered is written after this
 	defer f.inFlight.Add(-1)
 	if f.inFlight.Add(1) > f.Tuning.MaxInFlight {
 		r.refuse(outcome.New(outcome.NotRun, outcome.CodeOverloaded, "admit", "", "this VM is full").After(retryWhenReady))
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -162,9 +162,10 @@
 	stall  *stallTimer
 	age    weightsWatch
 	sent   time.Time
-	begun  bool // the replica's first event, or its answer, has come
-	kvSent bool // the planner counts this send among those that compute
-	framed bool // the answer says where it ends
+	begun  bool          // the replica's first event, or its answer, has come
+	kvSent bool          // the planner counts this send among those that compute
+	framed bool          // the answer says where it ends
+	unread time.Duration // for which the caller kept the answer waiting
 }
 
 func (r *run) try(ctx context.Context, c *choice, work *loadview.Work) *try {
@@ -352,6 +353,8 @@
 		// Nor does this: nothing was sent.
 	case errors.Is(err, errOldWeights):
 		// Nor does this, but that it is late; its queue is known as it is.
+	case t.cutOffUnread(err):
+		// Nor does this: the caller did not read.
 	case isRefusal && refusal.Misfit && refusal.By != "" && refusal.By != c.target.ID:
 		members.Leaves(c.target.ID, c.target.Incarnation)
 		r.f.Upstream.Drop(c.target.ID)
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// pause stops waiting until it is started anew.
+func (s *stallTimer) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.t != nil {
+		s.t.Stop()
+	}
+}
+
 func (s *stallTimer) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 
 	"github.com/threadwall/threadwall/internal/clock"
@@ -35,11 +34,10 @@
 func (t *try) relay(a *upstream.Answer) *outcome.Error {
 	r := t.r
 	in := relay.NewRawReader(a.Body)
-	out := http.NewResponseController(r.w)
 	kept := false // an event was passed on and not flushed
 	for {
 		if kept && !in.Buffered() {
-			if err := out.Flush(); err != nil {
+			if err := t.flush(); err != nil {
 				return t.callerGone(err)
 			}
 			kept = false
@@ -51,7 +49,7 @@
 		}
 		if err != nil {
 			if kept {
-				_ = out.Flush() // a caller that is gone is found out by what follows
+				_ = t.flush() // a caller that is gone is found out by what follows
 			}
 			return t.broken(err)
 		}
@@ -85,8 +83,7 @@
 	if ev.Numbered {
 		r.stream.last, r.stream.numbered = ev.ID, true
 	}
-	_, err := r.w.Write(ev.Raw)
-	return err
+	return t.write(ev.Raw)
 }
 
 // complete ends a stream whose answer is whole.
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -17,8 +17,13 @@
 
 // whole passes on an answer that is no stream of events.
 func (t *try) whole(a *upstream.Answer) *outcome.Error {
+	limit, release := t.r.bufferFor(a.Length())
+	defer release()
 	var buf bytes.Buffer
-	n, err := io.CopyN(&buf, a.Body, wholeBytes)
+	if a.Length() >= 0 {
+		buf.Grow(int(limit) + bytes.MinRead) // it would double its room otherwise
+	}
+	n, err := io.CopyN(&buf, a.Body, limit)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return t.broken(err)
 	}
@@ -27,14 +32,20 @@
 	r := t.r
 	r.progress.event(clock.Now())
 	length := unknownLength
-	if n < wholeBytes && r.req.Method != http.MethodHead {
+	if n < limit && r.req.Method != http.MethodHead {
 		length = buf.Len()
 	}
 	r.passHead(a, length)
-	if _, err := r.w.Write(buf.Bytes()); err != nil {
+	if n < limit {
+		// The target is done, however long the caller takes to read.
+		a.Close()
+		t.work.End()
+		t.c.pass.End()
+	}
+	if err := t.write(buf.Bytes()); err != nil {
 		return t.callerGone(err)
 	}
-	if n < wholeBytes {
+	if n < limit {
 		return nil
 	}
 	return t.rest(a)
@@ -42,29 +53,19 @@
 
 // rest passes on what lies beyond wholeBytes, as it comes.
 func (t *try) rest(a *upstream.Answer) *outcome.Error {
-	from := &sourceReader{r: a.Body}
-	if _, err := io.Copy(t.r.w, from); err != nil {
-		if from.err != nil {
-			return t.broken(from.err)
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := a.Body.Read(piece)
+		if werr := t.write(piece[:n]); werr != nil {
+			return t.callerGone(werr)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return t.broken(err)
 		}
-		return t.callerGone(err)
-	}
-	return nil
-}
-
-// sourceReader remembers on which side a copy failed.
-type sourceReader struct {
-	r   io.Reader
-	err error
-}
-
-// Read implements io.Reader.
-func (s *sourceReader) Read(p []byte) (int, error) {
-	n, err := s.r.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		s.err = err
 	}
-	return n, err
 }
 
 // broken types an answer that ended before it was whole.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -74,6 +74,10 @@
 	// ReaderTimeout is how long a caller may leave a piece of its answer unread before its
 	// connection is cut, so that it holds no memory and no replica for longer. Default 5s.
 	ReaderTimeout durations.Duration `json:"reader_timeout,omitempty"`
+	// AnswerMB is the memory for answers that are read whole before they are passed on; one
+	// workspace may take half of it. Beyond it answers are passed on as they come, and a failure
+	// in the middle of one can't be mended. Default an eighth of MemoryMB.
+	AnswerMB int64 `json:"answer_mb,omitempty" validate:"min=0"`
 	// MemoryMB is the memory that the process may use. Default 256.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"min=0"`
 	// LinkMbps is the width of the VM's link, in Mbit/s. In large fleets the VMs with the
@@ -112,5 +116,6 @@
 	orDefault(&e.CanarySlack, 50)
 	e.ReaderTimeout = durations.Duration(e.ReaderTimeout.Or(5 * time.Second))
 	orDefault(&e.MemoryMB, 256)
+	orDefault(&e.AnswerMB, max(e.MemoryMB/8, 1))
 	return e
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -169,6 +169,9 @@
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "dial", string(to.ID), "the replica can't be reached")
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer) // without it the kernel's own bound holds
+	}
 	nc = c.Meter.Conn(nc, traffic.Requests, traffic.Answers)
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), pool: p}, nil
 }
@@ -177,6 +180,10 @@
 // events. With a few hundred connections it stays within some MB.
 const readBuffer = 8 << 10
 
+// receiveBuffer is the kernel's read buffer of a connection, in bytes: what a replica sends while
+// the caller does not read counts as the VM's memory.
+const receiveBuffer = 128 << 10
+
 // conn is one connection to a replica.
 type conn struct {
 	nc      net.Conn
@@ -329,6 +336,8 @@
 	write *writing
 	stop  func() bool
 	ended bool
+	// closed tells that the use of the answer has ended.
+	closed bool
 }
 
 // Read implements io.Reader. io.EOF means that the body is whole.
@@ -349,10 +358,17 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+// Length returns the answer's length, in bytes; -1: it does not say.
+func (a *Answer) Length() int64 { return a.Body.(*body).resp.ContentLength }
+
 // Close ends the use of the answer. The connection is kept if both sides are
-// done with it, and closed otherwise.
+// done with it, and closed otherwise. Further calls do nothing.
 func (a *Answer) Close() {
 	b := a.Body.(*body)
+	if b.closed {
+		return
+	}
+	b.closed = true
 	if !b.stop() {
 		b.conn.kill() // the context has ended; its function may still run
 		return
