Mirror: a whole copy of a key space comes in pieces that a narrow link carries in the time of a question

Cause: a copy was one answer of some 3 MB. Over 20 Mbit/s it takes 1.2 s; a question has 0.4 s beyond its wait. That holds only while the list is below some 1 MB, or 3,000 replicas, and a reader that gives up makes the store's load grow with VMs times replicas.

Change: pieces of 128 KB (50 ms at 20 Mbit/s) in the order of keys. A copy counts from its first piece, so it is as old as that; what changed meanwhile follows as changes, of which those that a later piece had already are known by their revision. The longest answer no longer grows with the fleet (TestCopyComesInPieces, 10,002 entries that change meanwhile).

--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -54,6 +54,14 @@
 	fresh  time.Duration // how long ago the store may have answered the peer
 	spaces []*Space
 	have   []position // of the peer's copies, one a space
+	parts  []partial  // of copies that come in pieces
+}
+
+// partial is what has come of a whole copy. What it says is as old as its first piece.
+type partial struct {
+	at       follow.At
+	regained bool
+	objects  []objectapi.Object
 }
 
 func dial(p Peer, spaces []*Space, meter *traffic.Meter) (*client, error) {
@@ -74,7 +82,7 @@
 	if p.Far {
 		fresh = freshFar
 	}
-	return &client{conn: conn, fresh: fresh, spaces: spaces, have: make([]position, len(spaces))}, nil
+	return &client{conn: conn, fresh: fresh, spaces: spaces, have: make([]position, len(spaces)), parts: make([]partial, len(spaces))}, nil
 }
 
 func (c *client) close() { _ = c.conn.Close() } // nothing is under way
@@ -91,7 +99,7 @@
 	defer cancel()
 	r := &mirrorpb.ReadRequest{WaitMs: uint32(wait.Milliseconds())}
 	for i, s := range c.spaces {
-		r.Have = append(r.Have, &mirrorpb.Position{Prefix: s.Prefix, Copy: c.have[i].copyID, Change: c.have[i].change})
+		r.Have = append(r.Have, &mirrorpb.Position{Prefix: s.Prefix, Copy: c.have[i].copyID, Change: c.have[i].change, Behind: c.have[i].behind})
 	}
 	sent := clock.Now()
 	answer, err := mirrorpb.NewMirrorClient(c.conn).Read(ctx, r)
@@ -108,8 +116,7 @@
 		return err
 	}
 	for i, p := range answer.Parts {
-		c.take(c.spaces[i], p, sent)
-		c.have[i] = position{p.Copy, p.Change}
+		c.take(i, p, sent)
 	}
 	return nil
 }
@@ -130,8 +137,10 @@
 	return nil
 }
 
-// take passes a part on to its space.
-func (c *client) take(s *Space, p *mirrorpb.Part, sent time.Time) {
+// take passes a part on to its space, a whole copy when its last piece has come.
+func (c *client) take(i int, p *mirrorpb.Part, sent time.Time) {
+	s := c.spaces[i]
+	c.have[i] = position{copyID: p.Copy, change: p.Change}
 	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs)}
 	objects := make([]objectapi.Object, 0, len(p.Objects))
 	for _, o := range p.Objects {
@@ -139,7 +148,18 @@
 	}
 	switch {
 	case p.Whole:
-		s.Listed(objects, at, p.Regained)
+		whole := &c.parts[i]
+		if p.Behind == "" {
+			*whole = partial{at: at, regained: p.Regained}
+		}
+		whole.objects = append(whole.objects, objects...)
+		if p.More && len(objects) > 0 {
+			c.have[i].behind = objects[len(objects)-1].Key
+			return
+		}
+		whole.at.Answered = at.Answered
+		s.Listed(whole.objects, whole.at, whole.regained)
+		*whole = partial{}
 	case len(objects) > 0:
 		s.Changed(objects, at)
 	default:
--- /dev/null
+++ b/internal/mirror/pieces_test.go
@@ -0,0 +1,104 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/threadwall/threadwall/internal/follow"
+	"github.com/threadwall/threadwall/internal/mirrorpb"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// A VM that started beside 985 others before 10,002 replicas got its copy of the list as one
+// answer of 3 MB, which 20 Mbit/s don't carry in the time of a question. It left one peer after the
+// other and read the store itself, 21 pages, as did all:
+//
+//	{"event":"peer-left","peer":"front-sala-heredia-8","error":"ask a peer for what the store holds: rpc error: code = DeadlineExceeded ..."}
+//
+// A copy comes in pieces now.
+
+// narrowServer counts the bytes of the longest answer, and changes the copy between two.
+type narrowServer struct {
+	mirrorpb.UnimplementedMirrorServer
+	inner   *Server
+	change  func()
+	longest int
+}
+
+func (s *narrowServer) Read(ctx context.Context, r *mirrorpb.ReadRequest) (*mirrorpb.ReadAnswer, error) {
+	a, err := s.inner.Read(ctx, r)
+	n := 0
+	for _, p := range a.GetParts() {
+		for _, o := range p.Objects {
+			n += len(o.Key) + len(o.Value)
+		}
+	}
+	s.longest = max(s.longest, n)
+	s.change()
+	return a, err
+}
+
+// TestCopyComesInPieces reads 10,002 entries of 300 bytes while some of them change, come and go.
+// No answer is longer than a narrow link carries in time, and the copy ends up as its source.
+func TestCopyComesInPieces(t *testing.T) {
+	const entries = 10_002
+	rng := rand.New(rand.NewPCG(1, 1))
+	source := &Space{Prefix: "p/", Next: &testVM{}, Bell: &Bell{}}
+	rev := objectapi.Revision(1)
+	entry := func(i int) objectapi.Object {
+		rev++
+		return objectapi.Object{Key: fmt.Sprintf("p/i-%05d", i), Value: []byte(strings.Repeat("x", 290) + fmt.Sprint(rev)), Version: rev}
+	}
+	var all []objectapi.Object
+	for i := range entries {
+		all = append(all, entry(i))
+	}
+	now := time.Now()
+	source.Listed(all, follow.At{Revision: rev, Sent: now, Answered: now}, false)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := 0
+	s := &narrowServer{inner: &Server{Spaces: []*Space{source}, Bell: source.Bell}, change: func() {
+		if changes++; changes > 60 {
+			return
+		}
+		o := entry(rng.IntN(entries + 100))
+		o.Deleted = rng.IntN(3) == 0
+		source.Changed([]objectapi.Object{o}, follow.At{Revision: rev, Sent: time.Now(), Answered: time.Now()})
+	}}
+	srv := grpc.NewServer()
+	mirrorpb.RegisterMirrorServer(srv, s)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	copied := &Space{Prefix: "p/", Next: &testVM{}, Bell: &Bell{}}
+	c, err := dial(Peer{VM: "a", Addr: l.Addr().String()}, []*Space{copied}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.close)
+	for range 100 {
+		if err := c.read(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.longest > pieceBytes {
+		t.Errorf("an answer has %d bytes, %d may be", s.longest, pieceBytes)
+	}
+	if len(copied.objects) != len(source.objects) {
+		t.Errorf("the copy has %d objects, its source %d", len(copied.objects), len(source.objects))
+	}
+	for key, o := range source.objects {
+		if got := copied.objects[key]; got.Version != o.Version || string(got.Value) != string(o.Value) {
+			t.Fatalf("%s has version %d, %d at the source", key, got.Version, o.Version)
+		}
+	}
+}
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -52,7 +52,7 @@
 		if space == nil {
 			return nil, status.Errorf(codes.InvalidArgument, "there is no key space %q", p.Prefix)
 		}
-		n, ok := space.since(position{p.Copy, p.Change})
+		n, ok := space.since(position{p.Copy, p.Change, p.Behind})
 		if !ok {
 			return nil, status.Errorf(codes.FailedPrecondition, "%s has not been read yet", p.Prefix)
 		}
@@ -72,7 +72,7 @@
 
 func part(prefix string, n *news, now time.Time) *mirrorpb.Part {
 	p := &mirrorpb.Part{
-		Prefix: prefix, Copy: n.to.copyID, Change: n.to.change, Revision: uint64(n.at.Revision), Whole: n.whole, Regained: n.regained,
+		Prefix: prefix, Copy: n.to.copyID, Change: n.to.change, Revision: uint64(n.at.Revision), Whole: n.whole, More: n.more, Behind: n.behind, Regained: n.regained,
 		AgeUs: microseconds(n.at.Sent, now), ContactUs: microseconds(n.at.Answered, now),
 	}
 	for _, o := range n.objects {
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -73,6 +73,7 @@
 	regained time.Time // when a list last followed a loss of the store
 	copyID   uint64    // names this copy to readers; zero: there is none yet
 	change   uint64    // number of the last change
+	keys     []string  // of objects, sorted; nil: they have to be sorted anew
 	base     uint64    // batches begin after it
 	batches  []batch
 }
@@ -95,7 +96,7 @@
 	for _, o := range objects {
 		s.objects[o.Key] = o
 	}
-	s.listed = true
+	s.listed, s.keys = true, nil
 	if regained {
 		s.regained = clock.Now()
 	}
@@ -152,10 +153,14 @@
 		return false
 	case o.Deleted:
 		delete(s.objects, o.Key)
+		s.keys = nil
 		return true
 	case there && version <= old.Version, !there && version <= s.at.Revision:
 		return false
 	}
+	if !there {
+		s.keys = nil
+	}
 	s.objects[o.Key] = o
 	return true
 }
@@ -188,18 +193,28 @@
 	return s.at, s.listed
 }
 
-// position is how far a reader has come in a copy.
-type position struct{ copyID, change uint64 }
+// position is how far a reader has come in a copy. behind is set while a whole copy comes in
+// pieces: the key up to which the reader has it, as of change or later.
+type position struct {
+	copyID, change uint64
+	behind         string
+}
 
 // news is what a reader lacks.
 type news struct {
 	to       position
 	at       follow.At
 	whole    bool
+	more     bool   // the copy goes on behind the last of objects
+	behind   string // where this piece of it begins
 	regained bool
 	objects  []objectapi.Object
 }
 
+// pieceBytes bounds the values of one piece of a copy, unless a single one is longer: a question
+// must be answered in time over a narrow link, however much there is to copy.
+const pieceBytes = 128 << 10
+
 // since returns what came after a position. Of a space that was never listed nothing is
 // known, and ok is false.
 func (s *Space) since(have position) (n news, ok bool) {
@@ -208,9 +223,15 @@
 	if !s.listed {
 		return n, false
 	}
-	n.to, n.at = position{s.copyID, s.change}, s.at
-	if have.copyID != s.copyID || have.change < s.base {
-		n.whole, n.regained, n.objects = true, clock.Since(s.regained) < regainedFor, slices.Collect(maps.Values(s.objects))
+	n.to, n.at = position{copyID: s.copyID, change: s.change}, s.at
+	known := have.copyID == s.copyID && have.change >= s.base
+	if known && have.behind != "" {
+		n.to.change = have.change // what changed since in the pieces before comes afterwards
+		s.piece(&n, have.behind)
+		return n, true
+	}
+	if !known {
+		s.piece(&n, "")
 		return n, true
 	}
 	for _, b := range s.batches {
@@ -221,5 +242,26 @@
 	return n, true
 }
 
+// piece adds the objects behind a key. The lock is held.
+func (s *Space) piece(n *news, behind string) {
+	if s.keys == nil {
+		s.keys = slices.Sorted(maps.Keys(s.objects))
+	}
+	n.whole, n.behind, n.regained = true, behind, clock.Since(s.regained) < regainedFor
+	from, found := slices.BinarySearch(s.keys, behind)
+	if found {
+		from++
+	}
+	bytes := 0
+	for i, key := range s.keys[from:] {
+		o := s.objects[key]
+		if bytes += len(key) + len(o.Value); i > 0 && bytes > pieceBytes {
+			n.more = true
+			return
+		}
+		n.objects = append(n.objects, o)
+	}
+}
+
 // microseconds is the time since a moment, as it travels.
 func microseconds(since, now time.Time) uint64 { return uint64(max(now.Sub(since).Microseconds(), 0)) }
--- a/internal/mirror/space_test.go
+++ b/internal/mirror/space_test.go
@@ -187,13 +187,13 @@
 	for i := range objectapi.Revision(maxBatches + 5) {
 		s.Changed([]objectapi.Object{{Key: "a", Version: i + 2}}, follow.At{Revision: i + 2})
 	}
-	if n, ok := s.since(position{s.copyID, 3}); !ok || !n.whole || len(n.objects) != 1 {
+	if n, ok := s.since(position{copyID: s.copyID, change: 3}); !ok || !n.whole || len(n.objects) != 1 {
 		t.Fatalf("got %+v, %v", n, ok)
 	}
-	if n, ok := s.since(position{s.copyID, maxBatches}); !ok || n.whole || len(n.objects) != 6 {
+	if n, ok := s.since(position{copyID: s.copyID, change: maxBatches}); !ok || n.whole || len(n.objects) != 6 {
 		t.Fatalf("got %d changes, whole %v, %v", len(n.objects), n.whole, ok)
 	}
-	if n, ok := s.since(position{s.copyID + 1, maxBatches}); !ok || !n.whole {
+	if n, ok := s.since(position{copyID: s.copyID + 1, change: maxBatches}); !ok || !n.whole {
 		t.Fatalf("got %+v, %v for a position in another copy", n, ok)
 	}
 }
