Cache feeds: a VM that hears nobody reads a bounded number of them, and a look at them copies nothing

All 986 VMs start within 0.3 s.

Cause: who reads follows from who is heard, which is nobody at a start; then feeds grow with VMs times replicas. The look every 0.5 s goes over the list in place, where it copied 3 MB before, and passes over domains that have readers of their own. TestFeedsOfAVMThatHearsNobody: 9,756 -> 128, the same ones on each look.

--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 	// readersPerFeed is how many VMs read a feed: a second one, so that a word against a
 	// target has a witness and a reader that is gone is replaced at once.
 	readersPerFeed = 2
+	// mostFeeds bounds the feeds that a VM reads, each over a connection of its own.
+	mostFeeds = 128
 	// farFeedsAfter is how long after its start a VM begins to read feeds of other failure
 	// domains: by then it has heard of the VMs there.
 	farFeedsAfter = 2 * time.Second
@@ -54,16 +57,20 @@
 		return nil
 	}
 	var out []kvfeed.Source
-	var read []ids.Target
 	alive := d.vms.living()
-	for _, r := range d.Replicas.Records() {
+	d.Replicas.Each(func(r *platform.Record) bool {
 		if r.Role != platform.RoleEngine || r.FailureDomain != d.Settings.FailureDomain && len(alive.in[r.FailureDomain]) >= readersPerFeed {
-			continue // its own domain reads its feed
+			return true // its own domain reads its feed
 		}
 		if id := ids.Target(r.ID); d.reads(id, r.FailureDomain) {
 			out = append(out, kvfeed.Source{ID: id, Addr: r.Addr, Incarnation: r.Incarnation})
-			read = append(read, id)
 		}
+		return true
+	})
+	out = d.fewest(out)
+	var read []ids.Target
+	for _, s := range out {
+		read = append(read, s.ID)
 	}
 	d.Replicas.Hold(read)
 	for _, kv := range c.KVStores {
@@ -74,6 +81,17 @@
 	return out
 }
 
+// fewest bounds the feeds that this VM reads to those that come first for it. A VM that hears
+// nobody, since it has just started or is cut off, would read all there are.
+func (d *Daemon) fewest(all []kvfeed.Source) []kvfeed.Source {
+	if len(all) <= mostFeeds {
+		return all
+	}
+	weight := func(s kvfeed.Source) uint64 { return routing.VMWeight(s.ID, d.Settings.VM) }
+	slices.SortFunc(all, func(a, b kvfeed.Source) int { return cmp.Compare(weight(b), weight(a)) })
+	return all[:mostFeeds]
+}
+
 // reads tells whether this VM reads the feed of a target in a failure domain.
 func (d *Daemon) reads(id ids.Target, domain ids.FailureDomain) bool {
 	if domain != d.Settings.FailureDomain && clock.Since(d.started) < farFeedsAfter {
--- a/internal/edge/feeds_test.go
+++ b/internal/edge/feeds_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab/loopback"
@@ -111,3 +113,32 @@
 		t.Errorf("the engine is %s though a reader of its feed is heard again", got)
 	}
 }
+
+// A VM that had just started heard nobody yet, took itself for the only reader of all feeds, and
+// began to connect to every engine there was, as did the 985 others that had started with it.
+
+// TestFeedsOfAVMThatHearsNobody: it reads a bounded number of feeds, always the same ones.
+func TestFeedsOfAVMThatHearsNobody(t *testing.T) {
+	d, _ := daemonAmong(t, nil)
+	d.Replicas.Subset.Most = 256
+	d.started = time.Now().Add(-time.Minute)
+	d.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{}}}}))
+	var objects []objectapi.Object
+	for i := range 9_756 {
+		objects = append(objects, objectapi.Object{Key: fmt.Sprint("servers/", i), Version: 1})
+	}
+	d.Replicas.Decode = func(o objectapi.Object) (platform.Record, error) {
+		return platform.Record{Key: o.Key, ID: o.Key, Role: platform.RoleEngine, Service: "s", Model: "m", Incarnation: 1, FailureDomain: "y"}, nil
+	}
+	d.Replicas.Listed(objects, follow.At{Revision: 1}, false)
+	first := d.feedSources()
+	if len(first) != mostFeeds {
+		t.Fatalf("%d feeds, want %d", len(first), mostFeeds)
+	}
+	if again := d.feedSources(); !slices.Equal(first, again) {
+		t.Error("the feeds differ from one look to the next")
+	}
+	if n := len(d.Replicas.Working()); n > 256+mostFeeds {
+		t.Errorf("the VM works with %d replicas", n)
+	}
+}
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -306,6 +306,18 @@
 	return !rec.foreign && (r.Named == nil || r.Named(rec.Service))
 }
 
+// Each calls f with each replica that is listed or may come back, until f returns false. f must
+// not call r.
+func (r *Replicas) Each(f func(*platform.Record) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range r.records {
+		if r.usable(rec) && !f(&rec.Record) {
+			return
+		}
+	}
+}
+
 // Records returns the replicas that are listed or may come back. The result is shared and must
 // not be changed.
 func (r *Replicas) Records() []platform.Record {
