News: a total fits in a datagram whatever is silent, and feeds wait for the first word of a peer

Cause: a VM names in its words the engines whose feeds have not answered yet. At a start these are all of the 128 that each of 986 VMs reads, as it hears nobody; their sum is 500 KB, a datagram holds 48, and a total that doesn't fit is not sent. So nobody heard that anybody was there, and each went on as if alone: 126,000 feeds. It holds only while what is silent is below some 9,000 pairs of VM and engine.

Change: sums name at most 1,200 loads (those with most work) and 800 silent targets, an equal part for each VM; a VM that others are listed beside reads no feeds for 4 s after its start unless it has heard one.

--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -30,6 +30,9 @@
 	// readersPerFeed is how many VMs read a feed: a second one, so that a word against a
 	// target has a witness and a reader that is gone is replaced at once.
 	readersPerFeed = 2
+	// peersWithin is how long after its start a VM that others are listed beside waits to hear
+	// one before it reads feeds: until then all of them seem to be its own.
+	peersWithin = 4 * time.Second
 	// mostFeeds bounds the feeds that a VM reads, each over a connection of its own.
 	mostFeeds = 128
 	// farFeedsAfter is how long after its start a VM begins to read feeds of other failure
@@ -57,6 +60,9 @@
 		return nil
 	}
 	var out []kvfeed.Source
+	if d.waitsForPeers() {
+		return nil
+	}
 	alive := d.vms.living()
 	d.Replicas.Each(func(r *platform.Record) bool {
 		if r.Role != platform.RoleEngine || r.FailureDomain != d.Settings.FailureDomain && len(alive.in[r.FailureDomain]) >= readersPerFeed {
@@ -81,6 +87,11 @@
 	return out
 }
 
+// waitsForPeers tells whether this VM has just started and may still hear of those who read feeds.
+func (d *Daemon) waitsForPeers() bool {
+	return d.vms.count() > 1 && len(d.vms.living().domain) == 1 && clock.Since(d.started) < peersWithin
+}
+
 // fewest bounds the feeds that this VM reads to those that come first for it. A VM that hears
 // nobody, since it has just started or is cut off, would read all there are.
 func (d *Daemon) fewest(all []kvfeed.Source) []kvfeed.Source {
--- a/internal/news/digest.go
+++ b/internal/news/digest.go
@@ -80,6 +80,39 @@
 	at time.Time
 }
 
+const (
+	// mostLoads and mostSilent bound what a digest names of targets, so that it fits in a datagram
+	// with 2,000 VMs and a full set of events: those with most work, and an equal part of what
+	// each VM misses. One that doesn't fit is not sent, and nobody hears of anybody.
+	mostLoads  = 1_200
+	mostSilent = 800
+)
+
+// bound keeps a digest within a datagram.
+func (d *digest) bound() {
+	if len(d.Loads) > mostLoads {
+		slices.SortFunc(d.Loads, func(a, b wireLoad) int {
+			return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.InFlight, a.InFlight), cmp.Compare(a.Target, b.Target))
+		})
+		d.Loads = d.Loads[:mostLoads]
+	}
+	targets := 0
+	for _, w := range d.Silent {
+		targets += len(w.Targets)
+	}
+	if targets <= mostSilent {
+		return
+	}
+	if len(d.Silent) > mostSilent {
+		d.Silent = d.Silent[:mostSilent]
+	}
+	each := max(mostSilent/len(d.Silent), 1)
+	d.Silent = slices.Clone(d.Silent) // the digests that were heard share it
+	for i := range d.Silent {
+		d.Silent[i].Targets = d.Silent[i].Targets[:min(each, len(d.Silent[i].Targets))]
+	}
+}
+
 // sum adds digests up. Ages in those that were heard grow by the time since. Events are
 // left out: each is passed on once.
 func sum(parts []heardDigest, now time.Time) digest {
@@ -117,6 +150,7 @@
 		out.Uses = append(out.Uses, u)
 	}
 	slices.SortFunc(out.Uses, func(a, b allowance.Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	out.bound()
 	slices.SortFunc(out.Loads, func(a, b wireLoad) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
