Edge: VMs that give no orders look less often, and a holder's rounds take a tenth of its time

Nine tenths of a round's looks found nothing to do on VMs without the lease, ten a second each; a round of the holder goes over all engines, so its pause follows how long it took. Readiness is judged five times a second, where the balancer asks once.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -27,8 +27,12 @@
 	// how often the rest does, for the case that all of them are gone.
 	candidates = 5
 	farEvery   = 20 * time.Second
-	// roundEvery is how often the holder compares what is and what is wanted.
-	roundEvery = 100 * time.Millisecond
+	// roundEvery is how often the holder compares what is and what is wanted, and otherRoundEvery
+	// how often others look whether they hold the lease. A round takes one part in roundRest + 1
+	// of the time at most.
+	roundEvery      = 100 * time.Millisecond
+	otherRoundEvery = 400 * time.Millisecond
+	roundRest       = 9
 )
 
 // leaseTuning gives the lease's times, so that the last order of one holder and the
@@ -172,13 +176,20 @@
 
 // giveOrders compares what is with what is wanted while this VM holds the lease.
 func (d *Daemon) giveOrders(ctx context.Context) {
-	for timing.Sleep(ctx, roundEvery) {
+	for pause := roundEvery; timing.Sleep(ctx, pause); {
+		if _, held := d.Lease.Held(); !held {
+			pause = otherRoundEvery
+			continue
+		}
+		pause = roundEvery
 		if !d.Rollout.Behind() {
 			continue
 		}
+		began := clock.Now()
 		if err := d.Orders.Round(ctx); err != nil {
 			d.Log.Belief("order-round-failed").Str("error", err.Error()).Send()
 		}
+		pause = max(roundEvery, roundRest*clock.Since(began)) // a round goes over all engines
 	}
 	d.Orders.Wait()
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -75,7 +75,7 @@
 }
 
 // readyEvery is how often readiness is judged.
-const readyEvery = 50 * time.Millisecond
+const readyEvery = 200 * time.Millisecond
 
 // judge keeps readiness up to date.
 func (d *Daemon) judge(ctx context.Context) {
