--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -260,10 +260,16 @@
 		"no target has it": {moving, Facts{Order: order("v2"), Elapsed: 9500 * time.Millisecond}, func(s Step) bool {
 			return s.Record.End == RolledBack && s.Record.Canary == ""
 		}},
-		"ordered anew after it was rolled back": {Record{Service: "s", Stable: "v1", Barred: []ids.SoftwareVersion{"v2"}, Order: OrderID{1, "v2"}, End: RolledBack},
-			Facts{Order: &Order{OrderID: OrderID{8, "v2"}, Service: "s", Within: time.Second}}, func(s Step) bool { return s.Record.Canary == "v2" && !s.Record.barred("v2") }},
-		"the record was lost, the status was not": {Record{Service: "s"}, Facts{Order: &Order{OrderID: OrderID{1, "v2"}, Reported: Completed, Known: true}},
-			func(s Step) bool { return s.Record.Stable == "v2" }},
+		"ordered anew after it was rolled back": {
+			Record{Service: "s", Stable: "v1", Barred: []ids.SoftwareVersion{"v2"}, Order: OrderID{1, "v2"}, End: RolledBack},
+			Facts{Order: &Order{OrderID: OrderID{8, "v2"}, Service: "s", Within: time.Second}},
+			func(s Step) bool { return s.Record.Canary == "v2" && !s.Record.barred("v2") },
+		},
+		"the record was lost, the status was not": {
+			Record{Service: "s"},
+			Facts{Order: &Order{OrderID: OrderID{1, "v2"}, Reported: Completed, Known: true}},
+			func(s Step) bool { return s.Record.Stable == "v2" },
+		},
 		"the first look at an order's versions":  {Record{Service: "s"}, Facts{Order: order("v2")}, func(s Step) bool { return s.Record.Stable == "v1" && s.Record.Canary == "v2" }},
 		"none of the version in service is left": {Record{Service: "s", Stable: "v0"}, Facts{Vacant: true}, func(s Step) bool { return s.Record.Stable == "v1" }},
 	} {
