Canary: a pause of both versions no longer counts against the new one

Operators saw: a good version rolled back after 3 to 4 s as worse, and barred until it was ordered again. Cause: routeEvidence.observe compared the canary's times with the counts of the version in service over 3 s, in which a pause of all processes for 0.2 s hardly shows; and with counts that no longer changed once all calls went to the canary. Ruled out: failures (none), the unresponsive replicas (the fault comes without them, too). Change: the reference keeps the distribution of its last answers; the canary's times wait 0.2 s and are compared with the larger fraction of slow answers; not at all with a version that has stopped answering.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -40,15 +40,6 @@
 }
 
 const (
-	// referenceDecay is the time in which older counts of the reference decay to 1/e, so that
-	// both versions are compared at the same time and a burst counts against neither.
-	referenceDecay = 3 * time.Second
-	// minReferenceAnswers is the number of timed answers of the version in service that the
-	// comparison of times needs.
-	minReferenceAnswers = 10
-	// priorCalls and priorFailed are the prior of a route's failure rate: 0.5 of 10 calls.
-	priorCalls, priorFailed = 10, 0.5
-
 	// A failure rate on a route is good up to goodFailExcess above that of the version in
 	// service, and bad from badFailExcess above the good rate. The tests compare these two rates.
 	badFailExcess, goodFailExcess = 0.18, 0.03
@@ -98,7 +89,8 @@
 type routeEvidence struct {
 	reference reference
 	targets   map[uint32]*targetEvidence
-	timed     uint32 // answers of the canary with a time
+	timed     uint32           // answers of the canary with a time
+	waiting   []waitingAnswers // answers of the canary whose times have not been judged
 	// failed and slow are joint CUSUMs over the targets that were not suspect before they
 	// were loaded.
 	failed, slow float64
@@ -118,46 +110,6 @@
 	sprt        float64 // sum of the sequential probability ratio test
 }
 
-// reference holds decaying counts of the results of calls at the version in service.
-type reference struct {
-	calls, failed, timed float64
-	times                [buckets]float64
-	at                   time.Time
-}
-
-func (r *reference) add(c *Cell, now time.Time) {
-	keep := math.Exp(-max(now.Sub(r.at), 0).Seconds() / referenceDecay.Seconds())
-	r.at = now
-	r.calls, r.failed, r.timed = r.calls*keep+float64(c.Calls), r.failed*keep+float64(c.Failed), r.timed*keep
-	for i := range r.times {
-		r.times[i] *= keep
-	}
-	for i, n := range c.Times {
-		r.times[i] += float64(n)
-		r.timed += float64(n)
-	}
-}
-
-// failRate is the fraction of calls that fail at the version in service.
-func (r *reference) failRate() float64 { return (r.failed + priorFailed) / (r.calls + priorCalls) }
-
-// slowFrom returns the first bucket that counts as slow, and the fraction of the answers of the
-// version in service that fall into it or a later one.
-func (r *reference) slowFrom() (from int, part float64) {
-	above := 0.0
-	from = buckets
-	for from > 0 && above+r.times[from-1] <= slowTail*r.timed {
-		from--
-		above += r.times[from]
-	}
-	from++ // half an octave beyond the tail
-	above = 0
-	for i := from; i < buckets; i++ {
-		above += r.times[i]
-	}
-	return from, above / r.timed
-}
-
 // allRoutes is the id of all routes together. The joint evidence detects a version that is bad
 // on several routes sooner.
 const allRoutes = 0
@@ -170,9 +122,10 @@
 	for _, id := range [...]uint32{c.Route, allRoutes} {
 		r := s.route(id)
 		if c.Canary {
-			r.observe(&c, s.loaded)
+			r.observe(&c, s.loaded, now)
 		} else {
 			r.reference.add(&c, now)
+			r.judgeTimes(s.loaded, now)
 		}
 	}
 }
@@ -189,7 +142,7 @@
 	return r
 }
 
-func (r *routeEvidence) observe(c *Cell, loaded bool) {
+func (r *routeEvidence) observe(c *Cell, loaded bool, now time.Time) {
 	t := r.targets[c.Target]
 	if t == nil {
 		t = &targetEvidence{}
@@ -197,19 +150,63 @@
 	}
 	ref := &r.reference
 	r.add(t, &t.failed, &r.failed, newRateTest(ref.failRate(), goodFailExcess, badFailExcess), loaded, c.Failed, c.Calls)
-	if ref.timed < minReferenceAnswers {
+	if _, _, ok := ref.slow(now); ok && len(c.Times) > 0 {
+		w := waitingAnswers{target: c.Target, times: c.Times, at: now}
+		r.timed += w.count()
+		r.waiting = append(r.waiting, w)
+	}
+}
+
+// waitingAnswers holds the times of answers of one canary target until the version in service has
+// given answers after them.
+type waitingAnswers struct {
+	target uint32
+	times  []uint32 // histogram by bucket
+	at     time.Time
+}
+
+const (
+	// judgeDelay is the time until the times of answers are compared with the reference. By then
+	// all VMs have reported the answers of the version in service from the same time.
+	judgeDelay = 200 * time.Millisecond
+	// maxJudgeDelay is the time after which answers are dropped that could not be compared.
+	maxJudgeDelay = time.Second
+)
+
+func (w *waitingAnswers) count() (n uint32) {
+	for _, k := range w.times {
+		n += k
+	}
+	return n
+}
+
+// countSlow returns the number of answers in a bucket from the given one on.
+func (w *waitingAnswers) countSlow(from int) (n uint32) {
+	for i := from; i < len(w.times); i++ {
+		n += w.times[i]
+	}
+	return n
+}
+
+// judgeTimes compares the times of the canary's answers with those of the version in service around
+// them.
+func (r *routeEvidence) judgeTimes(loaded bool, now time.Time) {
+	from, part, ok := r.reference.slow(now)
+	if !ok {
 		return
 	}
-	from, part := ref.slowFrom()
-	slow, timed := uint32(0), uint32(0)
-	for i, n := range c.Times {
-		timed += n
-		if i >= from {
-			slow += n
+	rest := r.waiting[:0]
+	for _, w := range r.waiting {
+		switch waited := now.Sub(w.at); {
+		case waited < judgeDelay:
+			rest = append(rest, w)
+		case waited <= maxJudgeDelay:
+			t := r.targets[w.target]
+			p := newRateTest(part, goodSlowExcess, badSlowExcess)
+			r.add(t, &t.slow, &r.slow, p, loaded, w.countSlow(from), w.count())
 		}
 	}
-	r.timed += timed
-	r.add(t, &t.slow, &r.slow, newRateTest(part, goodSlowExcess, badSlowExcess), loaded, slow, timed)
+	r.waiting = rest
 }
 
 // add adds hits (failed or slow calls) out of calls to the sums of a target and to the joint
--- a/internal/canary/simulation_test.go
+++ b/internal/canary/simulation_test.go
@@ -80,6 +80,23 @@
 			return 1
 		}
 	})
+	// pauses slow both versions down by eight for 200 ms twice a second.
+	pauses := func(t time.Duration) float64 {
+		if t%(500*time.Millisecond) > 300*time.Millisecond {
+			return 8
+		}
+		return 1
+	}
+	add("good, pauses", func(l *scenario) { l.vms, l.perSecond, l.within, l.slowdownOfBoth = 6, 90, 6*time.Second, pauses })
+	add("good, slow from its promotion", func(l *scenario) {
+		l.vms, l.perSecond, l.within = 6, 90, 6*time.Second
+		l.slowdownOfBoth = func(t time.Duration) float64 {
+			if t > 2400*time.Millisecond {
+				return 8
+			}
+			return 1
+		}
+	})
 	add("good, engines", func(l *scenario) {
 		l.perSecond, l.old, l.new, l.within = 448, 90, 90, 20*time.Second
 		l.routes = []route{{part: 0.44, failed: 0.01, took: 120 * time.Millisecond, spread: 0.8}, {part: 0.56, failed: 0.01, took: 80 * time.Millisecond, spread: 0.8}}
@@ -97,6 +114,9 @@
 		l.slower = always(10)
 		l.slowdownOfBoth = func(t time.Duration) float64 { return 1 + 3*math.Min(t.Seconds()/3, 1) }
 	})
+	bad("bad, ten times slower in pauses", func(l *scenario) {
+		l.vms, l.perSecond, l.slower, l.slowdownOfBoth = 6, 90, always(10), pauses
+	})
 	bad("bad on one route", func(l *scenario) {
 		l.routes = []route{{part: 0.85, failed: 0.005, took: 30 * time.Millisecond, spread: 0.3}, {part: 0.15, failed: 0.005, took: 60 * time.Millisecond, spread: 0.5}}
 		l.failed = func(m moment) float64 { return 0.67 * float64(m.route) }
