Forward: a timeout counts once against a replica

Callers saw: with two replicas, one silent and one merely slow, first attempts went to the silent one again, since the breakers of both were open and are then ignored. Cause: attempt.onStall calls Members.TimedOut, which spares the breaker of a replica that answers others; after the cancelled attempt recordOutcome called Members.Failed as well, which opens it. Ruled out: failures of the replica itself (it answered all calls that were left to it). Change: recordOutcome leaves a stall to onStall. TestWithdrawalNotCountedAgainstReplica gave its attempt no incarnation and so checked nothing; it does now.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -165,6 +165,7 @@
 	stall     *stallTimer
 	weights   weightsWatch
 	sent      time.Time
+	timedOut  bool          // the replica has sent nothing within a timeout; guarded by stall.mu
 	responded bool          // the replica's first event, or its response, has arrived
 	computing bool          // the planner counts this send as computing shared parts
 	framed    bool          // the response marks its own end
@@ -356,6 +357,9 @@
 		return // does not count against the replica
 	case errors.Is(err, errNotAllowed):
 		// Nothing was sent, so this does not count against the replica.
+	case errors.Is(err, errStalled):
+		// onStall has recorded the timeout, which opens the breaker only of a replica that is silent
+		// for all calls. A second count here would open it for a replica that is merely slow.
 	case errors.Is(err, errOldWeights):
 		// The call waited in the replica's queue, which this VM knows already; no failure is
 		// counted.
--- a/internal/forward/weights_test.go
+++ b/internal/forward/weights_test.go
@@ -321,7 +321,7 @@
 	tf := newFleet(t, r, old)
 	call := &run{f: tf.f, route: &r}
 	for range 5 {
-		call.recordOutcome(t.Context(), &attempt{c: &choice{target: routing.Target{ID: "old"}}}, outcome.Wrap(errOldWeights, outcome.Unknown, outcome.CodeUpstream, "send", "old", "withdrawn"))
+		call.recordOutcome(t.Context(), &attempt{c: &choice{target: routing.Target{ID: "old", Incarnation: 1}}}, outcome.Wrap(errOldWeights, outcome.Unknown, outcome.CodeUpstream, "send", "old", "withdrawn"))
 	}
 	if status := tf.f.Fleet.Members.Targets(time.Now()); len(status) != 1 || status[0].State != routing.Live {
 		t.Errorf("the replica counts as %+v, want one live replica", status)
