Forward: a stalled call moves only to a replica that is no worse; silence is an input of decisions

Callers saw: 504, outcome unknown, after the whole wait, though a healthy replica had their request. Cause: attempt.onStall cancelled a slow attempt without asking where the call could go. The next decision excludes the replica as tried, and an open breaker is ignored if it leaves no target, so the call went to a replica that answered nothing and had no third attempt. With no other replica it failed at once. Besides, nothing but a timeout kept first attempts from a replica that had been silent for long. Ruled out: an empty retry budget (no `no-retry` line), calls that wait in the VM (none). Change: loadview measures how long a target has sent nothing while a request waits there. A stalled call moves only if a decision finds a target that is no less healthy and has been silent for at most half as long; else it stays and looks again every 50 ms. For requests without a prompt, silence beyond 0.1 s counts as cost. Why it holds: a call leaves a replica only for one of which more is known to its credit, whatever the load.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -303,6 +303,7 @@
 		in.QueueTokens = float32(sc.loads[i].QueueTokens)
 		in.SlotWait = snap.batches[i].wait(sc.loads[i].InFlight)
 		in.InFlight = int32(sc.loads[i].InFlight)
+		in.Silence = float32(sc.loads[i].Silence.Seconds())
 		in.PrefillRate /= float32(sc.loads[i].Slowdown)
 		in.Resting = in.Resting && snap.restLeft(i, now) > 0
 	}
@@ -314,6 +315,18 @@
 	}
 }
 
+// MayMove reports whether a request that waits at one target could be sent to another one which
+// is not in tried and is no less healthy. Unlike Decide, it counts nothing.
+func (f *Fleet) MayMove(r *routing.Request, from ids.Target, tried []ids.Target, sc *Scratch) bool {
+	snap := f.Snapshot()
+	f.gather(snap, r, tried, sc)
+	d := f.policy.Decide(r, &snap.View, sc.Inputs, &sc.Routing)
+	if d.Index < 0 {
+		return false
+	}
+	return snap.State(d.Index) > routing.Suspect || f.StateOf(from) <= routing.Suspect
+}
+
 // defaultPrefillRate is the prefill rate assumed until a target reports one, in tokens/s.
 const defaultPrefillRate = 20_000
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -51,26 +51,32 @@
 // VMs at once. Settings allow older weights for longer than that (weights_within is at least 2 s).
 const newWeightsGrace = time.Second
 
-// decide picks a replica of the call's service.
-func (r *run) decide() (choice, *outcome.Error) {
+// routingRequest returns the call as the routing policy sees it, and the shared parts of its prompt.
+func (r *run) routingRequest() (req routing.Request, parts []kvcache.Part) {
 	f := r.f
-	req := routing.Request{Service: r.service, FailureDomain: f.Domain, Seed: f.Fleet.Seed()}
-	var parts []kvcache.Part
+	req = routing.Request{Service: r.service, FailureDomain: f.Domain, Seed: f.Fleet.Seed(), MaxSilence: float32(r.maxSilence.Seconds())}
 	p := r.call.Prompt
-	if p != nil && r.route.Prompts {
-		isolationKey := r.catalog.IsolationKey(r.workspace)
-		parts = kvcache.Shared(p.Parts)
-		req.Levels = kvcache.Levels(isolationKey, p.Model, parts)
-		req.Tokens = p.Tokens
-		req.FetchRate = f.KV.FetchRate
-		req.Pending = f.KV.computingTarget(req.Levels)
-		r.addRendezvousTargets(req.Levels)
-		newest, since, old := f.Weights.Wanted(p.Model, clock.Now())
-		req.OldWeights, req.LostIfWithdrawn = old, !r.route.Repeatable() || r.route.Kind != streamKind
-		if since >= newWeightsGrace {
-			req.Weights = newest
-		}
+	if p == nil || !r.route.Prompts {
+		return req, nil
+	}
+	parts = kvcache.Shared(p.Parts)
+	req.Levels = kvcache.Levels(r.catalog.IsolationKey(r.workspace), p.Model, parts)
+	req.Tokens = p.Tokens
+	req.FetchRate = f.KV.FetchRate
+	req.Pending = f.KV.computingTarget(req.Levels)
+	newest, since, old := f.Weights.Wanted(p.Model, clock.Now())
+	req.OldWeights, req.LostIfWithdrawn = old, !r.route.Repeatable() || r.route.Kind != streamKind
+	if since >= newWeightsGrace {
+		req.Weights = newest
 	}
+	return req, parts
+}
+
+// decide picks a replica of the call's service.
+func (r *run) decide() (choice, *outcome.Error) {
+	f, p := r.f, r.call.Prompt
+	req, parts := r.routingRequest()
+	r.addRendezvousTargets(req.Levels)
 	sc := f.Fleet.Acquire()
 	defer f.Fleet.Release(sc)
 	snap, d, admission := r.choose(&req, sc)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -34,6 +34,9 @@
 	sends      int  // sends so far, with any outcome
 	attempts   int  // sends that may have run
 	mayHaveRun bool // an attempt ended with another outcome than not-run
+	// maxSilence bounds the silence of the replicas that the call may move to, after it has waited
+	// for one that sent nothing (onStall). Zero: no bound.
+	maxSilence time.Duration
 	begun      bool // a part of the response was passed on
 	status     int  // of the response that was passed on
 	stream     streamState
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -177,16 +177,20 @@
 	}
 }
 
+// records returns the platform's list of the replicas.
+func records(replicas ...*fakeReplica) (out []platform.Record) {
+	for _, s := range replicas {
+		out = append(out, platform.Record{ID: string(s.id), Role: platform.RoleService, Service: "svc", Addr: s.addr, Incarnation: 1})
+	}
+	return out
+}
+
 func newFleet(t *testing.T, r catalog.Route, replicas ...*fakeReplica) *testFleet {
 	t.Helper()
 	tuning := membership.DefaultTuning
 	tuning.Grace = time.Hour
 	fl := fleet.New(membership.New("vm", tuning), cacheview.New(1024, nil), loadview.New(), routing.NewFetching(), nil)
-	var records []platform.Record
-	for _, s := range replicas {
-		records = append(records, platform.Record{ID: string(s.id), Role: platform.RoleService, Service: "svc", Addr: s.addr, Incarnation: 1})
-	}
-	fl.Members.ApplyPlatform(records, time.Now())
+	fl.Members.ApplyPlatform(records(replicas...), time.Now())
 	fl.Refresh()
 	f := &Forwarder{
 		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(2 * time.Second), Dialect: plainDialect{},
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/routing"
 )
@@ -18,10 +19,20 @@
 // its target has been taken out of service in the meantime.
 const maxDecisions = 4
 
-// choose picks a target among those that run a software version which is in service. The caller
-// must release the admission; it is nil if software versions are not distinguished or no target
-// was found.
+// choose picks a target among those that run a software version which is in service. If all of
+// them have been silent for too long, it ignores their silence. The caller must release the
+// admission; it is nil if software versions are not distinguished or no target was found.
 func (r *run) choose(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
+	snap, d, admission := r.chooseWithin(req, sc)
+	if d.Index < 0 && req.MaxSilence > 0 {
+		req.MaxSilence = 0
+		return r.chooseWithin(req, sc)
+	}
+	return snap, d, admission
+}
+
+// chooseWithin implements choose within req.MaxSilence.
+func (r *run) chooseWithin(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
 	f := r.f
 	if f.Software == nil {
 		snap, d := f.Fleet.Decide(req, r.tried, sc)
@@ -30,10 +41,8 @@
 	var snap *fleet.Snapshot
 	d := routing.Decision{Index: -1}
 	for range maxDecisions {
-		snapshot := f.Fleet.Snapshot()
-		choices := f.Software.Choices(r.service, &snapshot.View, snapshot.State, canary.ChoiceParams{FirstAttempt: r.sends == 0, Seed: req.Seed})
+		choices := r.softwareChoices(req, r.sends == 0)
 		for i := range choices {
-			choices[i].MaxHash = maxHash(r.service, snapshot, &choices[i])
 			req.Software = &choices[i]
 			if snap, d = f.Fleet.Decide(req, r.tried, sc); d.Index >= 0 {
 				break
@@ -52,6 +61,36 @@
 	return snap, d, nil
 }
 
+// softwareChoices returns the software versions that the call may go to, in order of preference.
+func (r *run) softwareChoices(req *routing.Request, firstAttempt bool) []routing.SoftwareChoice {
+	snap := r.f.Fleet.Snapshot()
+	choices := r.f.Software.Choices(r.service, &snap.View, snap.State, canary.ChoiceParams{FirstAttempt: firstAttempt, Seed: req.Seed})
+	for i := range choices {
+		choices[i].MaxHash = maxHash(r.service, snap, &choices[i])
+	}
+	return choices
+}
+
+// mayMove reports whether the call, which waits at a replica, could go to another one that is no
+// less healthy and has been silent for less than maxSilence.
+func (r *run) mayMove(from ids.Target) bool {
+	fl := r.f.Fleet
+	req, _ := r.routingRequest()
+	sc := fl.Acquire()
+	defer fl.Release(sc)
+	if r.f.Software == nil {
+		return fl.MayMove(&req, from, r.tried, sc)
+	}
+	choices := r.softwareChoices(&req, false)
+	for i := range choices {
+		req.Software = &choices[i]
+		if fl.MayMove(&req, from, r.tried, sc) {
+			return true
+		}
+	}
+	return false
+}
+
 // maxHash returns the largest hash that a target of the version may have to get calls, if only a
 // fraction of the version's targets may get them. Zero: no bound. VMs that see the same targets
 // compute the same bound.
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -49,59 +49,107 @@
 	return gap * eventGapFactor
 }
 
+// silenceDivisor bounds the silence of a replica to which a stalled call moves, as a fraction of the
+// silence of the one that it leaves. Otherwise two silent replicas would exchange their calls.
+const silenceDivisor = 2
+
+// stallCheckInterval is the interval between checks of whether a call whose replica sends nothing
+// can move to another one.
+const stallCheckInterval = 50 * time.Millisecond
+
 // onStall runs when the replica has sent nothing within the timeout. The timeout counts against the
-// replica in later decisions, but this call is cancelled only if it may be sent to another replica.
-func (t *attempt) onStall() {
-	if !t.r.superseded(t.c) {
-		t.r.f.Fleet.Members.TimedOut(t.c.target.ID, t.sent, clock.Now())
-		t.r.f.Fleet.MarkDirty()
+// replica in later decisions, but the attempt is cancelled only if the call can move to another
+// replica that is not in a worse state. Otherwise its replica keeps it: a slow response is better
+// than none. silence is the time for which the replica has sent nothing. onStall returns the time
+// until the next check; zero: the call will not move.
+func (t *attempt) onStall(silence time.Duration) time.Duration {
+	r := t.r
+	if !t.timedOut && !r.superseded(t.c) {
+		r.f.Fleet.Members.TimedOut(t.c.target.ID, t.sent, clock.Now())
+		r.f.Fleet.MarkDirty()
 	}
-	if t.r.repeatable() && t.r.f.Budgets.Of(t.r.service).Remaining() >= 1 {
-		t.cancel(errStalled)
+	t.timedOut = true
+	if !r.repeatable() {
+		return 0
 	}
+	r.maxSilence = silence / silenceDivisor
+	if r.f.Budgets.Of(r.service).Remaining() < 1 || !r.mayMove(t.c.target.ID) {
+		return stallCheckInterval
+	}
+	t.cancel(errStalled)
+	return 0
 }
 
-// stallTimer calls a function once, unless it is restarted or stopped in time. Safe for concurrent
-// use.
+// stallTimer calls a function when its time has passed, unless it is restarted, paused or stopped
+// before. Safe for concurrent use; the methods wait for a call of the function to end.
 type stallTimer struct {
-	mu   sync.Mutex
-	fire func()
-	t    *time.Timer
-	done bool
+	mu sync.Mutex
+	// fire is called with the time since the last start. It returns the time until the next call;
+	// zero: the timer stops for good.
+	fire    func(elapsed time.Duration) time.Duration
+	timer   *time.Timer
+	started time.Time
+	due     time.Time // zero: paused
+	done    bool
 }
 
-func newStallTimer(fire func()) *stallTimer { return &stallTimer{fire: fire} }
+func newStallTimer(fire func(elapsed time.Duration) time.Duration) *stallTimer {
+	return &stallTimer{fire: fire}
+}
 
 // start starts or restarts the timer with duration d.
 func (s *stallTimer) start(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.started = clock.Now()
+	s.arm(s.started.Add(d))
+}
+
+// arm sets the time of the next call. The caller holds s.mu.
+func (s *stallTimer) arm(due time.Time) {
 	if s.done {
 		return
 	}
-	if s.t == nil {
-		s.t = time.AfterFunc(d, s.expired)
+	s.due = due
+	if s.timer == nil {
+		s.timer = time.AfterFunc(clock.Until(due), s.expired)
 		return
 	}
-	s.t.Reset(d)
+	s.timer.Reset(clock.Until(due))
 }
 
+// expired calls the function, unless the timer was paused, restarted or stopped meanwhile.
 func (s *stallTimer) expired() {
 	s.mu.Lock()
-	over := s.done
-	s.done = true
-	s.mu.Unlock()
-	if !over {
-		s.fire()
+	defer s.mu.Unlock()
+	if s.done || s.due.IsZero() {
+		return
+	}
+	now := clock.Now()
+	if now.Before(s.due) {
+		s.arm(s.due)
+		return
+	}
+	next := s.fire(now.Sub(s.started))
+	if next <= 0 {
+		s.done = true
+		return
 	}
+	s.arm(clock.Now().Add(next))
 }
 
 // pause stops the timer until the next start.
 func (s *stallTimer) pause() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.t != nil {
-		s.t.Stop()
+	s.disarm()
+}
+
+// disarm implements pause. The caller holds s.mu.
+func (s *stallTimer) disarm() {
+	s.due = time.Time{}
+	if s.timer != nil {
+		s.timer.Stop()
 	}
 }
 
@@ -110,7 +158,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.done = true
-	if s.t != nil {
-		s.t.Stop()
-	}
+	s.disarm()
 }
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -3,6 +3,7 @@
 package loadview
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	inFlight     int
 	notResumable int        // requests in flight that can't be resumed at another target
 	sent         []sent     // newest last
+	unanswered   []*Work    // requests sent since the target's last output and not ended, oldest first
 	peers        TargetWork // sum over all peers
 	slowdown     slowdown
 }
@@ -46,6 +48,7 @@
 type Work struct {
 	t            *Tracker
 	load         *targetLoad // the target's record when the request was sent
+	sentAt       time.Time
 	tokens       float64
 	prefilled    bool
 	notResumable bool
@@ -98,7 +101,9 @@
 	o.pending += tokens
 	o.inFlight++
 	o.add(sent{at: now, tokens: tokens})
-	return &Work{t: t, load: o, tokens: tokens}
+	w := &Work{t: t, load: o, sentAt: now, tokens: tokens}
+	o.unanswered = append(o.unanswered, w)
+	return w
 }
 
 // FirstToken records the end of the prefill. Further calls do nothing.
@@ -106,6 +111,8 @@
 	w.t.mu.Lock()
 	defer w.t.mu.Unlock()
 	w.endPrefill()
+	clear(w.load.unanswered) // for the garbage collector
+	w.load.unanswered = w.load.unanswered[:0]
 }
 
 func (w *Work) endPrefill() {
@@ -123,12 +130,20 @@
 	if !w.ended {
 		w.ended = true
 		w.load.inFlight--
+		w.load.dropUnanswered(w)
 		if w.notResumable {
 			w.load.notResumable--
 		}
 	}
 }
 
+// dropUnanswered removes a request that has ended from the unanswered ones.
+func (o *targetLoad) dropUnanswered(w *Work) {
+	if i := slices.Index(o.unanswered, w); i >= 0 {
+		o.unanswered = slices.Delete(o.unanswered, i, i+1)
+	}
+}
+
 // missGain is the weight of one response in the smoothed miss ratio.
 const missGain = 0.2
 
@@ -161,6 +176,9 @@
 	OwnInFlight int
 	InFlight    int     // own and, as far as they have reported, all peers'
 	Slowdown    float64 // measured over predicted time to first token; at least 1
+	// Silence is the time for which the target has sent nothing while a request of this VM was
+	// waiting there; zero without such a request.
+	Silence time.Duration
 }
 
 // Report is a target's last report of its load.
@@ -211,6 +229,13 @@
 	tokens -= r.Rate * r.Age.Seconds()
 	return Load{
 		QueueTokens: max(tokens, o.pending+o.peers.Pending, 0), OwnInFlight: o.inFlight, InFlight: o.inFlight + o.peers.InFlight,
-		Slowdown: o.slowdown.decayed(now),
+		Slowdown: o.slowdown.decayed(now), Silence: o.silence(now),
+	}
+}
+
+func (o *targetLoad) silence(now time.Time) time.Duration {
+	if len(o.unanswered) == 0 {
+		return 0
 	}
+	return now.Sub(o.unanswered[0].sentAt)
 }
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -28,10 +28,14 @@
 // Unlike an open breaker, this holds also if no other target is left.
 type SignalsFilter struct{}
 
+// SilenceFilter rejects targets that have been silent for Request.MaxSilence or longer.
+type SilenceFilter struct{}
+
 // SoftwareFilter rejects targets outside the request's choice of software version.
 type SoftwareFilter struct{}
 
 var (
+	_ Filter = SilenceFilter{}
 	_ Filter = SoftwareFilter{}
 	_ Filter = SignalsFilter{}
 	_ Filter = WeightsFilter{}
@@ -76,6 +80,14 @@
 	return Passed
 }
 
+// Check implements Filter.
+func (SilenceFilter) Check(r *Request, _ *Target, in *Input) Reason {
+	if r.MaxSilence > 0 && in.Silence >= r.MaxSilence {
+		return Silent
+	}
+	return Passed
+}
+
 // Check implements Filter.
 func (SoftwareFilter) Check(r *Request, t *Target, _ *Input) Reason {
 	c := r.Software
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -94,7 +94,7 @@
 )
 
 // AllFilters holds the filters that every policy applies, in order.
-var AllFilters = []Filter{ServesFilter{}, SoftwareFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}, SignalsFilter{}, WeightsFilter{}}
+var AllFilters = []Filter{ServesFilter{}, SoftwareFilter{}, StateFilter{}, BreakerFilter{}, TriedFilter{}, SignalsFilter{}, WeightsFilter{}, SilenceFilter{}}
 
 // Defaults of the fetch policy.
 const (
@@ -104,6 +104,8 @@
 	// defaultFailureSeconds is the cost of a failed attempt. It equals the latency objective
 	// of most routes.
 	defaultFailureSeconds = 1
+	// defaultSilenceGrace is a time in which services that work usually answer, in seconds.
+	defaultSilenceGrace = 0.1
 	// defaultOldWeightsSeconds is large enough that a busy target with new weights is
 	// preferred to an idle one with old weights.
 	defaultOldWeightsSeconds = 0.3
@@ -130,6 +132,7 @@
 			FetchScorer{},
 			InFlightScorer{Seconds: defaultInFlightSeconds},
 			FailureScorer{Seconds: defaultFailureSeconds},
+			SilenceScorer{GraceSeconds: defaultSilenceGrace},
 			OldWeightsScorer{Seconds: defaultOldWeightsSeconds},
 			DistanceScorer{Seconds: defaultFetchDistanceSeconds},
 			SlowStartScorer{Seconds: defaultSlowStart},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -79,6 +79,9 @@
 	// FailRate is the recent fraction of this VM's requests that failed because of the
 	// target, 0 to 1.
 	FailRate float32 `json:"fail_rate,omitempty"`
+	// Silence is the time for which the target has sent nothing while a request of this VM was
+	// waiting there, in seconds.
+	Silence float32 `json:"silence,omitempty"`
 }
 
 // Request holds the attributes of a request that a decision depends on.
@@ -106,6 +109,9 @@
 	Pending ids.Target
 	// Software limits the choice to a version of the targets' software. Nil means any.
 	Software *SoftwareChoice
+	// MaxSilence rejects targets with a Silence of at least that many seconds. Zero means no
+	// bound.
+	MaxSilence float32
 	// InTransit is the estimated number of requests to the service that other VMs have sent but
 	// this VM has not received a report of.
 	InTransit float32
@@ -142,6 +148,7 @@
 	RateLimited
 	Resting
 	OtherSoftware
+	Silent
 	reasonCount
 )
 
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -30,6 +30,12 @@
 // the caller Seconds.
 type FailureScorer struct{ Seconds float32 }
 
+// SilenceScorer returns the time for which the target has been silent, without the first
+// GraceSeconds, for requests without a prompt: services usually answer within that time, and the
+// longer one has been silent, the longer it is likely to stay so. Engines may be silent because of
+// their queues, which QueueScorer predicts.
+type SilenceScorer struct{ GraceSeconds float32 }
+
 // OldWeightsScorer returns a cost of Seconds for targets that run other weights than the
 // wanted ones: their responses are worth less, as if they came that much later.
 type OldWeightsScorer struct{ Seconds float32 }
@@ -40,6 +46,7 @@
 
 var (
 	_ Scorer = InFlightScorer{}
+	_ Scorer = SilenceScorer{}
 	_ Scorer = FailureScorer{}
 	_ Scorer = OldWeightsScorer{}
 	_ Scorer = FetchScorer{}
@@ -106,6 +113,14 @@
 	return s.Seconds * in.FailRate
 }
 
+// Cost implements Scorer.
+func (s SilenceScorer) Cost(r *Request, _ *Target, in *Input, _ *Eligible) float32 {
+	if r.Tokens > 0 {
+		return 0
+	}
+	return max(in.Silence-s.GraceSeconds, 0)
+}
+
 // Cost implements Scorer.
 func (s OldWeightsScorer) Cost(r *Request, t *Target, _ *Input, _ *Eligible) float32 {
 	if r.Weights == "" || t.Weights == r.Weights {
