Quarantine: the time of a reported crash no longer tells crashes apart

Callers saw: 422 for a request that had crashed two targets where three are needed. Cause: entry.add took a reported crash for a further crash of the restarted target if its run seemed to have been sent more than 100 ms (maxAgeError) after the known crash. A report carries ages without the delay of its message, so each late copy of one crash counted again, and the VMs told each other. Change: only the VM that sees a crash decides by its own clock whether the target has restarted (observe); a reported crash of a known incarnation is the known one. Why it holds: no time that has crossed the network is compared any more, so no delay can add a crash. Price: two crashes of one target at two VMs count as one if the second VM has not heard of the first crash by then.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -170,7 +170,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, f := range findings {
-		if e := l.entry(f.Request); e.add(f.Crash) {
+		if e := l.entry(f.Request); e.observe(f.Crash) {
 			e.changed, e.roundsLeft = l.now(), ownRounds
 		}
 	}
@@ -266,20 +266,25 @@
 	return cmp.Or(cmp.Compare(len(e.crashes), len(o.crashes)), e.changed.Compare(o.changed))
 }
 
-// add adds a crash. It returns false if the crash was known.
-func (e *entry) add(c Crash) bool {
-	for {
-		known := e.crashOf(c.Replica)
-		if known == nil {
-			break
-		}
+// observe adds a crash that this VM has seen itself. It returns false if the crash was known. If the
+// run was sent after the known crash of its replica, the replica has restarted, and this VM did not
+// know its new incarnation yet.
+func (e *entry) observe(c Crash) bool {
+	for known := e.crashOf(c.Replica); known != nil; known = e.crashOf(c.Replica) {
 		if !c.Sent.After(known.Ended.Add(maxAgeError)) {
 			return false
 		}
-		// The replica has restarted, and the VM that saw the crash did not know its new
-		// incarnation yet.
 		c.Replica = c.Replica.next()
 	}
+	return e.add(c)
+}
+
+// add adds a crash. It returns false if the crash was known. The time of a crash that a peer reports
+// says nothing about its identity, since it includes the delay of the message.
+func (e *entry) add(c Crash) bool {
+	if e.crashOf(c.Replica) != nil {
+		return false
+	}
 	e.crashes = append(e.crashes, c)
 	slices.SortFunc(e.crashes, func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
 	if extra := len(e.crashes) - maxCrashes; extra > 0 {
@@ -288,8 +293,7 @@
 	return true
 }
 
-// maxAgeError bounds the difference between VMs in the time of an event: the ages in a message
-// do not include its delay.
+// maxAgeError is the usual delay of a message, by which the time of a reported crash is too late.
 const maxAgeError = 100 * time.Millisecond
 
 // crashOf returns the crash of a replica, or nil if there is none.
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -164,6 +164,28 @@
 	}
 }
 
+// TestLateReportIsNoFurtherCrash reports one crash in several rounds, whose messages arrive up to a
+// second late: each VM must count one crash. It guards against requests that were quarantined after
+// two crashes since a report which came over 100 ms late counted as a crash of the restarted target.
+func TestLateReportIsNoFurtherCrash(t *testing.T) {
+	c := newClock()
+	a, b := c.ledger(), c.ledger()
+	c.crash(a, "q", "same")
+	for range ownRounds {
+		report := a.DueReports(1)
+		for range 4 {
+			c.now = c.now.Add(250 * time.Millisecond)
+			b.Receive("a", report, true)
+			a.Receive("b", b.DueReports(1), true)
+		}
+	}
+	for name, l := range map[string]*Ledger{"a": a, "b": b} {
+		if n := len(l.cases[named("q")].crashes); n != 1 {
+			t.Errorf("VM %s counts %d crashes, want 1", name, n)
+		}
+	}
+}
+
 // TestLedgersAgree sends the same reports in any order and repeatedly to several ledgers.
 func TestLedgersAgree(t *testing.T) {
 	c := newClock()
