Peers: updates for a peer that can't be reached yet are merged, not dropped

Callers saw: slower first answers at a VM that never heard which prefixes its peer's targets hold. Cause: Node.Broadcast drops the newest update when a sender's queue of four is full. While the peer's stream is not open yet, four heartbeats fill it, the update with the dispatches is dropped, and nothing sends them again. Ruled out: unknown targets or generations (no entry ignored), no sender yet, the race in CollectDispatches. Change: a full queue is replaced by one merged update of bounded size (newest heartbeat, reports by target, demands by workspace, dispatches). Why it holds: what is queued no longer depends on how many heartbeats pass before the stream opens.

--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -192,7 +192,7 @@
 	senders := n.updateSenders(ctx)
 	update.Suspects = suspectsProto(n.Crashes.DueReports(len(senders)))
 	for _, s := range senders {
-		s.ring.TryPut(update)
+		s.enqueue(update)
 	}
 }
 
--- a/internal/peers/sender.go
+++ b/internal/peers/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
@@ -12,19 +13,42 @@
 	"github.com/threadwall/threadwall/internal/timing"
 )
 
-// sender keeps a stream to one peer open. A peer that does not read blocks only its
-// own sender; updates for it are then dropped.
+// sender keeps a stream to one peer open. A peer that does not read, or can't be reached, blocks
+// only its own sender; the updates for it are then merged into one of bounded size.
 type sender struct {
 	n    *Node
 	vm   ids.VM
 	addr string
 	ring *ring.Ring[*peerpb.News]
 	stop context.CancelFunc
+
+	mu sync.Mutex // serializes enqueue
 }
 
-// senderQueueSize is how many messages are queued for a slow peer.
+// senderQueueSize is how many messages are queued for a slow peer before they are merged.
 const senderQueueSize = 4
 
+// enqueue queues an update. If the queue is full, it replaces the queued updates by one that merges
+// them with the new one.
+func (s *sender) enqueue(update *peerpb.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ring.TryPut(update) {
+		return
+	}
+	var all []*peerpb.News
+	for len(all) < senderQueueSize {
+		select {
+		case m := <-s.ring.Out():
+			all = append(all, m)
+			continue
+		default: // the stream has taken the others
+		}
+		break
+	}
+	s.ring.TryPut(mergeUpdates(append(all, update)))
+}
+
 // reconnectDelay is the delay before a broken stream is opened again.
 const reconnectDelay = 500 * time.Millisecond
 
