--- a/internal/canary/reference.go
+++ b/internal/canary/reference.go
@@ -33,33 +33,38 @@
 	timedAt              time.Time // when timed answers were last added
 }
 
+// add adds the results in c.
 func (r *reference) add(c *Cell, now time.Time) {
 	keep := math.Exp(-max(now.Sub(r.at), 0).Seconds() / referenceDecay.Seconds())
 	r.at = now
 	r.calls, r.failed, r.timed = r.calls*keep+float64(c.Calls), r.failed*keep+float64(c.Failed), r.timed*keep
-	added := 0.
 	for i := range r.times {
 		r.times[i] *= keep
 	}
+	added := 0.
 	for i, n := range c.Times {
 		r.times[i] += float64(n)
 		added += float64(n)
 	}
-	if added == 0 {
-		return
+	if added > 0 {
+		r.addRecent(c.Times, added)
+		r.timed += added
+		r.timedAt = now
 	}
-	keepRecent := math.Pow(1-recentGain, added)
+}
+
+// addRecent adds answers, given by bucket, to the recent ones.
+func (r *reference) addRecent(times []uint32, answers float64) {
+	keep := math.Pow(1-recentGain, answers)
 	if r.timedAt.IsZero() {
-		keepRecent = 0
+		keep = 0
 	}
 	for i := range r.recent {
-		r.recent[i] *= keepRecent
+		r.recent[i] *= keep
 	}
-	for i, n := range c.Times {
-		r.recent[i] += (1 - keepRecent) * float64(n) / added
+	for i, n := range times {
+		r.recent[i] += (1 - keep) * float64(n) / answers
 	}
-	r.timed += added
-	r.timedAt = now
 }
 
 // failRate is the fraction of calls that fail at the version in service.
