News: numbers of events begin at the incarnation of the exchange

Ruled out: an exception for tree.go: news.go has the same time already, as the incarnation of the process. Change: Start sets the first number from it; a tree that was not started counts from one.

--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -283,6 +283,7 @@
 	x.conn, err = net.ListenUDP("udp4", addr)
 	x.incarnation = time.Now().UnixMilli() // wall time, since peers compare it with that of an earlier start
 	x.tree.wake = make(chan struct{}, 1)
+	x.tree.lastNumber = uint64(x.incarnation) // numbers of events are larger than those before a restart
 	return eris.Wrapf(err, "listen for peer messages on %s", x.Listen)
 }
 
--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -122,22 +122,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e.mustArrive() {
-		e.Number = t.nextNumber()
+		t.lastNumber++
+		e.Number = t.lastNumber
 		t.firstCopy(&e, clock.Now())
 	}
 	t.forward(e, true)
 }
 
-// nextNumber returns the number of this VM's next event. Numbers begin at the time in
-// milliseconds, so that they are larger than those before a restart. The caller holds the lock.
-func (t *tree) nextNumber() uint64 {
-	if t.lastNumber == 0 {
-		t.lastNumber = uint64(time.Now().UnixMilli())
-	}
-	t.lastNumber++
-	return t.lastNumber
-}
-
 // firstCopy records a copy of a numbered event and reports whether it is the first one. The caller
 // holds the lock.
 func (t *tree) firstCopy(e *event, now time.Time) bool {
