Drills: the stand-ins of the store come back from a copy; tests that fail

The stand-in of the platform's store (platformlab, objectapi.Memory) takes a copy of itself and comes back from it: later writes are lost, revisions count on from the copy, a watch from a revision that it doesn't have gets 410, and Store-Era rises by one in all its answers.

--- a/internal/lab/platformlab/store.go
+++ b/internal/lab/platformlab/store.go
@@ -52,7 +52,9 @@
 type Store struct {
 	mu        sync.Mutex
 	rev       uint64
+	era       uint64 // rises by one with each Restore
 	kinds     map[string]map[string]Object
+	external  []externalWrite // last write to each object by operators and replicas
 	history   []change
 	oldest    uint64 // lowest revision in the history; watches from before it get 410
 	faults    StoreFaults
@@ -114,13 +116,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(kind, name, data).Metadata.Rev
+	o := s.put(kind, name, data)
+	s.rememberExternal(kind, name, data)
+	return o.Metadata.Rev
 }
 
 // Remove deletes an object, if there is one.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(kind, name)
+	s.rememberExternal(kind, name, nil)
+}
+
+// remove deletes an object, if there is one. The caller holds s.mu.
+func (s *Store) remove(kind, name string) {
 	o, ok := s.kinds[kind][name]
 	if !ok {
 		return
@@ -210,12 +220,26 @@
 	case r.Method == http.MethodGet:
 		s.get(w, kind, name)
 	case r.Method == http.MethodDelete:
-		s.Remove(kind, name)
+		s.delete(w, kind, name)
 	default:
 		s.write(w, r, kind, name, isStatus, faults.LostResponses)
 	}
 }
 
+func (s *Store) delete(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	s.remove(kind, name)
+	era := s.era
+	s.mu.Unlock()
+	setEra(w, era)
+}
+
+// replyInEra sends a response of the store that was computed in an era.
+func replyInEra(w http.ResponseWriter, era uint64, status int, body any) {
+	setEra(w, era)
+	reply(w, status, body)
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -225,12 +249,14 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.kinds[kind][name]
+	era := s.era
 	s.mu.Unlock()
 	if !ok {
+		setEra(w, era)
 		http.NotFound(w, nil)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	replyInEra(w, era, http.StatusOK, o)
 }
 
 // pageSize is the maximum number of objects in a page of a list; small, so that tests
@@ -251,9 +277,9 @@
 	for _, name := range names[:min(len(names), pageSize)] {
 		items = append(items, s.kinds[kind][name])
 	}
-	rev := s.rev
+	rev, era := s.rev, s.era
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "storeRevision": rev})
+	replyInEra(w, era, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "storeRevision": rev})
 }
 
 // event is one change in the response to a watch.
@@ -271,14 +297,15 @@
 	for {
 		s.mu.Lock()
 		events, gone, rev := s.since(kind, after)
-		changed, interrupt := s.changed, s.interrupt
+		changed, interrupt, era := s.changed, s.interrupt, s.era
 		s.mu.Unlock()
 		if gone {
+			setEra(w, era)
 			http.Error(w, "watch revision is older than the history", http.StatusGone)
 			return
 		}
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
+			replyInEra(w, era, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
 			return
 		}
 		select {
@@ -288,16 +315,17 @@
 		case <-r.Context().Done():
 			return
 		case <-end:
-			reply(w, http.StatusOK, map[string]any{"events": []event{}, "storeRevision": rev})
+			replyInEra(w, era, http.StatusOK, map[string]any{"events": []event{}, "storeRevision": rev})
 			return
 		}
 	}
 }
 
 // since returns the changes of a kind after a revision, and the store's current revision. gone
-// reports that the history no longer covers the changes. The caller holds s.mu.
+// reports that the history does not cover the changes, or that the store does not have the revision:
+// a Restore may have lost it. The caller holds s.mu.
 func (s *Store) since(kind string, after uint64) (events []event, gone bool, rev uint64) {
-	if after+1 < s.oldest {
+	if after+1 < s.oldest || after > s.rev {
 		return nil, true, s.rev
 	}
 	for _, c := range s.history {
@@ -334,9 +362,10 @@
 	default:
 		o = s.put(kind, name, in.Spec)
 	}
+	era := s.era
 	s.mu.Unlock()
 	if status == http.StatusOK && rand.Float64() < lostResponses {
 		panic(http.ErrAbortHandler) // the write took effect, but its response is lost
 	}
-	reply(w, status, o)
+	replyInEra(w, era, status, o)
 }
--- a/internal/objectapi/memory.go
+++ b/internal/objectapi/memory.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -122,6 +123,30 @@
 	return events, m.rev, m.changed, nil
 }
 
+// Snapshot is a copy of a Memory at one moment.
+type Snapshot struct {
+	rev     Revision
+	objects map[string]Object
+	history []Object
+}
+
+// Snapshot copies the store's contents.
+func (m *Memory) Snapshot() Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Snapshot{rev: m.rev, objects: maps.Clone(m.objects), history: slices.Clone(m.history)}
+}
+
+// Restore replaces the store's contents by an earlier copy, as after the loss of all later writes.
+// Revisions count on from the copy.
+func (m *Memory) Restore(c Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rev, m.objects, m.history = c.rev, maps.Clone(c.objects), slices.Clone(c.history)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // put applies one change. The caller holds the lock.
 func (m *Memory) put(o Object) Revision {
 	m.rev++
