Store: the log tells the store's era, and lists and changes that were ignored

Logs could not distinguish hypotheses A and B of docs/incidents/store-restored-from-copy.md from C and D: neither the header Store-Era nor an ignored list or change was logged. No logic changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -208,6 +208,9 @@
 		store:   &objectapi.CountingStore{Store: o.Adapter.Store},
 		budgets: retry.NewServiceBudgets(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D()),
 	}
+	if n, ok := o.Adapter.Store.(objectapi.EraNotifier); ok {
+		n.NotifyEra(func(era objectapi.Era) { d.Log.State("store-era").Uint64("era", uint64(era)).Send() })
+	}
 	d.Fleet.SetDefaultPrefillRate(prefillRate)
 	d.Fleet.SetFirstSeed(xxh3.HashString(string(s.VM)))
 	d.build()
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -47,7 +47,7 @@
 func (d *Daemon) buildReader() {
 	wakeUp := &mirror.Notifier{}
 	space := func(prefix string, next follow.Handler) *mirror.Space {
-		return &mirror.Space{Prefix: prefix, Next: d.Weights.Clock.Wrap(next), Notifier: wakeUp}
+		return &mirror.Space{Prefix: prefix, Next: d.Weights.Clock.Wrap(next), Notifier: wakeUp, Log: d.Log}
 	}
 	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, OnAdopted: d.applyCatalog, Log: d.Log}
 	spaces := []*mirror.Space{
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/objectapi"
 )
@@ -66,6 +67,7 @@
 	Next follow.Handler
 	// Notifier is notified of each change. Shared by the spaces of a VM.
 	Notifier *Notifier
+	Log      *eventlog.Log
 
 	mu         sync.Mutex
 	objects    map[string]objectapi.Object
@@ -87,6 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listed && at.Revision < s.at.Revision {
+		s.Log.State("store-list-ignored").Str("prefix", s.Prefix).Stringer("revision", at.Revision).Stringer("have", s.at.Revision).Send()
 		s.advance(at)
 		s.Next.Unchanged(at)
 		return
@@ -120,7 +123,10 @@
 	for _, o := range events {
 		if s.apply(o, at) {
 			applied = append(applied, o)
+			continue
 		}
+		s.Log.State("store-change-ignored").Str("key", o.Key).Stringer("revision", o.Version).Stringer("have", s.objects[o.Key].Version).
+			Stringer("have_all", s.at.Revision).Send()
 	}
 	s.advance(at)
 	if len(applied) == 0 {
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -22,10 +22,6 @@
 // MaxValueBytes is the largest size of a value that the platform accepts.
 const MaxValueBytes = 1 << 20
 
-// Revision is the number of a write in the store's total order. An object's Version is
-// the revision of its last write.
-type Revision uint64
-
 // Object is one stored value.
 type Object struct {
 	Key     string   `json:"key"`
@@ -45,6 +41,13 @@
 	UpdateStatus(ctx context.Context, key string, status []byte, version Revision) (Revision, error)
 }
 
+// EraNotifier is a Store that reports eras.
+type EraNotifier interface {
+	// NotifyEra has f called with each era that is higher than all that earlier responses named,
+	// including the first. Call it before the first call to the store.
+	NotifyEra(f func(Era))
+}
+
 // Errors that a Store returns, possibly wrapped.
 var (
 	ErrNotFound    = errors.New("object not found")
