Store: revisions are ordered by era first, in all copies

Callers saw: routes answered 404, keys taken away served, and weights never loaded after the store had come back from an older copy, for as long as its revision was below the one before.

Cause: mirror.Space compared the store's numbers alone. Space.Listed ignored the list after the drill (at.Revision < s.at.Revision), Space.apply the changes of objects that the copy had (version <= old.Version) until the number had passed the old one, and those of objects that it did not have (!exists && version <= s.at.Revision) for good: their only event was taken for one before a delete. All three then called Unchanged, which proves the old configuration to be the newest.

The two lines are told apart by the test of weights: with a version named before the drill it passed on the old code (version <= old.Version is false: the object's own number is low), for the first time it fails.

Change: objectapi.Revision holds the era in its upper bits, so <, max and == are right in all places and messages (docs/design/eras.md). What a peer sends of another era proves nothing. Entries that a new era lacks may register again for ReturnGrace, as after an outage.

--- a/internal/follow/clock.go
+++ b/internal/follow/clock.go
@@ -9,7 +9,8 @@
 
 // Clock derives from the revisions of the store's responses how old an object of the store can be
 // at most. All key spaces share one revision counter, so a response for any of them with a revision
-// below that of the object proves that the object did not exist when the call was sent. Safe for
+// below that of the object proves that the object did not exist when the call was sent. Only responses
+// of the object's era count: the object may have existed in an earlier era under another number. Safe for
 // concurrent use. The zero value is ready for use.
 type Clock struct {
 	mu      sync.Mutex
@@ -38,7 +39,7 @@
 	defer c.mu.Unlock()
 	var last time.Time
 	for _, s := range c.samples {
-		if s.Revision != 0 && s.Revision < rev && s.Sent.After(last) {
+		if s.Revision != 0 && s.Revision.Era() == rev.Era() && s.Revision < rev && s.Sent.After(last) {
 			last = s.Sent
 		}
 	}
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -14,7 +14,9 @@
 // A Space is this VM's copy of one key space, with its recent changes. It holds
 // everything up to a revision of the store, and this revision never decreases. A list of
 // a lower revision is ignored, and so is a change that is not newer than the object in the
-// copy. If the copy does not hold the object, a change up to the copy's revision is ignored:
+// copy. Revisions are ordered by the store's era first (objectapi.Revision), so the first list
+// of a new era replaces the copy although its numbers are lower, and what a peer still sends of an
+// older era is ignored. If the copy does not hold the object, a change up to the copy's revision is ignored:
 // the object had been deleted by then. Therefore it does not matter in which order a VM
 // receives data from its peers, or which of them is further behind.
 //
@@ -89,14 +91,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listed && at.Revision < s.at.Revision {
-		s.Log.State("store-list-ignored").Str("prefix", s.Prefix).Stringer("revision", at.Revision).Stringer("have", s.at.Revision).Send()
-		s.advance(at)
-		s.Next.Unchanged(at)
+		s.unchanged(at)
 		return
 	}
 	if !s.listed {
 		s.copyID = max(rand.Uint64(), 1)
 	}
+	// Entries that were lost when the store came back from a copy may be registered again.
+	regained = regained || s.listed && at.Revision.Era() > s.at.Revision.Era()
 	s.objects = make(map[string]objectapi.Object, len(objects))
 	for _, o := range objects {
 		s.objects[o.Key] = o
@@ -116,23 +118,20 @@
 func (s *Space) Changed(events []objectapi.Object, at follow.At) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.listed {
+	if !s.sameEra(at) {
 		return
 	}
 	var applied []objectapi.Object
 	for _, o := range events {
 		if s.apply(o, at) {
 			applied = append(applied, o)
-			continue
 		}
-		s.Log.State("store-change-ignored").Str("key", o.Key).Stringer("revision", o.Version).Stringer("have", s.objects[o.Key].Version).
-			Stringer("have_all", s.at.Revision).Send()
 	}
-	s.advance(at)
 	if len(applied) == 0 {
-		s.Next.Unchanged(at)
+		s.unchanged(at)
 		return
 	}
+	s.advance(at)
 	s.addBatch(applied)
 	s.Notifier.notify()
 	s.Next.Changed(applied, at)
@@ -142,13 +141,33 @@
 func (s *Space) Unchanged(at follow.At) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.listed {
+	s.unchanged(at)
+}
+
+// unchanged records that the copy was complete up to a state of the store. The caller holds the lock.
+func (s *Space) unchanged(at follow.At) {
+	if !s.sameEra(at) {
 		return
 	}
 	s.advance(at)
 	s.Next.Unchanged(at)
 }
 
+// sameEra reports whether the copy is of the era of a response. Otherwise the response neither changes
+// the copy nor says anything about its age: what it lacks is not known before the first list of a new
+// era, and an older era is over. The caller holds the lock.
+func (s *Space) sameEra(at follow.At) bool {
+	if !s.listed {
+		return false
+	}
+	have := s.at.Revision
+	if have.Era() != at.Revision.Era() {
+		s.Log.State("other-era-ignored").Str("prefix", s.Prefix).Stringer("revision", at.Revision).Stringer("have", have).Send()
+		return false
+	}
+	return true
+}
+
 // apply applies one change unless it is known already. The caller holds the lock.
 func (s *Space) apply(o objectapi.Object, at follow.At) (changed bool) {
 	old, exists := s.objects[o.Key]
--- a/internal/objectapi/memory.go
+++ b/internal/objectapi/memory.go
@@ -37,9 +37,9 @@
 	defer m.mu.Unlock()
 	o, ok := m.objects[key]
 	if !ok {
-		return Object{}, ErrNotFound
+		return Object{Version: StartOf(m.rev.Era())}, ErrNotFound
 	}
-	return o, nil
+	return m.inEra(o), nil
 }
 
 // List implements Store.
@@ -49,7 +49,7 @@
 	var out []Object
 	for k, o := range m.objects {
 		if strings.HasPrefix(k, prefix) {
-			out = append(out, o)
+			out = append(out, m.inEra(o))
 		}
 	}
 	slices.SortFunc(out, func(a, b Object) int { return cmp.Compare(a.Key, b.Key) })
@@ -66,14 +66,18 @@
 	return m.put(Object{Key: key, Value: bytes.Clone(value)}), nil
 }
 
-// Update implements Store.
+// Update implements Store. Like a remote store it compares numbers, whatever their eras.
 func (m *Memory) Update(_ context.Context, key string, value []byte, version Revision) (Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if o, ok := m.objects[key]; !ok || o.Version != version {
+	if o, ok := m.objects[key]; !ok || o.Version.Number() != version.Number() {
 		return 0, ErrConflict
 	}
-	return m.put(Object{Key: key, Value: bytes.Clone(value)}), nil
+	rev := m.put(Object{Key: key, Value: bytes.Clone(value)})
+	if version.Era() != rev.Era() {
+		return 0, ErrAmbiguous
+	}
+	return rev, nil
 }
 
 // Delete implements Store.
@@ -84,7 +88,7 @@
 	if !ok {
 		return ErrNotFound
 	}
-	if o.Version != version {
+	if o.Version.Number() != version.Number() {
 		return ErrConflict
 	}
 	m.put(Object{Key: key, Deleted: true})
@@ -111,12 +115,12 @@
 func (m *Memory) since(prefix string, after Revision) ([]Object, Revision, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if uint64(m.rev-min(after, m.rev)) > uint64(len(m.history)) {
+	if after.Era() != m.rev.Era() || uint64(m.rev-min(after, m.rev)) > uint64(len(m.history)) {
 		return nil, m.rev, nil, ErrCompacted
 	}
 	var events []Object
 	for _, o := range m.history {
-		if o.Version > after && strings.HasPrefix(o.Key, prefix) {
+		if o = m.inEra(o); o.Version > after && strings.HasPrefix(o.Key, prefix) {
 			events = append(events, o)
 		}
 	}
@@ -138,15 +142,22 @@
 }
 
 // Restore replaces the store's contents by an earlier copy, as after the loss of all later writes.
-// Revisions count on from the copy.
+// Numbers of revisions count on from the copy, in a new era.
 func (m *Memory) Restore(c Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.rev, m.objects, m.history = c.rev, maps.Clone(c.objects), slices.Clone(c.history)
+	m.rev = StartOf(m.rev.Era()+1) + Revision(c.rev.Number())
+	m.objects, m.history = maps.Clone(c.objects), slices.Clone(c.history)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
+// inEra returns an object with its version in the current era. The caller holds the lock.
+func (m *Memory) inEra(o Object) Object {
+	o.Version = StartOf(m.rev.Era()) + Revision(o.Version.Number())
+	return o
+}
+
 // put applies one change. The caller holds the lock.
 func (m *Memory) put(o Object) Revision {
 	m.rev++
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -67,7 +67,8 @@
 // Store is the object API. In this package, Client implements it over HTTP and Memory in process;
 // CountingStore wraps another Store.
 type Store interface {
-	// Get returns one object or ErrNotFound.
+	// Get returns one object or ErrNotFound. With ErrNotFound, the Version of the returned object has
+	// the era in which the object was missing.
 	Get(ctx context.Context, key string) (Object, error)
 	// List returns the objects whose keys start with prefix, sorted by key, and the
 	// store's revision at the time of the read.
@@ -75,14 +76,15 @@
 	// Create writes a new object or returns ErrExists.
 	Create(ctx context.Context, key string, value []byte) (Revision, error)
 	// Update replaces an object if it still has the given version, and returns
-	// ErrConflict otherwise.
+	// ErrConflict otherwise. It returns ErrAmbiguous if the store has come back from an older copy
+	// in the meantime and another write has been given the same number.
 	Update(ctx context.Context, key string, value []byte, version Revision) (Revision, error)
 	// Delete removes an object if it still has the given version, and returns
 	// ErrConflict or ErrNotFound otherwise.
 	Delete(ctx context.Context, key string, version Revision) error
 	// Watch waits for changes after a revision under prefix and returns them with the
 	// revision up to which they are complete. It returns no events if the wait ends
-	// without a change, and ErrCompacted if after is too old.
+	// without a change, and ErrCompacted if after is too old, or of an earlier era than the store.
 	Watch(ctx context.Context, prefix string, after Revision) ([]Object, Revision, error)
 }
 
--- a/internal/objectapi/revision.go
+++ b/internal/objectapi/revision.go
@@ -39,6 +39,9 @@
 	return Revision(uint64(era)<<numberBits | number), nil
 }
 
+// StartOf returns the lowest revision of an era.
+func StartOf(era Era) Revision { return Revision(uint64(era) << numberBits) }
+
 // ParseEra returns the era that a store names; an empty text means era zero.
 func ParseEra(text string) (Era, error) {
 	if text == "" {
