Lease: a record of an earlier era names no holder, and fencing tokens hold the era

Seen in tests over stand-ins, not in a report: after a drill two VMs hold the lease at the same time, and a fencing token is used twice.

Cause, four lines of lease.go and one of notice.go: Try renews a record with its own Instance at once, though the store has lost a successor's (rec.Instance == l.instance); ReclaimOwn does the same after a restart; watch takes a revision that it saw long ago for unchanged (l.seen != v, mended by the order of revisions); the next token is rec.Fence + 1, of a record from before the last holders; a notice is matched by Instance, Fence and Renewal alone.

A holder whose lease goes on may renew at once.

After a drill that outlasts a lease there is no holder for 4.8 s and more, as before.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -155,12 +155,12 @@
 	if !lapsed || !idle {
 		return nil
 	}
-	return &news.LeaseLapse{Instance: n.Instance, Fence: n.Fence, Renewal: n.Renewal, SinceLastOrderMs: clock.Since(since).Milliseconds()}
+	return &news.LeaseLapse{Instance: n.Instance, Fence: n.Fence, Renewal: n.Renewal, Era: n.Era, SinceLastOrderMs: clock.Since(since).Milliseconds()}
 }
 
 // onLeaseLapse applies the notice that a peer has stopped sending orders.
 func (d *Daemon) onLeaseLapse(l news.LeaseLapse) {
-	n := lease.Notice{Instance: l.Instance, Fence: l.Fence, Renewal: l.Renewal, IdleFor: time.Duration(l.SinceLastOrderMs) * time.Millisecond}
+	n := lease.Notice{Instance: l.Instance, Fence: l.Fence, Renewal: l.Renewal, Era: l.Era, IdleFor: time.Duration(l.SinceLastOrderMs) * time.Millisecond}
 	if !d.Lease.ReceiveNotice(n) {
 		return
 	}
--- a/internal/lease/drill_test.go
+++ b/internal/lease/drill_test.go
@@ -155,25 +155,31 @@
 	d.wantHolder("a", "b")
 }
 
+// TestRenewalAtRevisionGivenOutAgain pauses a holder right before it sends a renewal. The store comes
+// back from a copy meanwhile, and another VM renews its lease at the number on which the renewal is
+// conditional.
 func TestRenewalAtRevisionGivenOutAgain(t *testing.T) {
 	d := newDrilled(t, "a", "b")
 	d.takeOver("b")
 	old := d.store.Snapshot()
 	d.write(3)
 	d.takeOver("a")
-	at := d.leases["a"].version
-	d.store.Restore(old)
-	d.now = d.now.Add(2 * time.Second) // a is paused
-	d.run(5*time.Second, "b")
-	_, rev, err := d.store.List(context.Background(), "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.write(int(at-rev) - 1)
-	d.try("b") // renews at the revision at which a had done so
-	if got := d.leases["b"].version; got != at {
-		t.Fatalf("b's record has revision %v, want that of a's, %v", got, at)
+	at := d.leases["a"].version.Number()
+	pause := func() {
+		d.store.Restore(old)
+		d.now = d.now.Add(3 * time.Second)
+		d.takeOver("b")
+		_, rev, err := d.store.List(context.Background(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.write(int(at-rev.Number()) - 1)
+		d.try("b")
+		if got := d.leases["b"].version.Number(); got != at {
+			t.Fatalf("b's record has number %d, want that of a's, %d", got, at)
+		}
 	}
+	d.leases["a"].store = &hookedUpdates{Store: d.store, before: pause, after: func() {}}
 	d.try("a", "b", "a")
 	d.wantHolder("a", "b")
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -22,6 +22,19 @@
 // full wait. If the holder has renewed in the meantime, the record differs and the notice
 // is void; if both VMs write, the conditional write lets only one of them succeed.
 //
+// # Eras
+//
+// The store may come back from an older copy of itself, in a new era (objectapi.Revision). Writes that
+// it had acknowledged are lost then, and the record may be of an earlier holder, or missing. Therefore:
+//
+//   - A record names the era in which it was written. One of an earlier era says nothing about who
+//     holds the lease now. Nobody takes over at once because of it, not even its own holder, and each
+//     VM waits for the full time from when it first saw the record in the new era.
+//   - A holder goes on until its lease ends, and may renew it in the new era before that, whatever the
+//     record says: all others still wait.
+//   - The fencing token of a holder that replaces such a record has the era in its high bits, so it is
+//     above those of all earlier eras, of which some may be in no record any more.
+//
 // # Limits
 //
 // A holder that is paused between its check of the lease and its action acts late.
@@ -59,6 +72,7 @@
 	Fence    uint64        `json:"fence"`    // fencing token; increases with every new holder
 	Renewal  uint64        `json:"renewal"`  // number of renewals under this fencing token
 	Duration time.Duration `json:"duration_ns"`
+	Era      objectapi.Era `json:"era,omitempty"` // of the store when it was written
 	// Released is set if the holder gave the lease up before its end.
 	Released bool `json:"released,omitempty"`
 }
@@ -146,27 +160,72 @@
 		}
 	}
 	obj, err := l.store.Get(ctx, l.key)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		return l.write(ctx, began, Record{Fence: 1}, 0)
-	}
-	if err != nil {
+	missing := errors.Is(err, objectapi.ErrNotFound)
+	if err != nil && !missing {
 		return eris.Wrap(err, "read lease")
 	}
 	var rec Record
-	if err := json.Unmarshal(obj.Value, &rec); err != nil {
-		return eris.Wrap(err, "decode lease")
+	if !missing {
+		if err := json.Unmarshal(obj.Value, &rec); err != nil {
+			return eris.Wrap(err, "decode lease")
+		}
+	}
+	next, ok := l.next(&rec, obj.Version, missing, began)
+	if !ok {
+		return nil
+	}
+	version := obj.Version
+	if missing {
+		version = 0
+	}
+	next.Era = obj.Version.Era()
+	return l.write(ctx, began, next, version)
+}
+
+// next returns the record that this VM may write in place of the stored one, or of a missing one, and
+// false if it has to wait. began is when the read of the record began.
+func (l *Lease) next(rec *Record, version objectapi.Revision, missing bool, began time.Time) (Record, bool) {
+	era := version.Era()
+	current := !missing && rec.Era == era // written in this era
+	if current && rec.Instance == l.instance {
+		return Record{Fence: rec.Fence, Renewal: rec.Renewal + 1}, true
 	}
-	if rec.Instance == l.instance {
-		return l.write(ctx, began, Record{Fence: rec.Fence, Renewal: rec.Renewal + 1}, obj.Version)
+	if held, ok := l.heldBefore(era); ok {
+		return Record{Fence: held.Fence, Renewal: held.Renewal + 1}, true
 	}
 	l.lose()
-	if rec.Released {
+	successor := Record{Fence: rec.Fence + 1}
+	switch {
+	case missing && era == 0:
+		return successor, true
+	case !current:
+		successor.Fence = firstFence(version)
+		rec.Duration = max(rec.Duration, l.tuning.Duration) // of a holder that the store has lost
+	case l.tuning.ReclaimOwn && rec.Holder == l.vm:
+		return successor, true
+	case rec.Released:
 		rec.Duration = l.tuning.Margin // the holder may have acted until it released the lease
 	}
-	if own := l.tuning.ReclaimOwn && rec.Holder == l.vm; !own && !l.watch(obj.Version, rec, began) {
-		return nil
-	}
-	return l.write(ctx, began, Record{Fence: rec.Fence + 1}, obj.Version)
+	return successor, l.watch(version, *rec, began)
+}
+
+// fenceBits is the number of low bits of a fencing token that distinguish the holders of one era.
+const fenceBits = 40
+
+// firstFence returns the fencing token of a holder that replaces a record of an earlier era. Besides the
+// era it holds the number of the replaced record's version: each holder of an era takes at least one
+// number, so the token is also above those of holders whose record a late write of an earlier era has
+// replaced.
+func firstFence(replaced objectapi.Revision) uint64 {
+	return uint64(replaced.Era())<<fenceBits + replaced.Number() + 1
+}
+
+// heldBefore returns the record that this VM wrote last if it still holds the lease by it and wrote it
+// before the given era.
+func (l *Lease) heldBefore(era objectapi.Era) (Record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held, l.held.Era < era && l.now().Before(l.until)
 }
 
 // renewable returns the next renewal of a lease that is held and whose stored record is
@@ -178,7 +237,7 @@
 	if !l.inSync || !l.now().Before(l.until) {
 		return Record{}, 0, false
 	}
-	return Record{Fence: l.held.Fence, Renewal: l.held.Renewal + 1}, l.version, true
+	return Record{Fence: l.held.Fence, Renewal: l.held.Renewal + 1, Era: l.held.Era}, l.version, true
 }
 
 // setInSync records whether the stored record is known to be the one that this VM holds.
@@ -256,6 +315,10 @@
 	if err != nil {
 		return eris.Wrap(err, "write lease")
 	}
+	if obj.Version.Era() != rec.Era {
+		l.setInSync(false) // the write took effect in a later era and may have replaced another holder's record
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held, l.version = rec, obj.Version
--- a/internal/lease/notice.go
+++ b/internal/lease/notice.go
@@ -1,11 +1,16 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
 
 // Notice states that a holder no longer acts under one state of the lease's record, which
-// Instance, Fence and Renewal identify.
+// Instance, Era, Fence and Renewal identify.
 type Notice struct {
 	Instance string
+	Era      objectapi.Era // of the record
 	Fence    uint64
 	Renewal  uint64
 	IdleFor  time.Duration // time since the holder's last action ended
@@ -20,7 +25,7 @@
 	if l.held.Instance == "" || l.until.IsZero() || l.now().Before(l.until) {
 		return Notice{}, false
 	}
-	return Notice{Instance: l.held.Instance, Fence: l.held.Fence, Renewal: l.held.Renewal}, true
+	return Notice{Instance: l.held.Instance, Era: l.held.Era, Fence: l.held.Fence, Renewal: l.held.Renewal}, true
 }
 
 // ReceiveNotice records a peer's notice and reports whether it is new. It returns false
@@ -39,9 +44,11 @@
 	return isNew
 }
 
-// noticeApplies reports whether the notice is about the record as last seen. The caller holds
+// noticeApplies reports whether the notice is about the record as last seen, and the record was written
+// in the store's era: one that a new era has restored may have been replaced before. The caller holds
 // the lock.
 func (l *Lease) noticeApplies() bool {
 	n, r := &l.notice, &l.seenRec
-	return l.tuning.HandoverDelay > 0 && n.Instance != "" && n.Instance == r.Instance && n.Fence == r.Fence && n.Renewal == r.Renewal
+	return l.tuning.HandoverDelay > 0 && n.Instance != "" && n.Instance == r.Instance && n.Fence == r.Fence && n.Renewal == r.Renewal &&
+		n.Era == r.Era && r.Era == l.seen.Era()
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -31,6 +31,7 @@
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
+	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/ratelimit"
 	"github.com/threadwall/threadwall/internal/timing"
@@ -85,6 +86,7 @@
 	Fence            uint64
 	Renewal          uint64
 	SinceLastOrderMs int64 // since its last order arrived or was abandoned
+	Era              objectapi.Era
 }
 
 // Load is the work that one VM has sent to one target.
