Entry VMs: a VM writes its entry again when the store has lost it

Seen in a test over stand-ins: after a drill to a copy from before a VM's start, the other VMs don't know it for the rest of its life, so they send it no news and share limits without it.

Cause: the duty register of edge/vms.go ended after its first acknowledged write, as if it lasted. Change: the duty compares its entry with the list for as long as the VM runs. Entries that the first list of a new era lacks are kept for returnGrace, so that shares of the limits don't grow meanwhile.

--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/news"
@@ -35,43 +36,51 @@
 // registerRetry is the mean pause between attempts to register.
 const registerRetry = time.Second
 
-// register writes this VM's entry, and retries until it succeeds or ctx ends.
+// registerCheck is how often a VM checks whether its entry is listed.
+const registerCheck = 200 * time.Millisecond
+
+// register keeps this VM's entry in the store until ctx ends. The store may lose an entry that it has
+// acknowledged, by coming back from an older copy.
 func (d *Daemon) register(ctx context.Context) {
 	if !d.vms.awaitListed(ctx) {
 		return
 	}
 	value, err := json.Marshal(vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps)})
-	if d.vms.hasEntry(value) {
-		return // this VM has restarted and its entry is unchanged
+	if err != nil {
+		d.Log.State("not-registered").Str("error", err.Error()).Send()
+		return
 	}
-	for err == nil {
-		err = d.writeEntry(ctx, prefixVMs+string(d.Settings.VM), value)
-		if err == nil {
-			return
+	var written objectapi.Revision
+	for pause := registerCheck; ctx.Err() == nil; timing.Sleep(ctx, pause) {
+		pause = registerCheck
+		if !d.vms.lacksEntry(value, written) {
+			continue
 		}
-		d.Log.State("not-registered").Str("error", err.Error()).Send()
-		if !timing.Sleep(ctx, registerRetry/2+rand.N(registerRetry)) {
-			return
+		rev, err := d.writeEntry(ctx, prefixVMs+string(d.Settings.VM), value)
+		if err != nil {
+			d.Log.State("not-registered").Str("error", err.Error()).Send()
+			pause = registerRetry/2 + rand.N(registerRetry)
+			continue
 		}
-		err = nil
+		written = rev
 	}
 }
 
-// writeEntry creates the object at key, or updates it if its value differs.
-func (d *Daemon) writeEntry(ctx context.Context, key string, value []byte) error {
-	_, err := d.store.Create(ctx, key, value)
+// writeEntry creates the object at key, or updates it if its value differs, and returns its revision.
+func (d *Daemon) writeEntry(ctx context.Context, key string, value []byte) (objectapi.Revision, error) {
+	rev, err := d.store.Create(ctx, key, value)
 	if !errors.Is(err, objectapi.ErrExists) {
-		return err
+		return rev, err
 	}
 	o, err := d.store.Get(ctx, key)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if slices.Equal(o.Value, value) {
-		return nil
+		return o.Version, nil
 	}
-	_, err = d.store.Update(ctx, key, value, o.Version)
-	return eris.Wrap(err, "update this VM's entry")
+	rev, err = d.store.Update(ctx, key, value, o.Version)
+	return rev, eris.Wrap(err, "update this VM's entry")
 }
 
 // vmList follows the list of entry VMs.
@@ -79,6 +88,10 @@
 	d       *Daemon
 	mu      sync.Mutex
 	records map[string]vmRecord // by key; nil: the list has not been read yet
+	at      objectapi.Revision  // of the latest response
+	listed  map[string]bool     // keys of the entries that the store has
+	// restoredAt is when the store came back from an older copy, which may lack entries.
+	restoredAt time.Time
 	// alive is the latest snapshot of the live VMs; nil: none yet.
 	alive   *liveVMs
 	aliveAt time.Time // time of the latest check of alive
@@ -86,21 +99,31 @@
 
 var _ follow.Handler = (*vmList)(nil)
 
-// Listed implements follow.Handler.
+// Listed implements follow.Handler. The entries that a restored store lacks are kept for a while, since
+// their VMs write them again: without them the other VMs would take larger shares of the limits for
+// the whole fleet.
 func (c *vmList) Listed(objects []objectapi.Object, at follow.At, _ bool) {
 	c.mu.Lock()
-	c.records = map[string]vmRecord{}
+	if c.records != nil && at.Revision.Era() > c.at.Era() {
+		c.restoredAt = clock.Now()
+	}
+	if c.records == nil || clock.Since(c.restoredAt) >= returnGrace {
+		c.records = map[string]vmRecord{}
+	}
+	c.listed = map[string]bool{}
 	c.mu.Unlock()
 	c.Changed(objects, at)
 }
 
 // Changed implements follow.Handler.
-func (c *vmList) Changed(events []objectapi.Object, _ follow.At) {
+func (c *vmList) Changed(events []objectapi.Object, at follow.At) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.at = max(c.at, at.Revision)
 	for _, o := range events {
 		if o.Deleted {
 			delete(c.records, o.Key)
+			delete(c.listed, o.Key)
 			continue
 		}
 		var r vmRecord
@@ -108,7 +131,7 @@
 			c.d.Log.State("vm-rejected").Str("key", o.Key).Str("error", err.Error()).Send()
 			continue
 		}
-		c.records[o.Key] = r
+		c.records[o.Key], c.listed[o.Key] = r, true
 	}
 	c.d.budgets.SetVMs(len(c.records))
 	c.d.Fleet.SetPeerCount(len(c.records) - 1)
@@ -139,19 +162,25 @@
 	return false
 }
 
-// hasEntry reports whether the list contains this VM's entry with the given value.
-func (c *vmList) hasEntry(value []byte) bool {
+// lacksEntry reports whether the store lacks this VM's entry, or has it with another value. written is
+// the revision at which this VM wrote it last, so that a list from before doesn't count; zero: never.
+func (c *vmList) lacksEntry(value []byte, written objectapi.Revision) bool {
 	var own vmRecord
 	if err := json.Unmarshal(value, &own); err != nil {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.records[prefixVMs+string(own.VM)] == own
+	key := prefixVMs + string(own.VM)
+	return c.at >= written && !(c.listed[key] && c.records[key] == own)
 }
 
 // Unchanged implements follow.Handler.
-func (c *vmList) Unchanged(follow.At) {}
+func (c *vmList) Unchanged(at follow.At) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = max(c.at, at.Revision)
+}
 
 // domainOf returns the failure domain of the VM with the peer address addr.
 func (c *vmList) domainOf(addr string) (ids.FailureDomain, bool) {
