Replicas: an entry from the store's copy is older than what a VM knows

Seen in a test over stand-ins: a replica whose entry had been removed, as all VMs knew, got 150 to 212 calls in the second after the drill, beyond drainMs after its leaving was acknowledged.

Cause: follow.Replicas.put takes an entry of an unknown id for a new replica, and drop forgets the id; the copy has the entry still. Also carryOver keeps weights from other sources for 2.5 s only, so the copy's earlier weights came back. Ruled out: the draining case alone passes before (a known incarnation that leaves stays so). The heartbeat of replicas comes from the deploy file (replica_heartbeat).

TestGoneReplicaInCopy, TestGoneReplicaRemovedFromCopy, TestWeightsInCopy fail with the two checks taken out.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -230,7 +230,7 @@
 		d.adapter.Meter.CrossDomain = d.crossDomain
 	}
 	d.Replicas = &follow.Replicas{
-		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, OnGone: d.forgetReplica(client), Configured: d.hasService, ReturnGrace: returnGrace, Log: d.Log,
+		Fleet: d.Fleet, Decode: d.adapter.DecodeReplica, OnGone: d.forgetReplica(client), Configured: d.hasService, ReturnGrace: returnGrace, Heartbeat: edge.ReplicaHeartbeat.D(), Log: d.Log,
 		Subset: follow.Subset{VM: s.VM, Domain: s.FailureDomain, Max: edge.Subset},
 	}
 	d.Fleet.KnownFraction = d.Replicas.KnownFraction
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -18,7 +18,8 @@
 // A replica whose entry is removed is gone, and one that reports that it leaves gets no
 // new work for the rest of its incarnation. Only after an outage of the store may an
 // entry be missing although its replica is alive: such a replica is kept for
-// ReturnGrace, within which a live one registers again.
+// ReturnGrace, within which a live one registers again. A replica that is gone stays gone when the
+// store comes back from a copy that still has its entry (restoredEntries).
 //
 // A replica may restart under its id. Its incarnation then increases, in whichever source
 // reports it first, and no state of the previous incarnation is kept. Later reports about
@@ -41,7 +42,9 @@
 	// ReturnGrace is how long a missing entry may take to reappear after the store has
 	// recovered.
 	ReturnGrace time.Duration
-	Log         *eventlog.Log
+	// Heartbeat is the interval at which replicas write their entries.
+	Heartbeat time.Duration
+	Log       *eventlog.Log
 	// Subset bounds which replicas are active on this VM.
 	Subset Subset
 
@@ -50,6 +53,7 @@
 	directory  directory
 	regainedAt time.Time // time of the last list after an outage of the store
 	listed     bool
+	restored   restoredEntries
 }
 
 var _ Handler = (*Replicas)(nil)
@@ -79,9 +83,10 @@
 }
 
 // Listed implements Handler.
-func (r *Replicas) Listed(objects []objectapi.Object, _ At, regained bool) {
+func (r *Replicas) Listed(objects []objectapi.Object, at At, regained bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restored.list(at, r.listed)
 	if regained {
 		r.regainedAt = clock.Now()
 	}
@@ -112,6 +117,7 @@
 			r.put(o)
 			continue
 		}
+		r.restored.removed(o.Key)
 		if id, ok := r.directory.byKey[o.Key]; ok {
 			r.markMissing(id)
 		}
@@ -138,6 +144,9 @@
 		old.unreadable, old.missingAt = false, time.Time{}
 		return id, true // the entry is of an incarnation that has ended
 	}
+	if old == nil && r.restored.refuse(id, n.Incarnation, o) {
+		return "", false
+	}
 	rec := &record{Record: n, hash: routing.HashTarget(id)}
 	rec.rendezvousWeight = routing.RendezvousWeight(rec.hash, r.Subset.hash())
 	switch {
@@ -146,6 +155,9 @@
 		r.discardPreviousIncarnation(id, n.Incarnation, "entry")
 	default:
 		rec.carryOver(old)
+		if r.restored.restored(&o) {
+			rec.keepNewerWeights(old)
+		}
 	}
 	if r.isLogged(old) && (old == nil || old.State != rec.State || old.Weights != rec.Weights || old.Incarnation != rec.Incarnation) {
 		r.Log.State("replica").Str("target", n.ID).Str("service", n.Service).Str("addr", n.Addr).Uint64("incarnation", uint64(n.Incarnation)).
@@ -227,7 +239,8 @@
 	}
 }
 
-// Sweep drops replicas whose entries did not reappear within ReturnGrace.
+// Sweep drops replicas whose entries did not reappear within ReturnGrace, and takes back those whose
+// restored entries have stayed listed.
 func (r *Replicas) Sweep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -238,13 +251,18 @@
 			dropped = true
 		}
 	}
-	if dropped {
+	alive := r.restored.sweep(r.Heartbeat)
+	for _, o := range alive {
+		r.put(o)
+	}
+	if dropped || len(alive) > 0 {
 		r.publish()
 	}
 }
 
 // drop removes a replica that is gone. The caller holds the lock.
 func (r *Replicas) drop(id ids.Target, reason string) {
+	r.restored.drop(id, r.records[id].Incarnation)
 	r.directory.replace(id, r.records[id], nil)
 	delete(r.records, id)
 	r.Fleet.Members.Remove(id)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -30,6 +30,9 @@
 	// OrderTurn is the minimum time between the orders of one lease holder and those of
 	// the next, for engines that check no fencing token. Default 3s.
 	OrderTurn durations.Duration `json:"order_turn,omitempty"`
+	// ReplicaHeartbeat is the interval at which replicas write their entries to the store. Default
+	// 1.2s.
+	ReplicaHeartbeat durations.Duration `json:"replica_heartbeat,omitempty"`
 	// RetryRatio is how many attempts beyond the first all VMs together may make for
 	// each request to a service. Default 0.1.
 	RetryRatio float64 `json:"retry_ratio,omitempty" validate:"min=0,max=1"`
@@ -108,6 +111,7 @@
 	e.WeightsWithin = durations.Duration(e.WeightsWithin.Or(10 * time.Second))
 	e.WeightsAllWithin = durations.Duration(e.WeightsAllWithin.Or(time.Duration(float64(e.WeightsWithin) * allWithinFactor)))
 	e.OrderTurn = durations.Duration(e.OrderTurn.Or(3 * time.Second))
+	e.ReplicaHeartbeat = durations.Duration(e.ReplicaHeartbeat.Or(1200 * time.Millisecond))
 	e.RetryWindow = durations.Duration(e.RetryWindow.Or(10 * time.Second))
 	e.Grace = durations.Duration(e.Grace.Or(10 * time.Second))
 	proof := defaultProofEvery
