Catalogs: a new era proves the configuration only once it was written, or after 2 s

Seen in a test over stand-ins: a key that was taken away right before the store was lost is served by all VMs until the operator writes the change again, beyond its lifetime.

Cause: follow.Catalogs.Listed and Unchanged call Current.Prove for any answer of the store, as if it had all that was ever acknowledged; the copy lacks the revocation. Cost: up to 2 s more without proofs.

TestProofAfterDrill: eight orders of events.

--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -80,7 +80,7 @@
 	}
 	g.Log.State("canary").Str("service", r.Service).Str("stable", string(r.Stable)).Str("canary", string(r.Canary)).Str("stage", string(r.Stage)).
 		Float64("share", r.Share).Float64("part", r.Part).Str("end", string(r.End)).Str("reason", r.Reason).
-		Str("by", string(r.By)).Uint64("revision", uint64(revision)).Send()
+		Str("by", string(r.By)).Uint64("revision", revision.Number()).Uint64("era", uint64(revision.Era())).Send()
 }
 
 // service returns the state of a service and creates it if there is none. The caller holds
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -177,8 +177,9 @@
 	// start. During this fraction a rollout in a fully loaded fleet takes the fewest engines out of
 	// service at a time.
 	throttleShare = 0.3
-	// returnGrace is how long after an outage of the store a replica whose entry expired during the
-	// outage may take to register again.
+	// returnGrace is how long after the return of the store a replica whose entry expired during its
+	// outage, or is missing in the copy from which it came back, may take to register again, and
+	// operators to write again what the copy lacks.
 	returnGrace = 2 * time.Second
 	// noProbeGrace keeps membership from treating targets as unresponsive: this daemon does not
 	// probe targets.
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -49,7 +49,7 @@
 	space := func(prefix string, next follow.Handler) *mirror.Space {
 		return &mirror.Space{Prefix: prefix, Next: d.Weights.Clock.Wrap(next), Notifier: wakeUp, Log: d.Log}
 	}
-	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, OnAdopted: d.applyCatalog, Log: d.Log}
+	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, SettleTime: returnGrace, OnAdopted: d.applyCatalog, Log: d.Log}
 	spaces := []*mirror.Space{
 		space(d.adapter.PrefixConfig, catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -30,6 +30,9 @@
 	Sent time.Time
 	// Answered is when the response was received: the store was reachable then.
 	Answered time.Time
+	// EraSince is when the store was first known to be in the era of Revision, after it had come back
+	// from an older copy. Zero: no earlier era is known of.
+	EraSince time.Time
 }
 
 // Handler receives the results of a Follower, which calls its methods one at a time.
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -161,7 +161,7 @@
 	}
 	if r.isLogged(old) && (old == nil || old.State != rec.State || old.Weights != rec.Weights || old.Incarnation != rec.Incarnation) {
 		r.Log.State("replica").Str("target", n.ID).Str("service", n.Service).Str("addr", n.Addr).Uint64("incarnation", uint64(n.Incarnation)).
-			Str("state", string(rec.State)).Str("weights", string(rec.Weights)).Uint64("revision", uint64(o.Version)).Send()
+			Str("state", string(rec.State)).Str("weights", string(rec.Weights)).Uint64("revision", o.Version.Number()).Uint64("era", uint64(o.Version.Era())).Send()
 	}
 	r.directory.replace(id, old, rec)
 	if old != nil {
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -120,7 +120,7 @@
 		at := declaredAt(o.Version)
 		if w.add(n.Model, version{number: n.Version, at: at, estimated: estimated}) {
 			w.Log.State("weights-named").Str("model", string(n.Model)).Uint64("version", n.Version).
-				Int64("age_ms", clock.Since(at).Milliseconds()).Bool("guessed", estimated).Uint64("revision", uint64(o.Version)).Send()
+				Int64("age_ms", clock.Since(at).Milliseconds()).Bool("guessed", estimated).Uint64("revision", o.Version.Number()).Uint64("era", uint64(o.Version.Era())).Send()
 		}
 	}
 }
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -150,6 +150,9 @@
 	s := c.spaces[i]
 	c.have[i] = position{copyID: p.Copy, change: p.Change}
 	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs)}
+	if p.EraAgeUs > 0 {
+		at.EraSince = before(clock.Now(), p.EraAgeUs)
+	}
 	objects := make([]objectapi.Object, 0, len(p.Objects))
 	for _, o := range p.Objects {
 		objects = append(objects, objectapi.Object{Key: o.Key, Value: o.Value, Version: objectapi.Revision(o.Version), Deleted: o.Deleted})
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -77,6 +77,9 @@
 		Prefix: prefix, Copy: u.to.copyID, Change: u.to.change, Revision: uint64(u.at.Revision), Whole: u.full, More: u.more, Behind: u.afterKey, Regained: u.regained,
 		AgeUs: microseconds(u.at.Sent, now), ContactUs: microseconds(u.at.Answered, now),
 	}
+	if !u.at.EraSince.IsZero() {
+		p.EraAgeUs = max(microseconds(u.at.EraSince, now), 1) // zero has another meaning
+	}
 	if p.Packed = u.packed; len(u.packed) == 0 {
 		p.Objects = toProto(u.objects)
 	}
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -97,8 +97,10 @@
 	if !s.listed {
 		s.copyID = max(rand.Uint64(), 1)
 	}
-	// Entries that were lost when the store came back from a copy may be registered again.
-	regained = regained || s.listed && at.Revision.Era() > s.at.Revision.Era()
+	if newEra := s.listed && at.Revision.Era() > s.at.Revision.Era(); newEra {
+		regained = true // entries that the store has lost may be registered again
+		s.at.EraSince = clock.Now()
+	}
 	s.objects = make(map[string]objectapi.Object, len(objects))
 	for _, o := range objects {
 		s.objects[o.Key] = o
@@ -110,6 +112,7 @@
 	s.change++
 	s.base, s.batches = s.change, nil // readers get a list as a full copy
 	s.advance(at)
+	at.EraSince = s.at.EraSince
 	s.Notifier.notify()
 	s.Next.Listed(objects, at, regained)
 }
@@ -132,6 +135,7 @@
 		return
 	}
 	s.advance(at)
+	at.EraSince = s.at.EraSince
 	s.addBatch(applied)
 	s.Notifier.notify()
 	s.Next.Changed(applied, at)
@@ -150,6 +154,7 @@
 		return
 	}
 	s.advance(at)
+	at.EraSince = s.at.EraSince
 	s.Next.Unchanged(at)
 }
 
@@ -211,6 +216,9 @@
 	if at.Answered.After(s.at.Answered) {
 		s.at.Answered = at.Answered
 	}
+	if !at.EraSince.IsZero() && (s.at.EraSince.IsZero() || at.EraSince.Before(s.at.EraSince)) {
+		s.at.EraSince = at.EraSince // a peer has seen the era before this VM
+	}
 }
 
 // At returns the copy's revision and times; ok is false before the first list.
