Weights: a version that is written again after a drill counts from before it

Suspected for callers, shown in a test: a version that the store lost before a VM heard of it counts from when it is written again, so that VM uses older weights for longer than allowed after its confirmation. Cause: follow.Weights.Changed dates each change by its arrival. Change: within SettleTime of the store's return it counts from when this VM last knew all versions, as an estimate that peers may correct. Clock.Before dates by responses of the same era only (TestListOfNewEraIsNotDatedByOldOne).

--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -28,13 +28,20 @@
 	// Clock narrows the age of the objects of a list. If nil, only the responses of this key
 	// space bound it.
 	Clock *Clock
-	Log   *eventlog.Log
+	// SettleTime is how long after the return of a store that has lost writes operators may take to
+	// write them again.
+	SettleTime time.Duration
+	Log        *eventlog.Log
 
 	mu       sync.RWMutex
 	within   time.Duration // the limit of SetWithin
 	models   map[ids.Model][]version
 	started  bool
 	provenAt time.Time // all versions declared before this time are known
+	era      objectapi.Era
+	// completeUntil is provenAt at the end of the last era: a version that is written again in the new
+	// one was declared after it, or is known.
+	completeUntil time.Time
 }
 
 var _ Handler = (*Weights)(nil)
@@ -79,6 +86,9 @@
 	if !w.started {
 		since = clock.Now().Add(-time.Duration(float64(w.within) * firstListAge))
 	}
+	if era := at.Revision.Era(); era > w.era {
+		w.era, w.completeUntil = era, since
+	}
 	w.apply(objects, func(rev objectapi.Revision) time.Time {
 		if before := w.Clock.Before(rev); w.started && before.After(since) {
 			return before
@@ -89,12 +99,16 @@
 }
 
 // Changed implements Handler. The store sends a change as soon as it is made, so the versions in it
-// count as declared now.
+// count as declared now, unless operators may write versions again that the store has lost.
 func (w *Weights) Changed(events []objectapi.Object, at At) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
-	w.apply(events, func(objectapi.Revision) time.Time { return now }, false)
+	again := !at.EraSince.IsZero() && now.Before(at.EraSince.Add(w.SettleTime))
+	if again {
+		now = w.completeUntil
+	}
+	w.apply(events, func(objectapi.Revision) time.Time { return now }, again)
 	w.provenAt = at.Sent
 }
 
--- a/internal/follow/weights_test.go
+++ b/internal/follow/weights_test.go
@@ -310,3 +310,48 @@
 		t.Errorf("%d versions are kept, the newest is %s; want maxVersions and 3*maxVersions", kept, w.Newest("m"))
 	}
 }
+
+// TestWeightsWrittenAgainAfterDrill has a version declared that only the store knows when it is lost, and
+// written again after the store's return. It counts from when this VM last knew all versions, so
+// that older weights are not used for longer than allowed. A version that is declared once operators have
+// written again what was lost counts from then.
+func TestWeightsWrittenAgainAfterDrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		version := uint64(1)
+		w := &Weights{Clock: &Clock{}, Decode: decoder(&version), SettleTime: 2 * time.Second}
+		h := w.Clock.Wrap(w)
+		w.SetWithin(10 * time.Second)
+		h.Listed([]objectapi.Object{{Version: 10}}, At{Revision: 10, Sent: time.Now()}, false)
+		time.Sleep(time.Minute)
+		h.Unchanged(At{Revision: 40, Sent: time.Now()})
+		time.Sleep(3 * time.Second) // the version is declared, and the store lost
+		era, since := objectapi.StartOf(1), time.Now()
+		h.Listed([]objectapi.Object{{Version: era + 10}}, At{Revision: era + 30, Sent: since, EraSince: since}, true)
+		time.Sleep(time.Second)
+		version = 2
+		h.Changed([]objectapi.Object{{Version: era + 31}}, At{Revision: era + 31, Sent: since, EraSince: since})
+		if got := w.Since("m", time.Now()); got != 4*time.Second {
+			t.Errorf("the version written again is %v old, want 4s: all were known until then", got)
+		}
+		time.Sleep(2 * time.Second)
+		version = 3
+		h.Changed([]objectapi.Object{{Version: era + 32}}, At{Revision: era + 32, Sent: time.Now(), EraSince: since})
+		if got := w.Since("m", time.Now()); got != 0 {
+			t.Errorf("the version declared later is %v old, want 0", got)
+		}
+	})
+}
+
+// TestListOfNewEraIsNotDatedByOldOne checks that responses of an earlier era do not narrow the age of a
+// version in the list of a new one: the version may have had a lower number there.
+func TestListOfNewEraIsNotDatedByOldOne(t *testing.T) {
+	var c Clock
+	c.record(At{Revision: 30, Sent: time.Unix(100, 0)})
+	if got := c.Before(objectapi.StartOf(1) + 20); !got.IsZero() {
+		t.Errorf("an object of a new era did not exist at %v because of an earlier era", got)
+	}
+	c.record(At{Revision: objectapi.StartOf(1) + 10, Sent: time.Unix(200, 0)})
+	if got := c.Before(objectapi.StartOf(1) + 20); got != time.Unix(200, 0) {
+		t.Errorf("got %v, want the time of the response of its era", got)
+	}
+}
