Canary: a record of the store's copy is older than the one that VMs know

Callers, in a test over stand-ins: a version that had been rolled back got 11 and 13 calls after a drill.

Cause: Gate.Apply takes the record of the copy for newer, since its revision is of the new era; and Bounds.Next takes the order, which was created again, for another one (r.Order != o.OrderID).

TestRecordInCopy, TestOrdersOfTwoEras.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -27,8 +27,18 @@
 //   - The status of a rollout says completed only when each live VM has reported that it has
 //     no call left at other versions and sends none, or at promotingDeadline.
 //
+// # Eras
+//
+// The store may come back from an older copy of itself, in a new era (objectapi.Revision), with an
+// earlier record or none. Records are ordered by when they were written, so VMs keep the newest that
+// they know, and the lease holder writes it again. An order that operators write again is the one
+// that the record knows.
+//
 // # Known limits
 //
+// If all VMs restart while the newest record is lost, the one of the copy counts: a version that was
+// rolled back since is tried once more.
+//
 // A VM cut off from the store and its peers keeps routing by the last record it has seen. If
 // the targets have stopped by then, they refuse its connections, so these calls have not run.
 package canary
@@ -69,6 +79,13 @@
 	Target  ids.SoftwareVersion `json:"target"`
 }
 
+// Same reports whether two identifiers are of one order. An order that operators write again after the
+// store has lost it is created again, in a newer era, so orders of different eras for one version are
+// the same.
+func (o OrderID) Same(p OrderID) bool {
+	return o.Target == p.Target && (o.Created == p.Created || o.Created.Era() != p.Created.Era())
+}
+
 // Order is an operator's request to move a service's traffic to a version.
 type Order struct {
 	OrderID
@@ -108,6 +125,14 @@
 	// sequence number of the write at that VM.
 	By    ids.VM `json:"by"`
 	Write uint64 `json:"write"`
+	// Era is the store's era in which the record was written.
+	Era objectapi.Era `json:"era,omitempty"`
+}
+
+// written returns when a record was written that the store returns with the given revision. A record
+// that the store has restored from a copy, in a newer era, keeps the number of its write.
+func (r *Record) written(revision objectapi.Revision) objectapi.Revision {
+	return objectapi.StartOf(min(r.Era, revision.Era())) + objectapi.Revision(revision.Number())
 }
 
 // same reports whether two records agree in all but the reason, the times and the write number.
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/threadwall/threadwall/internal/eventlog"
+	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/routing"
@@ -281,3 +283,57 @@
 		}
 	}
 }
+
+// TestRecordInCopy has the store come back from a copy with an earlier record, or without one. The gate
+// keeps the newest, and knows which revision a write that restores it is conditional on.
+func TestRecordInCopy(t *testing.T) {
+	const era = objectapi.Revision(1) << 48
+	proving := Record{Service: "s", Stable: "v1", Canary: "v2", Stage: Proving, Share: 0.1, Part: 1}
+	rolledBack := Record{Service: "s", Stable: "v1", Barred: []ids.SoftwareVersion{"v2"}, End: RolledBack}
+	object := func(r Record, rev objectapi.Revision) objectapi.Object {
+		value, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return objectapi.Object{Key: Prefix + r.Service, Value: value, Version: rev}
+	}
+	for name, c := range map[string]struct {
+		listed []objectapi.Object
+		stored objectapi.Revision
+	}{
+		"an earlier record": {[]objectapi.Object{object(proving, era+50)}, era + 50},
+		"none":              {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate()
+			g.Listed([]objectapi.Object{object(proving, 50)}, follow.At{Revision: 50}, false)
+			g.Changed([]objectapi.Object{object(rolledBack, 63)}, follow.At{Revision: 63})
+			g.Listed(c.listed, follow.At{Revision: era + 55}, true)
+			if _, ok := g.Admit("s", "v2"); ok {
+				t.Error("a version that was rolled back gets a call again")
+			}
+			if got := g.State("s"); !got.Outdated || got.Stored != c.stored || got.Written != 63 {
+				t.Errorf("got %+v, want outdated, stored at %v, written at 63", got, c.stored)
+			}
+			restored := rolledBack
+			restored.Era = 1
+			g.Changed([]objectapi.Object{object(restored, era+58)}, follow.At{Revision: era + 58})
+			if got := g.State("s"); got.Outdated || got.Stored != era+58 || got.Written != era+58 {
+				t.Errorf("after it was written again: got %+v", got)
+			}
+		})
+	}
+}
+
+// TestOrdersOfTwoEras checks which orders count as the same.
+func TestOrdersOfTwoEras(t *testing.T) {
+	const era = objectapi.Revision(1) << 48
+	known := OrderID{Created: 55, Target: "v2"}
+	for other, want := range map[OrderID]bool{
+		{55, "v2"}: true, {70, "v2"}: false, {era + 58, "v2"}: true, {era + 55, "v3"}: false,
+	} {
+		if got := known.Same(other); got != want {
+			t.Errorf("%v and %v are the same: %v, want %v", known, other, got, want)
+		}
+	}
+}
--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -59,12 +59,13 @@
 	// Judge returns a new judge for an order. Nil means Sequential.
 	Judge func() Judge
 
-	mu       sync.Mutex
-	orders   map[string]Order // by key
-	ready    bool             // orders have been read since the VM acquired the lease
-	ledgers  map[string]*Ledger
-	writes   uint64 // sequence number of the last write; see Record.Write
-	services map[string]*serviceState
+	mu        sync.Mutex
+	orders    map[string]Order // by key
+	ordersEra objectapi.Era    // of the latest list of orders
+	ready     bool             // orders have been read since the VM acquired the lease
+	ledgers   map[string]*Ledger
+	writes    uint64 // sequence number of the last write; see Record.Write
+	services  map[string]*serviceState
 }
 
 // serviceState is what the controller keeps of a service between two steps.
@@ -123,9 +124,9 @@
 var _ follow.Handler = (*orderReader)(nil)
 
 // Listed implements follow.Handler.
-func (r *orderReader) Listed(objects []objectapi.Object, _ follow.At, _ bool) {
+func (r *orderReader) Listed(objects []objectapi.Object, at follow.At, _ bool) {
 	r.mu.Lock()
-	r.orders = map[string]Order{}
+	r.orders, r.ordersEra = map[string]Order{}, at.Revision.Era()
 	r.ready = true
 	r.mu.Unlock()
 	r.Changed(objects, follow.At{})
@@ -207,19 +208,23 @@
 // step computes the next state of one service's record, writes it, and updates the status of
 // the order.
 func (c *Controller) step(ctx context.Context, service string, order *Order, targets []Target) error {
-	record, revision, since, _ := c.Gate.State(service)
+	known := c.Gate.State(service)
+	record := known.Record
 	record.Service = service
-	f := c.facts(&record, revision, since, order, targets)
+	if order != nil && record.Order.Same(order.OrderID) {
+		record.Order = order.OrderID
+	}
+	f := c.facts(&record, &known, order, targets)
 	next := c.Bounds.Next(record, f)
 	if next.Record.Stable == "" && next.Record.Canary == "" {
 		return nil // neither a record nor a target of the service is known yet
 	}
 	c.logVerdict(service, &record, &f)
-	if !next.Record.same(&record) {
-		if record.Order == (OrderID{}) && order == nil && revision > 0 && record.Stable == next.Record.Stable {
+	if known.Outdated || !next.Record.same(&known.Record) {
+		if record.Order == (OrderID{}) && order == nil && known.Stored > 0 && !known.Outdated && record.Stable == next.Record.Stable {
 			return nil // only By would change
 		}
-		if err := c.write(ctx, next.Record, revision); err != nil {
+		if err := c.write(ctx, next.Record, known.Stored); err != nil {
 			return err
 		}
 		record = next.Record
@@ -234,7 +239,7 @@
 }
 
 // facts collects the inputs of a step.
-func (c *Controller) facts(r *Record, revision objectapi.Revision, since time.Duration, order *Order, targets []Target) Facts {
+func (c *Controller) facts(r *Record, known *State, order *Order, targets []Target) Facts {
 	now := clock.Now()
 	f := Facts{Self: c.VM, Order: order, Versions: map[ids.SoftwareVersion]int{}}
 	for _, t := range targets {
@@ -258,9 +263,9 @@
 		s.order = OrderID{}
 		return f
 	}
-	f.Elapsed = s.orderElapsed(r, since, now)
+	f.Elapsed = s.orderElapsed(r, known.Since, now)
 	l := c.ledgers[r.Service]
-	if l == nil || l.Order != r.Order {
+	if l == nil || !l.Order.Same(r.Order) {
 		l = NewLedger(r.Order, c.newJudge())
 		c.ledgers[r.Service] = l
 	}
@@ -271,7 +276,7 @@
 	if f.Elapsed > 0 {
 		f.Rate = l.Calls() / f.Elapsed.Seconds()
 	}
-	f.Drained = r.Stage == Promoting && c.drained(l, revision)
+	f.Drained = r.Stage == Promoting && c.drained(l, known.Written)
 	return f
 }
 
@@ -308,7 +313,7 @@
 // orderElapsed returns how much of the order's time has passed: the value in the record plus
 // the time since this VM applied the record.
 func (s *serviceState) orderElapsed(r *Record, sinceApplied time.Duration, now time.Time) time.Duration {
-	if s.order != r.Order {
+	if !s.order.Same(r.Order) {
 		s.order, s.elapsed, s.at = r.Order, r.Elapsed+sinceApplied, now
 	}
 	return s.elapsed + now.Sub(s.at)
@@ -329,13 +334,21 @@
 		Uint32("answers", f.Finding.Calls).Int64("elapsed_ms", f.Elapsed.Milliseconds()).Str("stage", string(r.Stage)).Send()
 }
 
+// era returns the store's era as far as this VM knows it: that of the record that a write is to replace,
+// or, if the store has none, that of the orders.
+func (c *Controller) era(replaced objectapi.Revision) objectapi.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(replaced.Era(), c.ordersEra)
+}
+
 // write writes a record on condition that the store still holds the given revision of it;
 // revision 0 creates the record. It writes nothing if this VM has lost the lease.
 func (c *Controller) write(ctx context.Context, r Record, revision objectapi.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	c.writes++
-	r.Write = c.writes
+	r.Write, r.Era = c.writes, c.era(revision)
 	value, err := json.Marshal(r)
 	if err != nil {
 		return eris.Wrap(err, "encode canary record")
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -154,7 +154,7 @@
 // under an earlier record than the last report of the VM. It takes a cell only if its number of
 // calls has grown.
 func (l *Ledger) Merge(vm ids.VM, incarnation int64, r *Report, now time.Time) {
-	if r.Order != l.Order {
+	if !r.Order.Same(l.Order) {
 		return
 	}
 	v := l.vms[vm]
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -30,7 +30,9 @@
 // serviceGate is the state of one service.
 type serviceGate struct {
 	record   Record
-	revision objectapi.Revision
+	written  objectapi.Revision          // of the record, see Record.written; zero: none
+	stored   objectapi.Revision          // of the object in the store, for conditional writes; zero: the store has none
+	outdated bool                        // the store has an earlier record than this one, or none
 	at       time.Time                   // when this VM applied the record
 	calls    map[ids.SoftwareVersion]int // calls in progress, by version
 	counts   counts
@@ -39,7 +41,22 @@
 var _ follow.Handler = (*Gate)(nil)
 
 // Listed implements follow.Handler.
-func (g *Gate) Listed(objects []objectapi.Object, _ follow.At, _ bool) { g.applyObjects(objects) }
+func (g *Gate) Listed(objects []objectapi.Object, at follow.At, _ bool) {
+	g.markMissing(objects, at.Revision.Era())
+	g.applyObjects(objects)
+}
+
+// markMissing records which services the list of a new era has no record of.
+func (g *Gate) markMissing(objects []objectapi.Object, era objectapi.Era) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, s := range g.services {
+		listed := slices.ContainsFunc(objects, func(o objectapi.Object) bool { return o.Key == Prefix+name })
+		if !listed && s.stored.Era() < era && s.written != 0 {
+			s.stored, s.outdated = 0, true
+		}
+	}
+}
 
 // Changed implements follow.Handler.
 func (g *Gate) Changed(events []objectapi.Object, _ follow.At) { g.applyObjects(events) }
@@ -61,18 +78,23 @@
 	}
 }
 
-// Apply makes the gate route by a record of the store, unless it already has the same or a later
-// revision of the record. A record with another order or canary resets the counts.
+// Apply makes the gate route by a record that the store has at a revision, unless it already has the
+// same or one that was written later. A record with another order or canary resets the counts.
 func (g *Gate) Apply(r Record, revision objectapi.Revision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.service(r.Service)
-	if revision <= s.revision {
+	if revision <= s.stored {
+		return
+	}
+	written := r.written(revision)
+	s.stored, s.outdated = revision, written < s.written
+	if written <= s.written {
 		return
 	}
 	before := s.record
-	s.record, s.revision, s.at = r, revision, clock.Now()
-	if before.Order != r.Order || before.Canary != r.Canary {
+	s.record, s.written, s.at = r, written, clock.Now()
+	if !before.Order.Same(r.Order) || before.Canary != r.Canary {
 		s.counts = counts{}
 	}
 	if before.same(&r) {
@@ -97,16 +119,28 @@
 	return s
 }
 
-// State returns a service's record, its revision in the store and the time since this VM
-// applied it. known is false if there is no record.
-func (g *Gate) State(service string) (r Record, revision objectapi.Revision, since time.Duration, known bool) {
+// State is what a VM knows of a service's record.
+type State struct {
+	Record Record // empty if there is none
+	// Written orders records by when they were written; zero: there is none.
+	Written objectapi.Revision
+	// Stored is the revision of the object in the store, for conditional writes. Zero: the store has none.
+	Stored objectapi.Revision
+	// Outdated is set if the store has lost Record and has an earlier one, or none.
+	Outdated bool
+	// Since is the time since this VM applied the record.
+	Since time.Duration
+}
+
+// State returns what this VM knows of a service's record.
+func (g *Gate) State(service string) State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.services[service]
-	if s == nil || s.revision == 0 {
-		return Record{}, 0, 0, false
+	if s == nil || s.written == 0 {
+		return State{}
 	}
-	return s.record, s.revision, clock.Since(s.at), true
+	return State{Record: s.record, Written: s.written, Stored: s.stored, Outdated: s.outdated, Since: clock.Since(s.at)}
 }
 
 // Records returns the records of all services, sorted by service.
@@ -118,7 +152,7 @@
 	defer g.mu.Unlock()
 	var out []Record
 	for _, s := range g.services {
-		if s.revision > 0 {
+		if s.written > 0 {
 			out = append(out, s.record)
 		}
 	}
@@ -230,7 +264,7 @@
 	defer g.mu.Unlock()
 	s := g.service(service)
 	r := &s.record
-	if s.revision > 0 && (r.barred(version) || r.Stage == Promoting && version != r.Canary) {
+	if s.written > 0 && (r.barred(version) || r.Stage == Promoting && version != r.Canary) {
 		return nil, false
 	}
 	s.calls[version]++
@@ -275,7 +309,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.services[service]
-	if s == nil || s.revision == 0 {
+	if s == nil || s.written == 0 {
 		return false
 	}
 	return s.record.barred(version) || s.record.Stage == Promoting && version != s.record.Canary
@@ -294,7 +328,7 @@
 		if s.record.Canary == "" {
 			continue
 		}
-		r := Report{Service: s.record.Service, Order: s.record.Order, RecordRevision: s.revision, Cells: s.counts.export(all)}
+		r := Report{Service: s.record.Service, Order: s.record.Order, RecordRevision: s.written, Cells: s.counts.export(all)}
 		for v, n := range s.calls {
 			if v != s.record.Canary {
 				r.OtherCalls += n
