--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -126,6 +126,7 @@
 	news     *news.Exchange
 	vms      vmList
 	reader   *mirror.Reader
+	catalogs *follow.Catalogs
 	mirrors  *mirror.Server
 	ready    readiness
 	servers  []*http.Server
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -49,9 +49,9 @@
 	space := func(prefix string, next follow.Handler) *mirror.Space {
 		return &mirror.Space{Prefix: prefix, Next: d.Weights.Clock.Wrap(next), Notifier: wakeUp, Log: d.Log}
 	}
-	catalogs := &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, SettleTime: returnGrace, OnAdopted: d.applyCatalog, Log: d.Log}
+	d.catalogs = &follow.Catalogs{Current: d.Catalog, Decode: d.adapter.DecodeConfig, Key: d.adapter.KeyConfig, SettleTime: returnGrace, OnAdopted: d.applyCatalog, Log: d.Log}
 	spaces := []*mirror.Space{
-		space(d.adapter.PrefixConfig, catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
+		space(d.adapter.PrefixConfig, d.catalogs), space(d.adapter.PrefixReplicas, d.Replicas),
 		space(d.adapter.PrefixWeights, d.Weights), space(prefixVMs, &d.vms),
 	}
 	if d.Forward.Software != nil {
@@ -83,9 +83,9 @@
 		case prefix != d.adapter.PrefixConfig:
 			return watchWait
 		case d.vms.count() > d.Settings.Edge.DirectFleet:
-			return min(relayWait, d.Settings.Edge.ProofEvery.D()/2)
+			return d.catalogs.Wait(min(relayWait, d.Settings.Edge.ProofEvery.D()/2))
 		default:
-			return d.Settings.Edge.ProofEvery.D()
+			return d.catalogs.Wait(d.Settings.Edge.ProofEvery.D())
 		}
 	}
 }
--- a/internal/follow/catalogs.go
+++ b/internal/follow/catalogs.go
@@ -1,9 +1,11 @@
 package follow
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/objectapi"
 )
@@ -31,6 +33,8 @@
 
 	newest     objectapi.Revision // of the object that holds the version in force
 	writtenEra objectapi.Era      // latest era in which that version is known to have been written
+	// unproven is when calls may be sent whose answers prove the configuration again; nil: they do.
+	unproven atomic.Pointer[time.Time]
 }
 
 var _ Handler = (*Catalogs)(nil)
@@ -61,10 +65,23 @@
 // prove records that the configuration in force was the newest when the call was sent, unless the
 // store may still lack a newer one that it had before.
 func (c *Catalogs) prove(at At) {
-	settled := at.EraSince.IsZero() || !at.Sent.Before(at.EraSince.Add(c.SettleTime))
-	if settled || c.writtenEra == at.Revision.Era() {
+	settled := at.EraSince.Add(c.SettleTime)
+	if at.EraSince.IsZero() || !at.Sent.Before(settled) || c.writtenEra == at.Revision.Era() {
+		c.unproven.Store(nil)
 		c.Current.Prove(at.Sent)
+		return
+	}
+	c.unproven.Store(&settled)
+}
+
+// Wait returns how long a watch may wait for a change, at most longest: in a new era not beyond the time
+// from which answers prove the configuration, and then not at all. Safe for concurrent use.
+func (c *Catalogs) Wait(longest time.Duration) time.Duration {
+	settled := c.unproven.Load()
+	if settled == nil {
+		return longest
 	}
+	return min(longest, max(settled.Sub(clock.Now()), 0))
 }
 
 // apply puts a configuration into force if it is newer. changed says that it was written after the
--- a/internal/follow/catalogs_test.go
+++ b/internal/follow/catalogs_test.go
@@ -78,3 +78,27 @@
 		})
 	}
 }
+
+// TestWaitEndsWithProof checks that a watch in a new era does not wait beyond the time from which its
+// answers prove the configuration: calls with keys are refused until then.
+func TestWaitEndsWithProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCatalogs()
+		if got := c.Wait(time.Minute); got != time.Minute {
+			t.Errorf("a watch waits for %v, want a minute", got)
+		}
+		era, since := objectapi.StartOf(1), time.Now()
+		c.Listed(configAt(19, era+60), At{Revision: era + 70, Sent: since, EraSince: since}, true)
+		if got := c.Wait(time.Minute); got != settleTime {
+			t.Errorf("a watch waits for %v, want %v", got, settleTime)
+		}
+		time.Sleep(settleTime)
+		if got := c.Wait(time.Minute); got != 0 {
+			t.Errorf("the watch that brings the proof waits for %v, want 0", got)
+		}
+		c.Unchanged(At{Revision: era + 70, Sent: time.Now(), EraSince: since})
+		if got := c.Wait(time.Minute); got != time.Minute {
+			t.Errorf("a watch waits for %v after the proof, want a minute", got)
+		}
+	})
+}
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -36,6 +36,27 @@
 	mu       sync.Mutex
 	runs     []Run
 	arrivals []Arrival
+	orders   []SentOrder
+}
+
+// SentOrder is an order that reached a replica.
+type SentOrder struct {
+	Replica string
+	Order
+	At time.Time
+}
+
+// Orders returns a copy of all orders so far.
+func (l *Ledger) Orders() []SentOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]SentOrder(nil), l.orders...)
+}
+
+func (l *Ledger) addOrder(o SentOrder) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
 }
 
 func (l *Ledger) add(r Run) {
@@ -268,6 +289,7 @@
 		http.Error(w, "bad order", http.StatusBadRequest)
 		return
 	}
+	r.ledger.addOrder(SentOrder{Replica: r.ID, Order: o, At: time.Now()})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -38,6 +38,7 @@
 	c.fatalBound()
 	c.allowance(calls)
 	c.signals(calls)
+	c.fences()
 	for id := range c.runs {
 		if !known[id] {
 			c.report("request %s ran although no caller sent it", id)
@@ -61,7 +62,7 @@
 	c.keys(k, runs)
 	c.routeFound(k)
 	c.replicas(k, runs)
-	if c.h.checkTiming && k.faultFree && !c.acceptable(k) {
+	if c.h.checkTiming && k.faultFree && !c.acceptable(k) && !c.withoutWeights(k) {
 		c.report("call %s on %s to %s failed without a fault: status %d, broken %v, after %v", k.id, k.path, k.vm.name, k.status, k.broken, k.ended.Sub(k.sent))
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -121,17 +121,7 @@
 		r.Crash()
 		h.store.Remove("servers", r.ID)
 	}},
-	{"a key is taken away", func(h *harness, rng *rand.Rand) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		i := rng.IntN(keyCount)
-		old := h.keys[i]
-		h.keys[i] = h.newKey()
-		h.config.Tenants[i].APIKeys = []string{h.keys[i]}
-		h.config.Version += 1 + rng.IntN(3)
-		h.writeConfig()
-		h.revoked[old], h.issued[h.keys[i]] = time.Now(), time.Now()
-	}},
+	{"a key is taken away", func(h *harness, rng *rand.Rand) { h.revokeKey(rng) }},
 	{"configurations in a row", func(h *harness, rng *rand.Rand) {
 		for range 5 {
 			h.mu.Lock()
@@ -141,12 +131,7 @@
 			sleep(rng, 60*time.Millisecond)
 		}
 	}},
-	{"new weights", func(h *harness, _ *rand.Rand) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.weights++
-		h.store.Put("versions", model, map[string]any{"model": model, "version": h.weights})
-	}},
+	{"new weights", func(h *harness, _ *rand.Rand) { h.newWeights() }},
 }
 
 // inject draws faults until ctx ends, up to faultsAtOnce at a time, and waits for the last. It
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,8 @@
 	// Busy states that the machine has other work. Timing bounds, such as that every call
 	// without a fault is served, are not checked then.
 	Busy bool
+	// Drills states that the store comes back from older copies of itself.
+	Drills bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -68,10 +70,15 @@
 	c.run(callCtx, o.Callers, o.Seed)
 	c.runLimited(callCtx, o.Seed)
 	faultCtx, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
+	waitDrills := func() map[string]int { return nil }
+	if o.Drills {
+		waitDrills = h.injectDrills(faultCtx, o.Seed)
+	}
 	waitExtraFaults, waitSignals := h.injectExtraFaults(faultCtx, o.Seed), h.injectSignals(faultCtx, o.Seed)
 	h.inject(faultCtx, rand.New(rand.NewPCG(o.Seed, 0)), func(name string) { report.Faults[name]++ })
 	maps.Copy(report.Faults, waitExtraFaults())
 	maps.Copy(report.Faults, waitSignals())
+	maps.Copy(report.Faults, waitDrills())
 	stopFaults()
 	h.awaitRecovery(&report)
 	time.Sleep(afterTime)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,25 @@
 	return program
 }
 
+// drillSeeds are seeds that are run with drills. 1001 once showed calls refused for want of weights, as
+// nobody may give orders right after a drill.
+var drillSeeds = []uint64{1000, 1001, 2000, 2003}
+
+// TestSoakWithDrills runs daemon processes under drawn faults while the store comes back from older
+// copies of itself, for 4 s with each seed.
+func TestSoakWithDrills(t *testing.T) {
+	program := build(t)
+	for _, seed := range drillSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: seed, VMs: 3, Callers: 6, FaultDuration: 4 * time.Second, Busy: true, Drills: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Violations) > 0 || report.Served == 0 {
+			t.Errorf("seed %d: %d of %d calls served, %v, logs %v", seed, report.Served, report.Calls, report.Violations, report.Logs)
+		}
+	}
+}
+
 // TestSoak runs daemon processes under drawn faults for 3 s with each seed. It does not check
 // timing bounds, because the CI machine may be busy.
 func TestSoak(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -62,6 +62,7 @@
 	fatal         map[string][]fatalCall // repeats of fatal requests, by body
 	crashes       int                    // of replicas that ran fatal requests
 	allKilled     []time.Time            // times at which all VMs were killed
+	drills        []time.Time            // ends of drills: what the store lost has been written again
 	lastFault     time.Time              // start or end of the last fault outside the VMs
 	activeFaults  int                    // number of faults in progress outside the VMs
 }
