Mirror: a VM that starts in a small fleet asks its peers for their copies

Seen in a test over stand-ins: a VM that starts just after a drill serves a key that had been taken away before, by the store's copy, until the operator writes the change again.

Cause: in fleets of up to direct_fleet VMs a VM that starts reads the store alone, and to it the era of its first answer is just the store's era, so the copy counts as proven (Reader.Run -> direct).

--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -58,7 +58,7 @@
 		spaces = append(spaces, space(canary.Prefix, d.Forward.Software))
 	}
 	d.mirrors = &mirror.Server{Spaces: spaces, Notifier: wakeUp}
-	d.reader = &mirror.Reader{Spaces: spaces, UpstreamPeers: d.vms.upstreamPeers, Bootstrap: d.listVMs, ReadStore: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter}
+	d.reader = &mirror.Reader{Spaces: spaces, UpstreamPeers: d.vms.upstreamPeers, Bootstrap: d.listVMs, StartPeers: d.vms.startPeers, ReadStore: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter}
 }
 
 // readStore follows the store until ctx ends.
@@ -128,6 +128,24 @@
 	return append(out, c.crossDomainReaders(domain)...)
 }
 
+// startPeers returns the VMs whose copies of the store this VM reads at its start: the other VMs of a
+// small fleet, if the store has come back from an older copy of itself at any time. In a large fleet a VM
+// reads from its upstream peers anyway.
+func (c *vmList) startPeers() []mirror.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.Era() == 0 || len(c.records) > c.d.Settings.Edge.DirectFleet {
+		return nil
+	}
+	var out []mirror.Peer
+	for _, r := range c.records {
+		if r.VM != c.d.Settings.VM {
+			out = append(out, mirror.Peer{VM: r.VM, Addr: r.PeerAddr})
+		}
+	}
+	return out
+}
+
 // readersPerDomain is the number of VMs of another failure domain to try: the first, and a second in
 // case the first is gone.
 const readersPerDomain = 2
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -29,6 +29,8 @@
 	// Bootstrap reads the list of VMs from the store until that succeeds or its context ends.
 	// Nil: the list is read together with the other key spaces.
 	Bootstrap func(context.Context)
+	// StartPeers returns the VMs whose copies this VM reads once at its start. Nil: none.
+	StartPeers func() []Peer
 	// ReadStore reads the store until its context ends.
 	ReadStore func(context.Context)
 	// Wait is the longest time that a read from a peer waits for a change, at most readWait.
@@ -67,6 +69,7 @@
 	if r.Bootstrap != nil {
 		r.Bootstrap(ctx)
 	}
+	r.askPeers(ctx)
 	for ctx.Err() == nil {
 		c, p := r.seek(ctx)
 		if c == nil {
