Catalogs, lease: a second drill to the same copy proves nothing; a record of the era goes before a held lease

Catalogs remembered one number of the version in force, so a second drill to an older copy looked like a write (TestProofAfterTwoDrills fails before). Lease.next asked whether this VM still holds an older era's lease before it looked whose the record of this era is; no order of events was found in which both are true.

--- a/internal/follow/catalogs.go
+++ b/internal/follow/catalogs.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +32,8 @@
 	OnAdopted func()
 	Log       *eventlog.Log
 
-	newest     objectapi.Revision // of the object that holds the version in force
-	writtenEra objectapi.Era      // latest era in which that version is known to have been written
+	numbers    []uint64      // of the writes of the version in force that this VM has seen, in any era
+	writtenEra objectapi.Era // latest era in which that version is known to have been written
 	// unproven is when calls may be sent whose answers prove the configuration again; nil: they do.
 	unproven atomic.Pointer[time.Time]
 }
@@ -110,14 +111,19 @@
 }
 
 // observe records the era in which the version in force was written. An object that the store has
-// restored from its copy has the number that this VM has seen before.
+// restored from its copy has a number that this VM has seen before.
 func (c *Catalogs) observe(o *objectapi.Object, version uint64, adopted, changed bool) {
-	if !adopted && version < c.Current.Get().Version {
+	switch {
+	case adopted:
+		c.numbers = nil
+	case version < c.Current.Get().Version:
 		return
 	}
-	again := !adopted && c.newest != 0 && o.Version.Number() != c.newest.Number()
-	if changed || again {
+	seen := slices.Contains(c.numbers, o.Version.Number())
+	if changed || !adopted && !seen {
 		c.writtenEra = o.Version.Era()
 	}
-	c.newest = o.Version
+	if !seen {
+		c.numbers = append(c.numbers, o.Version.Number())
+	}
 }
--- a/internal/follow/catalogs_test.go
+++ b/internal/follow/catalogs_test.go
@@ -102,3 +102,25 @@
 		}
 	})
 }
+
+// TestProofAfterTwoDrills has the store come back from one copy twice. In between the configuration is
+// written again; the second time the copy has it with the number of its first write, which proves
+// nothing.
+func TestProofAfterTwoDrills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCatalogs()
+		listed := func(era objectapi.Era, number objectapi.Revision) {
+			time.Sleep(10 * time.Second)
+			start := objectapi.StartOf(era)
+			c.Listed(configAt(19, start+number), At{Revision: start + 70, Sent: time.Now(), EraSince: time.Now()}, true)
+		}
+		listed(1, 55)
+		if c.Current.ProofAge(time.Now()) != 0 {
+			t.Error("not proven although it was written again")
+		}
+		listed(2, 60)
+		if c.Current.ProofAge(time.Now()) == 0 {
+			t.Error("proven by the copy")
+		}
+	})
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -190,7 +190,7 @@
 	if current && rec.Instance == l.instance {
 		return Record{Fence: rec.Fence, Renewal: rec.Renewal + 1}, true
 	}
-	if held, ok := l.heldBefore(era); ok {
+	if held, ok := l.heldBefore(era); ok && !current {
 		return Record{Fence: held.Fence, Renewal: held.Renewal + 1}, true
 	}
 	l.lose()
