Replicas: a refused entry that a list no longer has is forgotten

Cause: restoredEntries forgets a refused entry on a change only. Change: each list clears them first. TestGoneReplicaRemovedFromCopy/a_list fails before.

--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -41,8 +41,12 @@
 	silentHeartbeats = 4
 )
 
-// list records the revision of a list.
+// list records the revision of a list, before its entries are applied.
 func (e *restoredEntries) list(at At, listed bool) {
+	for id, g := range e.gone {
+		g.entry = nil // unless the list has it
+		e.gone[id] = g
+	}
 	if listed && at.Revision.Era() > e.at.Era() {
 		e.start, e.eraSince = at.Revision, clock.Now()
 	}
