Lease: drawn drills, restarts and notices between three VMs

Nothing fails without '!current' in next (no order of events is known in which it counts), nor without the comparison of eras at the end of write, which keeps the record's era true: the lease counts from before the write, so nobody else can act yet.

--- a/internal/lease/drill_test.go
+++ b/internal/lease/drill_test.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/storetest"
 )
 
 // In these tests the store comes back from an older copy, so that a lease, a renewal or a release that
@@ -240,3 +246,81 @@
 		d.wantHolder("c", "a")
 	}
 }
+
+// drillTuning lets VMs reclaim their own leases and notices shorten a takeover, as in the daemon.
+var drillTuning = Tuning{Duration: 10 * time.Second, Margin: 2 * time.Second, WaitOut: 10 * time.Second, HandoverDelay: 3 * time.Second, ReclaimOwn: true}
+
+// TestOneHolderWithDrills is TestOneHolder with a store that comes back from older copies, with notices,
+// and with VMs that restart. Calls may be answered, and writes land, in a later era than they were sent in.
+func TestOneHolderWithDrills(t *testing.T) {
+	storetest.Check(t, func(rt *rapid.T) {
+		m := &model{store: storetest.New(), faults: storetest.DrawFaultProfile(rt), busy: make([]atomic.Bool, vms)}
+		start := func(i int) *Lease {
+			return New(m.store.ForActor(i), "orders", ids.VM(fmt.Sprint("vm", i)), drillTuning, nil)
+		}
+		for i := range vms {
+			m.leases = append(m.leases, start(i))
+		}
+		defer m.store.Drain()
+		memory := m.store.Store.(*objectapi.Memory)
+		copies := []objectapi.Snapshot{memory.Snapshot()}
+		var notices []Notice
+		for range rapid.IntRange(20, 200).Draw(rt, "steps") {
+			vm := rapid.IntRange(0, vms-1).Draw(rt, "vm")
+			switch rapid.IntRange(0, 19).Draw(rt, "drill") {
+			case 0, 1:
+				copies = append(copies, memory.Snapshot())
+			case 2:
+				memory.Restore(copies[rapid.IntRange(0, len(copies)-1).Draw(rt, "copy")])
+			case 3:
+				if !m.busy[vm].Load() {
+					m.endActions(vm)
+					m.leases[vm] = start(vm)
+				}
+			case 4:
+				if n, ok := m.noticeOf(vm); ok {
+					notices = append(notices, n)
+				}
+			case 5:
+				if len(notices) > 0 {
+					m.leases[vm].ReceiveNotice(notices[rapid.IntRange(0, len(notices)-1).Draw(rt, "which")])
+				}
+			case 6, 7, 8, 9, 10, 11:
+				m.tryToEnd(vm)
+				m.act(vm, time.Second)
+			case 12, 13:
+				time.Sleep(time.Duration(rapid.SampledFrom([]int{2, 7, 13, 21}).Draw(rt, "seconds")) * time.Second)
+			default:
+				m.step(rt)
+			}
+			synctest.Wait()
+			m.check(rt)
+		}
+	})
+}
+
+// tryToEnd has a VM try the lease and the store answer all its calls, unless it waits for one already.
+func (m *model) tryToEnd(vm int) {
+	if m.busy[vm].Load() {
+		return
+	}
+	m.try(vm)
+	for synctest.Wait(); m.busy[vm].Load(); synctest.Wait() {
+		i := slices.IndexFunc(m.store.Waiting(), func(c *storetest.Call) bool { return c.Actor == vm })
+		if i < 0 {
+			time.Sleep(time.Millisecond) // between two attempts of a write
+			continue
+		}
+		m.store.Resolve(m.store.Waiting()[i], storetest.Normal)
+	}
+}
+
+// endActions ends the actions of a VM whose process ends.
+func (m *model) endActions(vm int) {
+	now := time.Now()
+	for i := range m.actions {
+		if a := &m.actions[i]; a.vm == vm && a.end.After(now) {
+			a.end = now
+		}
+	}
+}
--- a/internal/lease/fuzz_test.go
+++ b/internal/lease/fuzz_test.go
@@ -23,6 +23,7 @@
 
 // action is one action under a token, as the test records it.
 type action struct {
+	vm         int
 	fence      uint64
 	began, end time.Time
 }
@@ -56,7 +57,7 @@
 		return
 	}
 	now := time.Now()
-	m.actions = append(m.actions, action{fence: token.Fence, began: now, end: now.Add(takes)})
+	m.actions = append(m.actions, action{vm: i, fence: token.Fence, began: now, end: now.Add(takes)})
 }
 
 // TestOneHolder checks that actions under different fencing tokens never overlap, and
