--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -33,11 +33,12 @@
 	LinkMbps      int               `json:"link_mbps,omitempty"`
 }
 
-// registerRetry is the mean pause between attempts to register.
-const registerRetry = time.Second
-
-// registerCheck is how often a VM checks whether its entry is listed.
-const registerCheck = 200 * time.Millisecond
+const (
+	// registerCheck is how often a VM checks whether its entry is listed.
+	registerCheck = 200 * time.Millisecond
+	// registerRetry is the mean pause after a failed attempt to register.
+	registerRetry = time.Second
+)
 
 // register keeps this VM's entry in the store until ctx ends. The store may lose an entry that it has
 // acknowledged, by coming back from an older copy.
@@ -45,7 +46,8 @@
 	if !d.vms.awaitListed(ctx) {
 		return
 	}
-	value, err := json.Marshal(vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps)})
+	own := vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps)}
+	value, err := json.Marshal(own)
 	if err != nil {
 		d.Log.State("not-registered").Str("error", err.Error()).Send()
 		return
@@ -53,7 +55,7 @@
 	var written objectapi.Revision
 	for pause := registerCheck; ctx.Err() == nil; timing.Sleep(ctx, pause) {
 		pause = registerCheck
-		if !d.vms.lacksEntry(value, written) {
+		if !d.vms.lacksEntry(own, written) {
 			continue
 		}
 		rev, err := d.writeEntry(ctx, prefixVMs+string(d.Settings.VM), value)
@@ -162,13 +164,9 @@
 	return false
 }
 
-// lacksEntry reports whether the store lacks this VM's entry, or has it with another value. written is
+// lacksEntry reports whether the store lacks the entry of this VM, own, or has it with another value. written is
 // the revision at which this VM wrote it last, so that a list from before doesn't count; zero: never.
-func (c *vmList) lacksEntry(value []byte, written objectapi.Revision) bool {
-	var own vmRecord
-	if err := json.Unmarshal(value, &own); err != nil {
-		return false
-	}
+func (c *vmList) lacksEntry(own vmRecord, written objectapi.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := prefixVMs + string(own.VM)
