Mirror: a VM that starts trusts the store's copy only if a peer answered, or none runs

Cause: askPeers gave up after 150 ms, and the VM went on as if it had asked. A larger timeout would make it rarer.

--- a/internal/mirror/ask.go
+++ b/internal/mirror/ask.go
@@ -4,7 +4,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/threadwall/threadwall/internal/clock"
 )
 
 const (
@@ -18,7 +24,8 @@
 
 // askPeers reads the copies of some peers once, at the start of a VM that reads the store by itself. If the
 // store has just come back from an older copy, peers know what it has lost, such as a key that was taken
-// away. What the store answers afterwards is newer than their copies.
+// away. What the store answers afterwards is newer than their copies. If none answers, and not because none
+// runs, the store counts as having come back just now.
 func (r *Reader) askPeers(ctx context.Context) {
 	if r.StartPeers == nil {
 		return
@@ -26,15 +33,28 @@
 	peers := r.StartPeers()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	var answered, unresponsive atomic.Int32
 	var asked sync.WaitGroup
 	for _, p := range peers[:min(len(peers), maxAskedPeers)] {
 		asked.Go(func() {
-			if err := r.ask(ctx, p); err != nil {
-				r.Log.State("peer-not-asked").Str("peer", string(p.VM)).Str("error", err.Error()).Send()
+			err := r.ask(ctx, p)
+			switch {
+			case err == nil:
+				answered.Add(1)
+				return
+			case status.Code(err) == codes.DeadlineExceeded:
+				unresponsive.Add(1)
 			}
+			r.Log.State("peer-not-asked").Str("peer", string(p.VM)).Str("error", err.Error()).Send()
 		})
 	}
 	asked.Wait()
+	if answered.Load() > 0 || unresponsive.Load() == 0 {
+		return
+	}
+	for _, s := range r.Spaces {
+		s.assumeNewEra(clock.Now())
+	}
 }
 
 // ask reads one peer's copies.
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -197,6 +197,15 @@
 	return true
 }
 
+// assumeNewEra makes the era of the first list count as begun at a time, unless a peer tells otherwise.
+func (s *Space) assumeNewEra(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		s.at.EraSince = since
+	}
+}
+
 // addBatch keeps changes for readers. The caller holds the lock.
 func (s *Space) addBatch(events []objectapi.Object) {
 	s.change++
