--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -18,7 +18,7 @@
 // restoredEntries tells entries of the copy from those that were written in the new era, and remembers
 // the replicas that are gone. It holds one element for each replica that has gone within goneTTL.
 type restoredEntries struct {
-	at       objectapi.Revision // of the latest response
+	at       objectapi.Revision // of the latest list
 	start    objectapi.Revision // of the first list of the era; zero: this VM knows of no earlier era
 	eraSince time.Time          // when start was recorded
 	gone     map[ids.Target]goneReplica
--- a/internal/lab/platformlab/drill.go
+++ b/internal/lab/platformlab/drill.go
@@ -80,13 +80,6 @@
 	s.Rewrite()
 }
 
-// Era returns the store's era.
-func (s *Store) Era() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
-
 // rememberExternal records a write of an operator or a replica. The caller holds s.mu.
 func (s *Store) rememberExternal(kind, name string, spec json.RawMessage) {
 	s.external = slices.DeleteFunc(s.external, func(w externalWrite) bool { return w.kind == kind && w.name == name })
