Names: mayBeFromCopy, beginList, peer-copy-unavailable

Read as a newcomer: restored.restored(&o) and restored.list said nothing, and peer-not-asked was logged for a peer that had been asked and gave no copy.

--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -86,7 +86,7 @@
 func (r *Replicas) Listed(objects []objectapi.Object, at At, regained bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.restored.list(at, r.listed)
+	r.restored.beginList(at, r.listed)
 	if regained {
 		r.regainedAt = clock.Now()
 	}
@@ -155,7 +155,7 @@
 		r.discardPreviousIncarnation(id, n.Incarnation, "entry")
 	default:
 		rec.carryOver(old)
-		if r.restored.restored(&o) {
+		if r.restored.mayBeFromCopy(&o) {
 			rec.keepNewerWeights(old)
 		}
 	}
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -41,8 +41,8 @@
 	silentHeartbeats = 4
 )
 
-// list records the revision of a list, before its entries are applied.
-func (e *restoredEntries) list(at At, listed bool) {
+// beginList records the revision of a list, before its entries are applied.
+func (e *restoredEntries) beginList(at At, listed bool) {
 	for id, g := range e.gone {
 		g.entry = nil // unless the list has it
 		e.gone[id] = g
@@ -53,8 +53,8 @@
 	e.at = max(e.at, at.Revision)
 }
 
-// restored reports whether an entry may be as old as the copy from which the store came back.
-func (e *restoredEntries) restored(o *objectapi.Object) bool {
+// mayBeFromCopy reports whether an entry may be as old as the copy from which the store came back.
+func (e *restoredEntries) mayBeFromCopy(o *objectapi.Object) bool {
 	return e.start != 0 && o.Version.Era() == e.start.Era() && o.Version <= e.start
 }
 
@@ -73,7 +73,7 @@
 	if !known {
 		return false
 	}
-	if inc > g.incarnation || o.Version.Era() <= g.era || !e.restored(&o) {
+	if inc > g.incarnation || o.Version.Era() <= g.era || !e.mayBeFromCopy(&o) {
 		delete(e.gone, id)
 		return false
 	}
--- a/internal/mirror/ask.go
+++ b/internal/mirror/ask.go
@@ -45,7 +45,7 @@
 			case status.Code(err) == codes.DeadlineExceeded:
 				unresponsive.Add(1)
 			}
-			r.Log.State("peer-not-asked").Str("peer", string(p.VM)).Str("error", err.Error()).Send()
+			r.Log.State("peer-copy-unavailable").Str("peer", string(p.VM)).Str("error", err.Error()).Send()
 		})
 	}
 	asked.Wait()
