News: Receive waits until its socket is closed

Cause: Receive's own Close is the second one. Of two Close calls on a socket only the first waits until the descriptor is free; the second returns at once with ErrClosed, while the function of context.AfterFunc is still closing it. So Kill could still return before the address was free.

--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -291,10 +291,17 @@
 
 // Receive handles incoming datagrams until ctx ends, and then closes the socket.
 func (x *Exchange) Receive(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() }) // unblocks the read below
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() { // unblocks the read below
+		defer close(closed)
+		_ = x.conn.Close()
+	})
 	defer func() {
-		stop()
-		_ = x.conn.Close() // the function above may not have run yet
+		if stop() {
+			_ = x.conn.Close()
+			return
+		}
+		<-closed // a second Close would return before the first one has freed the address
 	}()
 	buf := make([]byte, maxDatagram)
 	for {
