Tests that fail: VMs cut off from replicas or from the store, brittle replicas

Stand-ins: links of one VM to each replica that hang, refuse, reset, or let old connections live on; replicas with bounded room that fall over when they turn away too many.

--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -94,6 +94,8 @@
 	Chunks        int           // events of a streamed response; zero: not streamed
 	ChunkInterval time.Duration // between events
 	StartedMS     int64         // start time in Unix milliseconds; zero: not reported
+	// Room, if set, bounds the requests that the replica takes at the same time.
+	Room *Room
 	// CrashOn, if set, selects requests that crash the replica.
 	CrashOn *CrashRule
 	// Software is the software version that the replica reports; empty: v1.
@@ -190,7 +192,7 @@
 	Version int    `json:"version"`
 }
 
-// slots is the number of requests that a replica reports to run concurrently. It is not enforced.
+// slots is the number of requests that a replica without Room reports to run concurrently.
 const slots = 16
 
 func (r *Replica) register() {
@@ -199,6 +201,9 @@
 	if r.Model != "" {
 		e.Models = []modelState{{r.Model, r.version}}
 	}
+	if r.Room != nil {
+		e.Slots = r.Room.Slots
+	}
 	store := r.store
 	r.mu.Unlock()
 	if store != nil {
@@ -349,6 +354,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.Room != nil {
+		release, ok := r.Room.take(r, req)
+		if !ok {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer release()
+	}
 	r.ledger.add(Run{
 		Replica: r.ID, Request: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body),
 		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
--- a/internal/lab/platformlab/signals.go
+++ b/internal/lab/platformlab/signals.go
@@ -12,6 +12,7 @@
 	Limit   string // requests/s that the replica accepts from all VMs together
 	Rest    string // Retry-After of refusals, in seconds; if set, the replica refuses all requests
 	Leaving bool
+	Brittle string // refusals for want of room in one second beyond which the replica falls over
 }
 
 // empty reports whether a replica sends no signals.
@@ -60,6 +61,9 @@
 	if s.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if s.Brittle != "" {
+		w.Header().Set("Server-Brittle", s.Brittle)
+	}
 	if s.Rest == "" {
 		return false
 	}
