VMs that have lost their links to replicas serve their callers through peers

Callers of VMs that were cut off from all replicas got 503 after up to 1.6 s, or nothing within their 0.6 s. Cause: upstream.Client.connect dialed the replica over the VM's own link and nothing else; a failed dial ended the attempt, and the next one went to another replica behind the same lost links. Connect now dials, asks peers as well after 100 ms or a failure, and uses what is established first. A link counts as lost once a peer has reached the replica since this VM has failed to; then peers come first, connections that brought nothing since are not reused, what this VM recorded against the replica is dropped, the other links are checked, and lost ones are probed every 0.5 s. Feeds take the same way, so a VM doesn't report engines or KV stores that only it has lost. A crash counts only if the replica's host refuses a peer too, or this VM reaches another replica: 11 crashes were recorded of replicas that had not crashed. The deadline that a replica is handed is read when the request is written, not before connecting.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -31,6 +31,7 @@
 	Targets       []membership.TargetStatus `json:"targets"`
 	Limits        []ratelimit.Status        `json:"limits,omitempty"` // rate limits that targets announced
 	Canaries      []canary.Record           `json:"canaries,omitempty"`
+	LostLinks     []ids.Target              `json:"lost_links,omitempty"` // targets that this VM reaches through peers only
 }
 
 // Status returns this VM's current state.
@@ -40,7 +41,7 @@
 	s := Status{
 		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(), StoreEra: d.vms.era(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
-		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(),
+		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(), LostLinks: d.links.LostLinks(),
 	}
 	if c := d.Catalog.Get(); c != nil {
 		s.Catalog = c.Version
@@ -83,6 +84,7 @@
 	Bytes         *traffic.Meter            `json:"bytes"`       // bytes exchanged, by purpose
 	StoreCalls    *objectapi.CountingStore  `json:"store_calls"` // by method and kind
 	News          NewsMetrics               `json:"news"`
+	Links         LinkMetrics               `json:"links"`
 	HeapBytes     int64                     `json:"heap_bytes"`
 	Goroutines    int                       `json:"goroutines"`
 }
@@ -165,7 +167,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -77,6 +77,7 @@
 		"tell-kv":       d.news.SendCacheChanges,
 		"lease":         d.keepLease,
 		"orders":        d.sendOrders,
+		"links":         d.links.Run,
 		"canaries":      d.runCanaries,
 		"tell-canaries": d.sendCanaryReports,
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvfeed"
 	"github.com/threadwall/threadwall/internal/lease"
+	"github.com/threadwall/threadwall/internal/links"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/mirror"
@@ -63,6 +64,7 @@
 	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/traffic"
+	"github.com/threadwall/threadwall/internal/tunnel"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -72,6 +74,8 @@
 	Dialect forward.Dialect
 	Engines rollout.EngineClient
 	Feeds   kvfeed.Reader
+	// SetFeedDial replaces the function by which Feeds connects to an address. Nil: it can't be replaced.
+	SetFeedDial func(dial func(ctx context.Context, addr string) (net.Conn, error))
 	// Meter counts the bytes of Engines and Feeds, and of all other traffic with targets and
 	// peers. Nil disables counting.
 	Meter *traffic.Meter
@@ -128,9 +132,11 @@
 	reader   *mirror.Reader
 	catalogs *follow.Catalogs
 	mirrors  *mirror.Server
+	links    *links.Table
+	tunnels  *tunnel.Server
 	ready    readiness
 	servers  []*http.Server
-	// peerServer serves reads of the store to other entry VMs.
+	// peerServer serves reads of the store, and tunnels to targets, to other entry VMs.
 	peerServer *grpc.Server
 	cancel     context.CancelFunc
 	duties     sync.WaitGroup
@@ -228,6 +234,7 @@
 	s, edge := d.Settings, d.Settings.Edge
 	client := upstream.NewClient(s.DialTimeout.D())
 	client.Meter = d.adapter.Meter
+	d.buildLinks(client)
 	if d.adapter.Meter != nil {
 		d.adapter.Meter.CrossDomain = d.crossDomain
 	}
@@ -263,7 +270,7 @@
 	d.Forward.Allowances = d.allowances
 	d.Forward.KeyTTL.Store(maxProofAge(edge.KeyTTL.D()))
 	d.feeds = &kvfeed.Feeds{
-		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, ReportsToPeers: d.reportsFeed, Contact: d.onContact, Log: d.Log,
+		Reader: d.adapter.Feeds, Cache: d.Fleet.Cache, KV: planner, Sources: d.feedSources, ReportsToPeers: d.reportsFeed, Contact: d.onContact, LinkLost: d.feedLinkLost, Log: d.Log,
 		Restarted: func(id ids.Target, inc ids.Incarnation) { d.Replicas.Restarted(id, inc, "feed") },
 	}
 	d.Lease = lease.New(d.store, leaseName, s.VM, leaseTuning(edge.OrderTurn.D()), nil)
@@ -301,6 +308,7 @@
 func (d *Daemon) forgetReplica(client *upstream.Client) func(ids.Target) {
 	return func(id ids.Target) {
 		client.Drop(id)
+		d.links.Forget(id)
 		d.Fleet.Load.Forget(id)
 		d.Rollout.Forget(id)
 	}
@@ -368,7 +376,7 @@
 		cancel()
 		return err
 	}
-	if err := d.serveMirrors(); err != nil {
+	if err := d.servePeers(); err != nil {
 		cancel()
 		return err
 	}
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -25,6 +25,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	began := clock.Now()
 	d.Forward.Draining.Store(true)
+	d.tunnels.Leave()
 	d.ready.set(false, "shutting down")
 	d.Log.State("stop").Int64("in_flight", d.Forward.InFlight()).Send()
 	d.Rollout.Quiesce()
@@ -41,8 +42,10 @@
 	if err != nil {
 		d.Log.State("drain-ended").Int64("in_flight", d.Forward.InFlight()).Str("error", err.Error()).Send()
 	}
+	d.tunnels.Drain(drain)
 	d.cancel()
 	d.peerServer.Stop()
+	d.links.Tunnels.Close()
 	for _, s := range d.servers {
 		_ = s.Close() // the process exits
 	}
@@ -56,6 +59,7 @@
 func (d *Daemon) Kill() {
 	d.cancel()
 	d.peerServer.Stop()
+	d.links.Tunnels.Close()
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -5,7 +5,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -21,7 +20,10 @@
 	"github.com/threadwall/threadwall/internal/mirrorpb"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timing"
+	"github.com/threadwall/threadwall/internal/tunnel"
+	"github.com/threadwall/threadwall/internal/tunnelpb"
 )
 
 const (
@@ -58,7 +60,9 @@
 		spaces = append(spaces, space(canary.Prefix, d.Forward.Software))
 	}
 	d.mirrors = &mirror.Server{Spaces: spaces, Notifier: wakeUp}
-	d.reader = &mirror.Reader{Spaces: spaces, UpstreamPeers: d.vms.upstreamPeers, Bootstrap: d.listVMs, StartPeers: d.vms.startPeers, ReadStore: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter}
+	d.reader = &mirror.Reader{
+		Spaces: spaces, UpstreamPeers: d.vms.upstreamPeers, Bootstrap: d.listVMs, StartPeers: d.vms.startPeers, ReadStore: d.readStore, Log: d.Log, Wait: d.Settings.Edge.ProofEvery.D() / 4, Meter: d.adapter.Meter,
+	}
 }
 
 // readStore follows the store until ctx ends.
@@ -211,14 +215,15 @@
 	return cmp.Compare(routing.VMWeight(key, b.VM), routing.VMWeight(key, a.VM))
 }
 
-// serveMirrors serves this VM's copy of the store to peers.
-func (d *Daemon) serveMirrors() error {
-	listener, err := net.Listen("tcp", d.Settings.PeerListen)
+// servePeers serves this VM's copy of the store, and tunnels to targets, to peers.
+func (d *Daemon) servePeers() error {
+	listener, err := sockets.Listen(d.Settings.PeerListen)
 	if err != nil {
 		return eris.Wrapf(err, "listen for peers on %s", d.Settings.PeerListen)
 	}
-	d.peerServer = grpc.NewServer()
+	d.peerServer = grpc.NewServer(tunnel.ServerOptions()...)
 	mirrorpb.RegisterMirrorServer(d.peerServer, d.mirrors)
+	tunnelpb.RegisterTunnelServer(d.peerServer, d.tunnels)
 	d.run("serve-peers", func() error { return d.peerServer.Serve(listener) })
 	return nil
 }
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -31,6 +31,8 @@
 	FailureDomain ids.FailureDomain `json:"failure_domain"`
 	PeerAddr      string            `json:"peer_addr"`
 	LinkMbps      int               `json:"link_mbps,omitempty"`
+	// Tunnels is set if the VM opens connections to targets for peers. VMs of older releases do not.
+	Tunnels bool `json:"tunnels,omitempty"`
 }
 
 const (
@@ -46,7 +48,7 @@
 	if !d.vms.awaitListed(ctx) {
 		return
 	}
-	own := vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps)}
+	own := vmRecord{VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, PeerAddr: d.Settings.PeerListen, LinkMbps: int(d.Settings.Edge.LinkMbps), Tunnels: true}
 	value, err := json.Marshal(own)
 	if err != nil {
 		d.Log.State("not-registered").Str("error", err.Error()).Send()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -93,6 +93,8 @@
 	ReadCall(h http.Header) (Call, error)
 	// WriteSend removes from h the headers that only the router may set, and adds s.
 	WriteSend(h http.Header, s *Send)
+	// WriteRemaining sets the time until the call's deadline, which WriteSend has set earlier.
+	WriteRemaining(h http.Header, remaining time.Duration)
 	// ReadReply reads the metadata of a response.
 	ReadReply(status int, h http.Header) Reply
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -37,8 +37,9 @@
 	// maxSilence bounds the silence of the replicas that the call may move to, after it has waited
 	// for one that sent nothing (onStall). Zero: no bound.
 	maxSilence time.Duration
-	begun      bool // a part of the response was passed on
-	status     int  // of the response that was passed on
+	begun      bool   // a part of the response was passed on
+	status     int    // of the response that was passed on
+	via        ids.VM // the peer through which the last response came; empty: this VM's own link
 	stream     streamState
 	progress   progress
 	proofAge   time.Duration // age of the catalog's proof when the call was authorized
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -9,6 +9,7 @@
 
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -58,7 +59,11 @@
 	}
 	r.f.Dialect.WriteSend(h, &s)
 	return &upstream.Request{
-		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: r.body, Matches: r.isOwnResponse, BeforeWrite: t.recheckSend,
+		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: r.body, Matches: r.isOwnResponse,
+		BeforeWrite: func() *outcome.Error {
+			r.f.Dialect.WriteRemaining(h, max(clock.Until(r.ends), time.Millisecond)) // connecting may have taken long
+			return t.recheckSend()
+		},
 	}
 }
 
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -57,6 +57,10 @@
 	}
 }
 
+func (plainDialect) WriteRemaining(h http.Header, remaining time.Duration) {
+	h.Set("Deadline", remaining.String())
+}
+
 func (plainDialect) ReadReply(status int, h http.Header) Reply {
 	rest, _ := time.ParseDuration(h.Get("Rest")) // zero if the header is missing
 	return Reply{
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -78,6 +78,9 @@
 	if r.catalog != nil {
 		line = line.Uint64("catalog", r.catalog.Version).Int64("proof_age_ms", r.proofAge.Milliseconds())
 	}
+	if r.via != "" {
+		line = line.Str("via", string(r.via))
+	}
 	if p := r.guard.FingerprintText(); p != "" {
 		line = line.Str("fingerprint", p)
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,6 +12,7 @@
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/quarantine"
+	"github.com/threadwall/threadwall/internal/tunnel"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -202,7 +203,7 @@
 		return t.classify(err)
 	}
 	defer a.Close()
-	t.framed = a.Framed()
+	t.framed, r.via = a.Framed(), a.Via
 	reply := r.f.Dialect.ReadReply(a.Status, a.Header)
 	if !r.superseded(t.c) && reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
 		r.f.ObserveWeights(t.c.target.ID, reply.Weights)
@@ -365,6 +366,8 @@
 		// counted.
 	case t.brokeOffUnread(err):
 		// The caller did not read, so this does not count against the replica.
+	case errors.Is(err, tunnel.ErrBroken), r.f.Upstream.Links.Lost(c.target.ID):
+		// The link or a peer failed, so this does not count against the replica.
 	case isRefusal && refusal.Mismatch && refusal.Replica != "" && refusal.Replica != c.target.ID:
 		members.MarkLeaving(c.target.ID, c.target.Incarnation)
 		r.f.Upstream.Drop(c.target.ID)
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -6,6 +6,7 @@
 
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/links"
 )
 
 const streamKind = catalog.Stream
@@ -67,6 +68,7 @@
 	if !t.timedOut && !r.superseded(t.c) {
 		r.f.Fleet.Members.TimedOut(t.c.target.ID, t.sent, clock.Now())
 		r.f.Fleet.MarkDirty()
+		r.f.Upstream.Links.Suspect(links.Target{ID: t.c.target.ID, Addr: t.c.target.Addr})
 	}
 	t.timedOut = true
 	if !r.repeatable() {
--- a/internal/kvfeed/kvfeed.go
+++ b/internal/kvfeed/kvfeed.go
@@ -62,6 +62,9 @@
 	// Contact is called after each read with whether the engine or store has answered, and
 	// with true when this VM stops reading the feed.
 	Contact func(s Source, alive bool)
+	// LinkLost reports whether a failed read is due to this VM's own link, which says nothing about the engine
+	// or store. The feed is then read again at once, over another way. Nil: it never is.
+	LinkLost func(ctx context.Context, s Source) bool
 	// Restarted is called when a feed reports a newer incarnation of an engine.
 	Restarted func(id ids.Target, inc ids.Incarnation)
 	Log       *eventlog.Log
@@ -135,6 +138,7 @@
 	lost := false
 	defer f.release(s)
 	f.setResponsive(s, false) // until the first response
+	otherWay := false         // the last read failed because of this VM's own link
 	timing.Sleep(ctx, rand.N(feedPause))
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
@@ -143,6 +147,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if otherWay = err != nil && !otherWay && f.LinkLost != nil && f.LinkLost(ctx, s); otherWay {
+			continue
+		}
 		f.Contact(s, err == nil)
 		f.setResponsive(s, err == nil)
 		if err != nil {
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// ForgetFailures drops this VM's own evidence against a target: failed requests, timeouts and long-lived calls that
+// were not answered. They were due to this VM's link to the target.
+func (t *Table) ForgetFailures(id ids.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.targets[id]; m != nil {
+		m.fails, m.lastFail, m.failRate, m.unreachable = 0, time.Time{}, failRate{}, false
+	}
+}
+
 // SuspectUntil records that, until the given time, it is not known whether the target
 // answers: the VMs that would know have sent no message. A time in the past ends this.
 func (t *Table) SuspectUntil(id ids.Target, until time.Time) {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -26,10 +26,11 @@
 	Orders                     // orders to engines and reads of their state, both directions
 	PeerUpdates                // updates sent to peers
 	Mirror                     // copies of the store requested from peers, both directions
+	Tunnels                    // connections to targets that peers have opened through this VM, both directions
 	purposeCount
 )
 
-var purposeNames = [purposeCount]string{"requests", "answers", "feeds", "orders", "news", "mirror"}
+var purposeNames = [purposeCount]string{"requests", "answers", "feeds", "orders", "news", "mirror", "tunnels"}
 
 // String returns the purpose's name as used in metrics and logs.
 func (p Purpose) String() string { return purposeNames[p] }
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/links"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timing"
@@ -25,7 +26,8 @@
 var checkDelays = []time.Duration{5 * time.Millisecond, 100 * time.Millisecond}
 
 // Check finds out whether a replica still listens. An idle connection that is still open
-// suffices as proof; otherwise Check dials, with DialTimeout for each dial. A live replica costs
+// suffices as proof; otherwise Check checks the link to the replica. A replica has ended only if its host
+// refuses connections and this VM's own links are not the reason (links.Table.Check). A live replica costs
 // at most two dials. Check blocks until both checks are done or the replica is found to have
 // ended. If ctx ends before that, Check returns the result of the last check, or
 // quarantine.Unknown if there was none.
@@ -34,7 +36,14 @@
 		if c.pool(to.ID).anyOpen() {
 			return quarantine.Listening
 		}
-		return dial(ctx, c.DialTimeout, to.Addr)
+		switch c.Links.Check(ctx, links.Target{ID: to.ID, Addr: to.Addr}) {
+		case links.Reachable, links.Lost:
+			return quarantine.Listening
+		case links.Ended:
+			return quarantine.Ended
+		default:
+			return quarantine.Unknown
+		}
 	})
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,10 @@
 // pool holds the idle connections to one replica as a stack, so that few connections carry
 // most requests and the others expire.
 type pool struct {
+	// reusable reports whether an idle connection may carry another request, as far as the state of this VM's
+	// link to the replica shows.
+	reusable func(cn *conn) bool
+
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
@@ -31,7 +35,7 @@
 		last := len(p.idle) - 1
 		cn := p.idle[last]
 		p.idle = p.idle[:last]
-		if cn.fresh(now) && cn.usable() {
+		if cn.fresh(now) && p.reusable(cn) && cn.usable() {
 			return cn
 		}
 		cn.close()
@@ -56,20 +60,20 @@
 	cn.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || !p.reusable(cn) {
 		cn.close()
 		return
 	}
 	p.idle = append(p.idle, cn)
 }
 
-// trim closes the connections that have reached their idle time limit.
+// trim closes the connections that have reached their idle time limit or may not be used again.
 func (p *pool) trim(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, cn := range p.idle {
-		if cn.fresh(now) {
+		if cn.fresh(now) && p.reusable(cn) && (cn.tunnel == nil || cn.tunnel.Alive()) {
 			kept = append(kept, cn)
 		} else {
 			cn.close()
@@ -105,6 +109,9 @@
 	if cn.closed.Load() || cn.br.Buffered() > 0 {
 		return false
 	}
+	if cn.tunnel != nil {
+		return cn.tunnel.Alive()
+	}
 	sc, ok := cn.nc.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,8 +33,8 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/links"
 	"github.com/threadwall/threadwall/internal/outcome"
-	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/traffic"
 )
 
@@ -67,13 +67,15 @@
 	Header http.Header
 	Body   io.Reader
 	Reused bool // the connection had carried requests before
-	conn   *conn
+	// Via is the VM through which the connection leads; empty: this VM's own link.
+	Via  ids.VM
+	conn *conn
 }
 
 // Client holds the connections to all replicas. Safe for concurrent use.
 type Client struct {
-	// DialTimeout bounds each dial. It must be set before the first Send.
-	DialTimeout time.Duration
+	// Links connects to replicas. It must be set before the first Send.
+	Links *links.Table
 	// Meter counts the bytes of calls; nil disables counting. It must be set before the first
 	// Send.
 	Meter *traffic.Meter
@@ -81,14 +83,14 @@
 	mu    sync.Mutex
 	pools map[ids.Target]*pool
 
-	// Counts of the dials and of the reused connections of Send, and of stray responses: those
-	// that belong to another request than the one in progress.
-	Dials, Reuses, Strays atomic.Int64
+	// Counts of the dials and of the reused connections of Send, of stray responses, those that belong to
+	// another request than the one in progress, and of requests sent through peers.
+	Dials, Reuses, Strays, Tunneled atomic.Int64
 }
 
-// NewClient returns a client without connections.
+// NewClient returns a client without connections that uses this VM's own links only.
 func NewClient(dialTimeout time.Duration) *Client {
-	return &Client{DialTimeout: dialTimeout, pools: map[ids.Target]*pool{}}
+	return &Client{Links: &links.Table{DialTimeout: dialTimeout}, pools: map[ids.Target]*pool{}}
 }
 
 // Drop closes the idle connections to a replica whose incarnation has ended. Connections in use
@@ -109,7 +111,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[id]
 	if p == nil {
-		p = &pool{}
+		p = &pool{reusable: func(cn *conn) bool { return c.Links.Usable(id, cn.via != "", cn.heard) }}
 		c.pools[id] = p
 	}
 	return p
@@ -155,11 +157,22 @@
 			return nil, refusal
 		}
 	}
+	if cn.via != "" {
+		c.Tunneled.Add(1)
+	}
+	first := !cn.used
 	resp, err := cn.exchange(ctx, to, r, &c.Strays)
 	if err != nil {
 		cn.close()
+		if first && cn.via == "" && ClosedByReplica(err) {
+			c.Links.Broken(links.Target{ID: to.ID, Addr: to.Addr}, cn.heard)
+		}
 		return nil, err
 	}
+	cn.heard = clock.Now()
+	if cn.via == "" {
+		c.Links.Heard(to.ID)
+	}
 	return resp, nil
 }
 
@@ -171,16 +184,27 @@
 		return cn, nil
 	}
 	c.Dials.Add(1)
-	d := sockets.Dialer(c.DialTimeout)
-	nc, err := d.DialContext(ctx, "tcp", to.Addr)
+	nc, err := c.Links.Connect(ctx, links.Target{ID: to.ID, Addr: to.Addr})
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "dial", string(to.ID), "could not connect to the replica")
 	}
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(receiveBufferSize) // on failure the kernel's default applies
+	cn := &conn{pool: p, heard: clock.Now()}
+	switch raw := nc.(type) {
+	case *net.TCPConn:
+		_ = raw.SetReadBuffer(receiveBufferSize) // on failure the kernel's default applies
+	case tunneled:
+		cn.tunnel, cn.via = raw, raw.Via()
 	}
-	nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), pool: p}, nil
+	cn.nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
+	cn.br = bufio.NewReaderSize(cn.nc, readBufferSize)
+	return cn, nil
+}
+
+// tunneled is a connection through a peer.
+type tunneled interface {
+	Via() ids.VM
+	// Alive reports whether the idle connection may carry another request.
+	Alive() bool
 }
 
 // readBufferSize is the size of the buffered reader of a connection, in bytes. It holds a response
@@ -196,7 +220,10 @@
 	nc          net.Conn
 	br          *bufio.Reader
 	pool        *pool
-	used        bool // has carried a request
+	tunnel      tunneled  // nil: the connection uses this VM's own link
+	via         ids.VM    // of tunnel; empty: none
+	heard       time.Time // when the connection was established, or last brought the head of a response
+	used        bool      // has carried a request
 	idleSince   time.Time
 	idleTimeout time.Duration // announced by the replica; zero: unspecified
 	closed      atomic.Bool
@@ -233,7 +260,7 @@
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
 			body := &body{conn: cn, resp: resp, write: w, stop: stop}
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: reused, conn: cn}, nil
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: reused, Via: cn.via, conn: cn}, nil
 		}
 		strays.Add(1)
 		n, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes)
