--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -105,7 +107,7 @@
 	held := false
 	timing.Sleep(ctx, rand.N(otherEvery))
 	for ctx.Err() == nil {
-		if err := d.Lease.Try(ctx); err != nil && held {
+		if err := d.tryLease(ctx); err != nil && held {
 			d.Log.State("lease-not-renewed").Str("error", err.Error()).Send()
 		}
 		token, holds := d.Lease.Held()
@@ -117,6 +119,19 @@
 	}
 }
 
+// errCutOff is why a VM does not renew the lease for orders.
+var errCutOff = eris.New("this VM has lost its links to the targets")
+
+// tryLease acquires, renews or watches the lease, unless this VM has lost its links: it could not send orders.
+// A lease that it holds lapses, and a peer takes over. Orders never go through a peer: targets would take them
+// for those of two holders.
+func (d *Daemon) tryLease(ctx context.Context) error {
+	if d.links.CutOff() {
+		return errCutOff
+	}
+	return d.Lease.Try(ctx)
+}
+
 // leasePause returns the time until this VM reads the lease again. If a takeover becomes possible
 // before the next regular read, the pause ends shortly after that moment: each second without a
 // holder shortens the time in which engines must load new weights.
