Mirror: a VM that the store does not answer reads from a peer that it answers

Callers with keys were refused (0 of 120 served) at VMs that had lost the store while their peers had fresh proofs and were in reach. Cause: Reader.direct looked for upstream peers only, of which a VM of a small fleet and the VM that reads the store for others have none. TestVMCutOffFromStoreServesCallsWithKeys failed before and passes; keys revoked meanwhile are refused in time.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -132,10 +133,13 @@
 	reader   *mirror.Reader
 	catalogs *follow.Catalogs
 	mirrors  *mirror.Server
-	links    *links.Table
-	tunnels  *tunnel.Server
-	ready    readiness
-	servers  []*http.Server
+	// storeAnswered is the time from the start to the store's latest answer about the configuration, in
+	// nanoseconds.
+	storeAnswered atomic.Int64
+	links         *links.Table
+	tunnels       *tunnel.Server
+	ready         readiness
+	servers       []*http.Server
 	// peerServer serves reads of the store, and tunnels to targets, to other entry VMs.
 	peerServer *grpc.Server
 	cancel     context.CancelFunc
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -107,6 +107,9 @@
 	if status.Code(err) == codes.FailedPrecondition {
 		return errStarting
 	}
+	if status.Code(err) == codes.Aborted {
+		return errStale
+	}
 	if err != nil {
 		return eris.Wrap(err, "read the store's contents from a peer")
 	}
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
@@ -33,6 +34,13 @@
 	StartPeers func() []Peer
 	// ReadStore reads the store until its context ends.
 	ReadStore func(context.Context)
+	// AssistPeers returns the VMs to read from while the store does not answer this VM, although it is this
+	// VM's turn to read it. Nil: none.
+	AssistPeers func() []Peer
+	// StoreAnswered returns when the store last answered this VM's own calls about the configuration, and
+	// AssistAfter is the age of that answer from which AssistPeers are read.
+	StoreAnswered func() time.Time
+	AssistAfter   time.Duration
 	// Wait is the longest time that a read from a peer waits for a change, at most readWait.
 	// Zero: readWait.
 	Wait time.Duration
@@ -40,9 +48,10 @@
 	Meter *traffic.Meter
 	Log   *eventlog.Log
 
-	avoid  avoidance
-	mu     sync.Mutex
-	source string
+	avoid    avoidance
+	assisted atomic.Bool
+	mu       sync.Mutex
+	source   string
 }
 
 // storeSource names the store in logs and in the status.
@@ -51,6 +60,8 @@
 const (
 	// checkInterval is how often a VM that reads the store checks whether a peer serves.
 	checkInterval = time.Second
+	// assistInterval is how often it checks whether the store still answers.
+	assistInterval = 200 * time.Millisecond
 	// seekInterval is how often a VM that waits for its rank checks the same.
 	seekInterval = 100 * time.Millisecond
 	// rankStep is the delay for each VM that ranks before this one in its failure domain: the
@@ -84,7 +95,7 @@
 // seek searches for a peer to read from until this VM's rank lets it read the store.
 func (r *Reader) seek(ctx context.Context) (*client, Peer) {
 	for began := clock.Now(); ctx.Err() == nil; timing.Sleep(ctx, seekInterval) {
-		if c, p := r.find(ctx); c != nil {
+		if c, p := r.find(ctx, r.UpstreamPeers()); c != nil {
 			return c, p
 		}
 		if clock.Since(began) >= r.storeDelay(clock.Now()) {
@@ -135,18 +146,66 @@
 	wg.Go(func() { r.ReadStore(storeCtx) })
 	defer wg.Wait()
 	defer cancel()
-	for timing.Sleep(ctx, checkInterval) {
-		if c, p := r.find(ctx); c != nil {
-			return c, p
+	for checked := clock.Now(); timing.Sleep(ctx, assistInterval); {
+		if clock.Since(checked) >= checkInterval {
+			checked = clock.Now()
+			if c, p := r.find(ctx, r.UpstreamPeers()); c != nil {
+				return c, p
+			}
+		}
+		if r.storeLost() {
+			r.assist(ctx)
 		}
 	}
 	return nil, Peer{}
 }
 
-// find returns the first peer that serves, after its first response has been applied.
-func (r *Reader) find(ctx context.Context) (*client, Peer) {
+// storeLost reports whether the store has not answered this VM for too long.
+func (r *Reader) storeLost() bool {
+	return r.AssistPeers != nil && clock.Since(r.StoreAnswered()) >= r.AssistAfter
+}
+
+// Assisted reports whether this VM reads from a peer because the store does not answer it. Such a VM serves
+// no others, so that no two VMs read from each other.
+func (r *Reader) Assisted() bool { return r.assisted.Load() }
+
+// assist reads from a peer until the store answers this VM again, the peer fails, or a peer that ranks before
+// this VM may serve again. This VM goes on calling the store meanwhile.
+func (r *Reader) assist(ctx context.Context) {
+	r.assisted.Store(true)
+	defer r.assisted.Store(false)
+	c, p := r.find(ctx, r.AssistPeers())
+	if c == nil {
+		return
+	}
+	defer c.close()
+	r.setSource(string(p.VM), "the store does not answer this VM")
+	defer r.setSource(storeSource, "the store answers again, or the peer does not")
+	for began := clock.Now(); r.StoreAnswered().Before(began) && len(r.UpstreamPeers()) == 0; {
+		err := c.read(ctx, r.readWait())
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			r.avoidPeer(p, err)
+			return
+		}
+		r.avoid.succeeded(p.VM)
+	}
+}
+
+// readWait returns the longest time that a read waits for a change.
+func (r *Reader) readWait() time.Duration {
+	if r.Wait > 0 {
+		return min(readWait, r.Wait)
+	}
+	return readWait
+}
+
+// find returns the first of some peers that serves, after its first response has been applied.
+func (r *Reader) find(ctx context.Context, peers []Peer) (*client, Peer) {
 	called := 0
-	for _, p := range r.UpstreamPeers() {
+	for _, p := range peers {
 		if r.avoid.avoids(p.VM, clock.Now()) {
 			continue
 		}
@@ -188,12 +247,8 @@
 func (r *Reader) follow(ctx context.Context, c *client, p Peer) {
 	defer c.close()
 	r.setSource(string(p.VM), "upstream peer serves")
-	wait := readWait
-	if r.Wait > 0 {
-		wait = min(wait, r.Wait)
-	}
 	for r.preferred(p) {
-		err := c.read(ctx, wait)
+		err := c.read(ctx, r.readWait())
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -16,6 +16,9 @@
 	mirrorpb.UnimplementedMirrorServer
 	Spaces   []*Space
 	Notifier *Notifier // shared with the spaces
+	// Assisted reports whether this VM itself reads from a peer because the store does not answer it. Nil: it
+	// never does.
+	Assisted func() bool
 }
 
 var _ mirrorpb.MirrorServer = (*Server)(nil)
@@ -24,9 +27,12 @@
 const maxWait = 2 * time.Second
 
 // Read implements mirrorpb.MirrorServer. It waits for a change if there is nothing new. The status
-// is FailedPrecondition if this VM has not read a key space yet, and InvalidArgument if it does not
-// know one.
+// is FailedPrecondition if this VM has not read a key space yet, InvalidArgument if it does not
+// know one, and Aborted if the store does not answer it and it reads from a peer itself.
 func (s *Server) Read(ctx context.Context, r *mirrorpb.ReadRequest) (*mirrorpb.ReadAnswer, error) {
+	if s.Assisted != nil && s.Assisted() {
+		return nil, status.Error(codes.Aborted, "the store does not answer this VM")
+	}
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for last := false; ; {
