--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -174,7 +174,7 @@
 func (r *Reader) assist(ctx context.Context) {
 	r.assisted.Store(true)
 	defer r.assisted.Store(false)
-	c, p := r.find(ctx, r.AssistPeers())
+	c, p := r.findWithin(ctx, r.AssistPeers(), r.AssistAfter)
 	if c == nil {
 		return
 	}
@@ -204,6 +204,12 @@
 
 // find returns the first of some peers that serves, after its first response has been applied.
 func (r *Reader) find(ctx context.Context, peers []Peer) (*client, Peer) {
+	return r.findWithin(ctx, peers, 0)
+}
+
+// findWithin is find with a bound on the time since the store has answered the peer; zero: the bounds of upstream
+// peers. VMs that read the store for themselves only call it less often than those.
+func (r *Reader) findWithin(ctx context.Context, peers []Peer, maxAge time.Duration) (*client, Peer) {
 	called := 0
 	for _, p := range peers {
 		if r.avoid.avoids(p.VM, clock.Now()) {
@@ -214,6 +220,9 @@
 		}
 		c, err := dial(p, r.Spaces, r.Meter)
 		if err == nil {
+			if maxAge > 0 {
+				c.maxAge = maxAge
+			}
 			err = c.read(ctx, 0)
 			if err == nil {
 				return c, p
