Brittle replicas: the VMs share their slots and pause after a refusal

Cause: nothing read the announcement; VMs sent by their loads, some hundred milliseconds old, tried a refused call at the next replica, and paused for 250 ms each. The VMs now divide a brittle replica's slots: within its share a VM always finds room if all keep to theirs. Beyond it a VM sends only while the replica is known to be mostly idle, and only so many VMs do as the replica can refuse. After a refusal a VM pauses for as long as its part of the refusals requires (VMs / N seconds, 0.25 to 3). What finds no room is refused at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -307,6 +307,9 @@
 		in.PrefillRate /= float32(sc.loads[i].Slowdown)
 		in.Resting = in.Resting && snap.restLeft(i, now) > 0
 	}
+	for _, b := range f.Members.BrittleTargets() {
+		snap.withIndex(b.ID, func(i int) { sc.Inputs[i].NoRoom = !f.hasRoom(b, snap.batches[i].slots, sc.loads[i]) })
+	}
 	for _, t := range tried {
 		snap.withIndex(t, func(i int) { sc.Inputs[i].Tried = true })
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -373,6 +373,7 @@
 		r.f.Upstream.Drop(c.target.ID)
 	case isRefusal && err.Outcome == outcome.NotRun:
 		members.Busy(c.target.ID, now.Add(busyPause))
+		r.f.Fleet.Refused(c.target.ID, now)
 	default:
 		members.Failed(c.target.ID, now)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -23,6 +23,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
@@ -88,6 +89,8 @@
 	lostBy       map[ids.VM]time.Time // peers whose long-lived call to it has failed, and when they last reported it
 	busyUntil    time.Time            // it refused work and gets none before this time
 	restUntil    time.Time            // it asked this VM to send nothing until then
+	brittle      Brittle
+	answered     bool // this incarnation has answered a request of this VM
 	incarnation  ids.Incarnation
 	weights      ids.WeightsVersion
 }
@@ -116,7 +119,8 @@
 	targets map[ids.Target]*target
 	signals map[ids.Target]*signalState
 	peers   map[ids.VM]*peer
-	version uint64 // see Version
+	version uint64       // see Version
+	brittle atomic.Int64 // number of targets that are brittle, at least
 }
 
 // New returns an empty table for this VM.
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -77,6 +77,9 @@
 	if in.RateLimited {
 		return RateLimited
 	}
+	if in.NoRoom {
+		return NoRoom
+	}
 	return Passed
 }
 
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -33,7 +33,7 @@
 	return out[:min(len(out), maxCandidates)]
 }
 
-var reasonNames = [reasonCount]string{"eligible", "other model or service", "not serving", "breaker open", "already tried", "other weights than wanted", "at its rate limit", "resting", "other software", "silent"}
+var reasonNames = [reasonCount]string{"eligible", "other model or service", "not serving", "breaker open", "already tried", "other weights than wanted", "at its rate limit", "resting", "brittle and without room", "other software", "silent"}
 
 // FilteredByName returns how many targets were rejected for each reason.
 func (s *Scratch) FilteredByName() map[string]int {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -73,6 +73,8 @@
 	RateLimited bool `json:"rate_limited,omitempty"`
 	// Resting is set if the target has asked this VM not to send it requests now.
 	Resting bool `json:"resting,omitempty"`
+	// NoRoom is set if the target is brittle and a further request from this VM may find no room there.
+	NoRoom bool `json:"no_room,omitempty"`
 	// Reserved is set if only a few VMs may send to the target and this VM may send it a
 	// request now.
 	Reserved bool `json:"reserved,omitempty"`
@@ -147,6 +149,7 @@
 	OldWeights
 	RateLimited
 	Resting
+	NoRoom
 	OtherSoftware
 	Silent
 	reasonCount
