Soak: VMs lose their links to all replicas, replicas are brittle

Each VM has links of its own (lab/cutlink) to all replicas, on an address of its own that the proxy to the store puts in place of the published one. One VM, all but one or all are cut off for up to 8 s, in four ways, while all other faults go on; from 3 s after the cut began calls at VMs without another fault must be served. Replicas of the plain service are brittle for up to 6 s at a time.

--- a/internal/lab/platformlab/brittle.go
+++ b/internal/lab/platformlab/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,48 +20,67 @@
 	OnFall func(*Replica)
 
 	mu      sync.Mutex
-	free    chan struct{} // one element for each free slot; nil until the first request
-	inside  int           // requests that run or wait
-	refused []time.Time   // within the last second
+	running int
+	queue   []chan struct{} // of requests that wait, in order; each is closed when its request may run
+	refused []time.Time     // within the last second
 	fallen  bool
 }
 
 // SetBrittle changes how many requests wait, and after how many refusals in a second the replica falls over.
-func (m *Room) SetBrittle(waiting, maxRefused int) {
+func (m *Room) SetBrittle(waiting, maxRefused int) { m.Set(m.Slots, waiting, maxRefused) }
+
+// Set changes how many requests run and wait, and after how many refusals in a second the replica falls over; zero: it
+// never does.
+func (m *Room) Set(slots, waiting, maxRefused int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.Waiting, m.MaxRefused = waiting, maxRefused
+	m.Slots, m.Waiting, m.MaxRefused = slots, waiting, maxRefused
+	m.admit()
 }
 
 // take waits for a slot. It returns false if there is no room to wait or if the caller has left; the
 // request has then not run. The caller of take must call release once the request has run.
 func (m *Room) take(r *Replica, req *http.Request) (release func(), ok bool) {
 	m.mu.Lock()
-	if m.free == nil {
-		m.free = make(chan struct{}, m.Slots)
-		for range m.Slots {
-			m.free <- struct{}{}
-		}
-	}
-	if m.inside >= m.Slots+m.Waiting {
+	if m.running+len(m.queue) >= m.Slots+m.Waiting {
 		m.refuse(r)
 		m.mu.Unlock()
 		return nil, false
 	}
-	m.inside++
+	turn := make(chan struct{})
+	m.queue = append(m.queue, turn)
+	m.admit()
 	m.mu.Unlock()
-	leave := func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.inside--
-	}
 	select {
-	case <-m.free:
-		return func() { m.free <- struct{}{}; leave() }, true
+	case <-turn:
+		return m.release, true
 	case <-req.Context().Done():
-		leave()
-		return nil, false
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if i := slices.Index(m.queue, turn); i >= 0 {
+		m.queue = slices.Delete(m.queue, i, i+1)
+	} else { // it was admitted meanwhile
+		m.running--
+		m.admit()
+	}
+	return nil, false
+}
+
+// admit lets waiting requests run while there are slots. The caller holds m.mu.
+func (m *Room) admit() {
+	for m.running < m.Slots && len(m.queue) > 0 {
+		close(m.queue[0])
+		m.queue = m.queue[1:]
+		m.running++
+	}
+}
+
+func (m *Room) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+	m.admit()
 }
 
 // refuse counts a refusal. The caller holds m.mu.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,6 +26,7 @@
 	listen       string
 	ready        string
 	store        *Proxy
+	links        *links // nil: the VM connects to the replicas' published addresses
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -40,13 +41,16 @@
 // newProcess writes the settings of a VM and starts its process, which reaches the store at
 // storeAddr through a proxy. In fleets of more than directFleet VMs, one VM reads the store for
 // the others.
-func newProcess(dir, program, name, storeAddr string, directFleet int) (*process, error) {
+func newProcess(dir, program, name, storeAddr string, directFleet int, own *links) (*process, error) {
 	store, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
 	}
+	if own != nil {
+		store.rewrite = own.rewrite
+	}
 	p := &process{
-		name: name, program: program, store: store,
+		name: name, program: program, store: store, links: own,
 		settingsFile: filepath.Join(dir, name+".json"), logFile: filepath.Join(dir, name+".log"),
 		// The addresses are reserved by this process, which outlives the daemons that listen
 		// on them: a restarted daemon finds them free, and no other program gets its calls.
@@ -54,7 +58,7 @@
 	}
 	s := map[string]any{
 		"vm": name, "failure_domain": "z1", "listen": p.listen, "peer_listen": loopback.Addr(), "admin_listen": loopback.Addr(),
-		"store": "http://" + store.Addr(), "store_timeout": "500ms",
+		"store": "http://" + store.Addr(), "store_timeout": "500ms", "dial_timeout": "400ms",
 		"edge": map[string]any{
 			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
 			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet, "test_suspension": suspension.String(),
@@ -192,4 +196,7 @@
 	p.signal(syscall.SIGKILL)
 	p.await(time.Second)
 	p.store.Close()
+	if p.links != nil {
+		p.links.closeAll()
+	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -32,6 +32,9 @@
 	upstream string
 	l        net.Listener
 	fault    atomic.Int32
+	// rewrite changes data to the client; tail is put before the next data. Nil: data is not changed. It must be set
+	// before the first connection.
+	rewrite func(data []byte) (out, tail []byte)
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -121,11 +124,16 @@
 // EOF of from it half-closes to; after an error it resets to and closes from.
 func (p *Proxy) copy(to, from net.Conn, reply bool) {
 	buf := make([]byte, 16<<10)
+	var tail []byte
 	for {
 		n, err := from.Read(buf)
 		p.hold(reply)
-		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
+		data := buf[:n]
+		if reply && p.rewrite != nil {
+			data, tail = p.rewrite(append(tail, data...))
+		}
+		if len(data) > 0 {
+			if _, werr := to.Write(data); werr != nil {
 				break
 			}
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,6 +23,9 @@
 	Busy bool
 	// Drills states that the store comes back from older copies of itself.
 	Drills bool
+	// Cuts states that VMs lose their links to all replicas, and that replicas are brittle at times. It needs at most
+	// maxLinkedVMs VMs.
+	Cuts bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -56,7 +59,10 @@
 	if err != nil {
 		return report, err
 	}
-	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed))
+	if o.Cuts && o.VMs > maxLinkedVMs {
+		return report, fmt.Errorf("a soak with cuts has at most %d VMs", maxLinkedVMs)
+	}
+	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed), o.Cuts)
 	defer h.close()
 	h.checkTiming = !o.Busy
 	if err != nil {
@@ -74,11 +80,17 @@
 	if o.Drills {
 		waitDrills = h.injectDrills(faultCtx, o.Seed)
 	}
+	waitCuts := func() map[string]int { return nil }
+	if o.Cuts {
+		waitCuts = h.injectCuts(faultCtx, o.Seed)
+	}
 	waitExtraFaults, waitSignals := h.injectExtraFaults(faultCtx, o.Seed), h.injectSignals(faultCtx, o.Seed)
 	h.inject(faultCtx, rand.New(rand.NewPCG(o.Seed, 0)), func(name string) { report.Faults[name]++ })
 	maps.Copy(report.Faults, waitExtraFaults())
 	maps.Copy(report.Faults, waitSignals())
 	maps.Copy(report.Faults, waitDrills())
+	maps.Copy(report.Faults, waitCuts())
+	report.Faults["a brittle replica fell over"] = h.countFalls()
 	stopFaults()
 	h.awaitRecovery(&report)
 	time.Sleep(afterTime)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,6 +56,24 @@
 	}
 }
 
+// cutSeeds are seeds that are run with cuts.
+var cutSeeds = []uint64{9001, 9002, 9003}
+
+// TestSoakWithCuts runs daemon processes under drawn faults while VMs lose their links to all replicas and
+// replicas are brittle, for 5 s with each seed.
+func TestSoakWithCuts(t *testing.T) {
+	program := build(t)
+	for _, seed := range cutSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: seed, VMs: 3, Callers: 6, FaultDuration: 5 * time.Second, Busy: true, Cuts: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Violations) > 0 || report.Served == 0 {
+			t.Errorf("seed %d: %d of %d calls served, %v, logs %v", seed, report.Served, report.Calls, report.Violations, report.Logs)
+		}
+	}
+}
+
 // TestSoak runs daemon processes under drawn faults for 3 s with each seed. It does not check
 // timing bounds, because the CI machine may be busy.
 func TestSoak(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -59,6 +59,9 @@
 	keys          [keyCount]string
 	keyNumber     int                    // of the last key
 	weights       int                    // newest version
+	brittle       int                    // refusals beyond which replicas of the plain service fall over; zero: they do not
+	falls         int                    // of brittle replicas
+	cuts          bool                   // VMs have links of their own
 	fatal         map[string][]fatalCall // repeats of fatal requests, by body
 	crashes       int                    // of replicas that ran fatal requests
 	allKilled     []time.Time            // times at which all VMs were killed
@@ -105,8 +108,8 @@
 
 // newHarness starts the store, three replicas of each service and vms processes. The caller
 // must close the returned harness, also after an error.
-func newHarness(dir, program string, vms, directFleet int) (*harness, error) {
-	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1}
+func newHarness(dir, program string, vms, directFleet int, cuts bool) (*harness, error) {
+	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: cuts}
 	h.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -134,7 +137,16 @@
 		}
 	}
 	for i := range vms {
-		p, err := newProcess(dir, program, fmt.Sprint("vm", i), strings.TrimPrefix(h.store.URL(), "http://"), directFleet)
+		var own *links
+		if cuts {
+			own = newLinks(i)
+			for _, r := range h.replicas {
+				if err := own.add(r.proxy.Addr()); err != nil {
+					return h, err
+				}
+			}
+		}
+		p, err := newProcess(dir, program, fmt.Sprint("vm", i), strings.TrimPrefix(h.store.URL(), "http://"), directFleet, own)
 		if err != nil {
 			return h, err
 		}
@@ -164,6 +176,10 @@
 		r.Model, r.Chunks, r.ChunkInterval = model, chunks, 5*time.Millisecond
 		r.SetVersion(h.weights)
 	}
+	if service == "svc" && h.cuts {
+		r.Room = &platformlab.Room{OnFall: func(*platformlab.Replica) { h.fell(r) }}
+		h.setRoom(r)
+	}
 	r.CrashOn = &platformlab.CrashRule{Body: fatalBody, Delay: fatalWork, OnCrash: func(*platformlab.Replica) { h.onFatalCrash(r) }}
 	h.mu.Unlock()
 	if err := r.Listen(h.ledger); err != nil {
@@ -174,6 +190,14 @@
 		return err
 	}
 	r.proxy = proxy
+	for _, p := range h.vms {
+		if p.links == nil {
+			continue
+		}
+		if err := p.links.add(proxy.Addr()); err != nil {
+			return err
+		}
+	}
 	r.Register(h.store, proxy.Addr())
 	h.mu.Lock()
 	defer h.mu.Unlock()
