Links: orders that can't be sent lead to a check of the link; feeds: a lost link is no evidence (test)

A lease holder without calls would learn of the loss of its links from its feeds only, if it reads one. Its own calls to engines now start a check too, over its own link only.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,8 +75,9 @@
 	Dialect forward.Dialect
 	Engines rollout.EngineClient
 	Feeds   kvfeed.Reader
-	// SetFeedDial replaces the function by which Feeds connects to an address. Nil: it can't be replaced.
-	SetFeedDial func(dial func(ctx context.Context, addr string) (net.Conn, error))
+	// SetFeedDial and SetOrderDial replace the functions by which Feeds and Engines connect to an address. Nil: they can't
+	// be replaced.
+	SetFeedDial, SetOrderDial func(dial func(ctx context.Context, addr string) (net.Conn, error))
 	// Meter counts the bytes of Engines and Feeds, and of all other traffic with targets and
 	// peers. Nil disables counting.
 	Meter *traffic.Meter
--- a/internal/edge/links.go
+++ b/internal/edge/links.go
@@ -47,7 +47,10 @@
 	client.Links = d.links
 	d.tunnels = &tunnel.Server{Connect: d.connectForPeer, Max: limit}
 	if d.adapter.SetFeedDial != nil {
-		d.adapter.SetFeedDial(d.dialAddr)
+		d.adapter.SetFeedDial(d.dialWith(d.links.Connect))
+	}
+	if d.adapter.SetOrderDial != nil {
+		d.adapter.SetOrderDial(d.dialWith(d.links.DialOwn)) // orders through a peer would look like those of two holders
 	}
 }
 
@@ -84,13 +87,15 @@
 	return links.Target{ID: id, Addr: addr}, id != ""
 }
 
-// dialAddr connects to the replica or KV store at an address, through a peer if this VM's own link is lost.
-func (d *Daemon) dialAddr(ctx context.Context, addr string) (net.Conn, error) {
-	tgt, known := d.targetAt(addr)
-	if !known {
-		return sockets.Dialer(d.Settings.DialTimeout.D()).DialContext(ctx, "tcp", addr)
+// dialWith returns a function that connects to the replica or KV store at an address in a way of the links.
+func (d *Daemon) dialWith(connect func(ctx context.Context, tgt links.Target) (net.Conn, error)) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		tgt, known := d.targetAt(addr)
+		if !known {
+			return sockets.Dialer(d.Settings.DialTimeout.D()).DialContext(ctx, "tcp", addr)
+		}
+		return connect(ctx, tgt)
 	}
-	return d.links.Connect(ctx, tgt)
 }
 
 // feedLinkLost reports whether a read of a cache feed failed because this VM's own link is lost.
--- a/internal/kvfeed/kvfeed_test.go
+++ b/internal/kvfeed/kvfeed_test.go
@@ -63,6 +63,57 @@
 	await(t, "the engine is no longer unresponsive once its feed is released", state(true, 0))
 }
 
+// TestLostLinkIsNoEvidence lets reads of feeds fail because of this VM's own link. Neither the engine nor the store may
+// count as unresponsive, as long as the other way works.
+func TestLostLinkIsNoEvidence(t *testing.T) {
+	var mu sync.Mutex
+	reads, contacts := map[string]int{}, 0
+	cache := cacheview.New(64, nil)
+	f := &Feeds{
+		Reader: readerFunc(func(addr string) (Batch, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if reads[addr]++; reads[addr]%2 == 1 { // each second read goes another way
+				return Batch{}, errors.New("timeout")
+			}
+			return Batch{Epoch: 1}, nil
+		}),
+		Cache: cache, KV: &forward.Planner{Cache: cache},
+		Sources:        func() []Source { return []Source{{ID: "e1", Addr: "a"}, {ID: "kv", Addr: "b", Store: true}} },
+		ReportsToPeers: func(ids.Target) bool { return false },
+		LinkLost:       func(context.Context, Source) bool { return true },
+		Contact: func(s Source, alive bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			contacts++
+			if !alive {
+				t.Errorf("%s counts as unresponsive", s.ID)
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	await(t, "both feeds are read", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return contacts >= 8
+	})
+	if u := f.Unresponsive(); len(u) > 0 {
+		t.Errorf("%v count as unresponsive", u)
+	}
+}
+
+// readerFunc is a Reader that returns what the function returns.
+type readerFunc func(addr string) (Batch, error)
+
+func (r readerFunc) ReadFeed(_ context.Context, addr string, _ uint64, _ time.Duration) (Batch, error) {
+	time.Sleep(time.Millisecond)
+	return r(addr)
+}
+
 // restartingReader is the feed of an engine that restarts: sequence numbers and events start
 // over. It records the sequence numbers from which it is read.
 type restartingReader struct {
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -294,6 +294,16 @@
 	}()
 }
 
+// DialOwn connects over this VM's own link only, for what must not come from another VM. A failure starts a check of the
+// link.
+func (t *Table) DialOwn(ctx context.Context, tgt Target) (net.Conn, error) {
+	c, err := t.dial(ctx, tgt)
+	if err != nil {
+		t.Suspect(tgt)
+	}
+	return c, err
+}
+
 // dial dials a target over this VM's own link and records the result. It ends within DialTimeout.
 func (t *Table) dial(ctx context.Context, tgt Target) (net.Conn, error) {
 	began := clock.Now()
