--- a/internal/edge/links.go
+++ b/internal/edge/links.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -12,7 +11,6 @@
 	"github.com/threadwall/threadwall/internal/kvfeed"
 	"github.com/threadwall/threadwall/internal/links"
 	"github.com/threadwall/threadwall/internal/platform"
-	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/traffic"
 	"github.com/threadwall/threadwall/internal/tunnel"
@@ -138,32 +136,22 @@
 // targets, in an order by target that spreads the tunnels over the set. VMs of this VM's failure domain are first:
 // their traffic crosses no boundary more than this VM's own would.
 func (c *vmList) tunnelPeers(id ids.Target) []tunnel.Peer {
-	own := c.d.Settings
-	var same, other []tunnel.Peer
-	c.mu.Lock()
-	for _, r := range c.records {
-		switch {
-		case r.VM == own.VM || !r.Tunnels || r.PeerAddr == "" || !c.d.news.SeenWithin(r.VM, aliveFor):
-		case r.FailureDomain == own.FailureDomain:
-			same = append(same, tunnel.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
-		default:
-			other = append(other, tunnel.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
-		}
-	}
-	c.mu.Unlock()
-	byWeight := func(key ids.Target) func(a, b tunnel.Peer) int {
-		return func(a, b tunnel.Peer) int {
-			return cmp.Compare(routing.VMWeight(key, b.VM), routing.VMWeight(key, a.VM))
-		}
-	}
-	set := ids.Target("tunnels of " + string(own.VM))
-	slices.SortFunc(same, byWeight(set))
-	slices.SortFunc(other, byWeight(set))
+	same, other := c.livePeers("tunnels")
+	same, other = withTunnels(same), withTunnels(other)
 	same = same[:min(len(same), max(sameDomainPeers, maxTunnelPeers-len(other)))]
 	other = other[:min(len(other), maxTunnelPeers-len(same))]
-	slices.SortFunc(same, byWeight(id))
-	slices.SortFunc(other, byWeight(id))
-	return append(same, other...)
+	sortByWeight(same, id)
+	sortByWeight(other, id)
+	out := make([]tunnel.Peer, 0, len(same)+len(other))
+	for _, r := range append(same, other...) {
+		out = append(out, tunnel.Peer{VM: r.VM, FailureDomain: r.FailureDomain, Addr: r.PeerAddr})
+	}
+	return out
+}
+
+// withTunnels returns the VMs whose releases know tunnels.
+func withTunnels(all []vmRecord) []vmRecord {
+	return slices.DeleteFunc(all, func(r vmRecord) bool { return !r.Tunnels })
 }
 
 // LinkMetrics shows which links of this VM are lost, and counts the connections through peers.
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,76 +67,6 @@
 	d.mirrors.Assisted = d.reader.Assisted
 }
 
-// answerMargin is how much later than after ProofEvery, the longest wait of the watch of the configuration, its
-// answer may arrive until the store counts as not answering.
-const answerMargin = 300 * time.Millisecond
-
-// storeAnswers is a handler that records when the store has answered this VM's own calls.
-type storeAnswers struct {
-	follow.Handler
-	at *atomic.Int64 // of the latest answer, in nanoseconds since the daemon's start
-	d  *Daemon
-}
-
-func (s *storeAnswers) record() { s.at.Store(int64(clock.Since(s.d.started))) }
-
-// Listed implements follow.Handler.
-func (s *storeAnswers) Listed(objects []objectapi.Object, at follow.At, regained bool) {
-	s.record()
-	s.Handler.Listed(objects, at, regained)
-}
-
-// Changed implements follow.Handler.
-func (s *storeAnswers) Changed(events []objectapi.Object, at follow.At) {
-	s.record()
-	s.Handler.Changed(events, at)
-}
-
-// Unchanged implements follow.Handler.
-func (s *storeAnswers) Unchanged(at follow.At) {
-	s.record()
-	s.Handler.Unchanged(at)
-}
-
-// storeAnsweredAt returns when the store last answered this VM's own calls about the configuration, or the start
-// of the daemon.
-func (d *Daemon) storeAnsweredAt() time.Time {
-	return d.started.Add(time.Duration(d.storeAnswered.Load()))
-}
-
-// Assisted reports whether this VM reads from a peer because the store does not answer it.
-func (d *Daemon) Assisted() bool { return d.reader.Assisted() }
-
-// assistPeers returns the live VMs that this VM reads from while the store does not answer it, those of its own
-// failure domain first.
-func (c *vmList) assistPeers() []mirror.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	own := c.d.Settings
-	var out []mirror.Peer
-	for _, r := range c.records {
-		if r.VM != own.VM && r.PeerAddr != "" && c.d.news.SeenWithin(r.VM, aliveFor) {
-			out = append(out, mirror.Peer{VM: r.VM, Addr: r.PeerAddr, CrossDomain: r.FailureDomain != own.FailureDomain})
-		}
-	}
-	key := ids.Target("assists " + string(own.VM))
-	slices.SortFunc(out, func(a, b mirror.Peer) int {
-		if a.CrossDomain != b.CrossDomain {
-			return cmp.Compare(btoi(a.CrossDomain), btoi(b.CrossDomain))
-		}
-		return cmp.Compare(routing.VMWeight(key, b.VM), routing.VMWeight(key, a.VM))
-	})
-	return out
-}
-
-// btoi returns 1 for true and 0 for false.
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // readStore follows the store until ctx ends.
 func (d *Daemon) readStore(ctx context.Context) {
 	var health follow.StoreHealth
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -238,3 +239,31 @@
 	}
 	return before
 }
+
+// livePeers returns the other live VMs of this VM's failure domain and those of other domains, in an order by purpose
+// that differs from VM to VM, so that the VMs spread over their peers.
+func (c *vmList) livePeers(purpose string) (same, other []vmRecord) {
+	own := c.d.Settings
+	c.mu.Lock()
+	for _, r := range c.records {
+		switch {
+		case r.VM == own.VM || r.PeerAddr == "" || !c.d.news.SeenWithin(r.VM, aliveFor):
+		case r.FailureDomain == own.FailureDomain:
+			same = append(same, r)
+		default:
+			other = append(other, r)
+		}
+	}
+	c.mu.Unlock()
+	key := ids.Target(purpose + " of " + string(own.VM))
+	sortByWeight(same, key)
+	sortByWeight(other, key)
+	return same, other
+}
+
+// sortByWeight sorts VMs by rendezvous weight for a key, highest first.
+func sortByWeight(all []vmRecord, key ids.Target) {
+	slices.SortFunc(all, func(a, b vmRecord) int {
+		return cmp.Compare(routing.VMWeight(key, b.VM), routing.VMWeight(key, a.VM))
+	})
+}
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -206,6 +206,22 @@
 	}
 }
 
+// TestFailureBeforeContactIsNoLoss lets a dial fail once, and a peer reach the target after this VM had contact again.
+func TestFailureBeforeContactIsNoLoss(t *testing.T) {
+	targets := threeTargets(t)
+	vm := startNode(t, "vm", targets)
+	vm.setPeers()
+	vm.cut(t, cutlink.Refuses, "a")
+	if _, _, err := vm.via(t, "a"); err == nil {
+		t.Fatal("connected over a link that is cut")
+	}
+	vm.Heard("a") // over a connection from before
+	vm.reachedByPeer(vm.target("a"))
+	if vm.Lost("a") {
+		t.Error("a failure before the latest contact counts as a loss")
+	}
+}
+
 // TestEndedTargetIsToldApartFromCut checks what a refused connection shows: a target that has ended refuses the peer
 // too, one behind a lost link does not, and a VM without a link and without peers can't tell.
 func TestEndedTargetIsToldApartFromCut(t *testing.T) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -171,5 +171,5 @@
 	return s.notify
 }
 
-// Open tunnels that this VM serves.
+// OpenTunnels returns the number of tunnels that this VM serves now.
 func (s *Server) OpenTunnels() int64 { return s.open.Load() }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -405,3 +405,52 @@
 		t.Errorf("no tunnel after one was closed: %v", err)
 	}
 }
+
+// BenchmarkExchange measures one exchange of 800 bytes over an open tunnel, both VMs and the target in this process.
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	connect := func(ctx context.Context, _ ids.Target) (net.Conn, tunnelpb.Result) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
+		if err != nil {
+			return nil, tunnelpb.Result_NO_ANSWER
+		}
+		return c, tunnelpb.Result_CONNECTED
+	}
+	pl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := grpc.NewServer(ServerOptions()...)
+	tunnelpb.RegisterTunnelServer(server, &Server{Connect: connect, Max: 4})
+	go func() { _ = server.Serve(pl) }()
+	defer server.Stop()
+	c := &Client{MaxOpen: 4}
+	defer c.Close()
+	conn, err := c.Dial(context.Background(), Peer{VM: "peer", Addr: pl.Addr().String()}, "i-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	data := make([]byte, 800)
+	for b.Loop() {
+		if _, err := conn.Write(data); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(conn, data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
