Mirror: a VM looks for a peer that assists once a second, and keeps it while no upstream peer serves

While the store answered nobody, each VM asked up to three peers five times a second; and a VM with upstream peers that did not serve left the peer after each read, so that each read was a full copy. Found reading the change, not by a failure.

--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -146,6 +146,7 @@
 	wg.Go(func() { r.ReadStore(storeCtx) })
 	defer wg.Wait()
 	defer cancel()
+	var assisted time.Time // when this VM last looked for a peer that assists
 	for checked := clock.Now(); timing.Sleep(ctx, assistInterval); {
 		if clock.Since(checked) >= checkInterval {
 			checked = clock.Now()
@@ -153,8 +154,11 @@
 				return c, p
 			}
 		}
-		if r.storeLost() {
-			r.assist(ctx)
+		if r.storeLost() && clock.Since(assisted) >= checkInterval {
+			if c, p := r.assist(ctx); c != nil {
+				return c, p
+			}
+			assisted = clock.Now()
 		}
 	}
 	return nil, Peer{}
@@ -169,29 +173,37 @@
 // no others, so that no two VMs read from each other.
 func (r *Reader) Assisted() bool { return r.assisted.Load() }
 
-// assist reads from a peer until the store answers this VM again, the peer fails, or a peer that ranks before
-// this VM may serve again. This VM goes on calling the store meanwhile.
-func (r *Reader) assist(ctx context.Context) {
+// assist reads from a peer until the store answers this VM again or the peer fails, or until a peer that ranks before
+// this VM serves, which it returns. This VM goes on calling the store meanwhile.
+func (r *Reader) assist(ctx context.Context) (upstream *client, peer Peer) {
 	r.assisted.Store(true)
 	defer r.assisted.Store(false)
 	c, p := r.findWithin(ctx, r.AssistPeers(), r.AssistAfter)
 	if c == nil {
-		return
+		return nil, Peer{}
 	}
 	defer c.close()
 	r.setSource(string(p.VM), "the store does not answer this VM")
 	defer r.setSource(storeSource, "the store answers again, or the peer does not")
-	for began := clock.Now(); r.StoreAnswered().Before(began) && len(r.UpstreamPeers()) == 0; {
+	began := clock.Now()
+	for checked := began; r.StoreAnswered().Before(began); {
 		err := c.read(ctx, r.readWait())
 		if ctx.Err() != nil {
-			return
+			return nil, Peer{}
 		}
 		if err != nil {
 			r.avoidPeer(p, err)
-			return
+			return nil, Peer{}
 		}
 		r.avoid.succeeded(p.VM)
+		if clock.Since(checked) >= checkInterval {
+			checked = clock.Now()
+			if upstream, peer = r.find(ctx, r.UpstreamPeers()); upstream != nil {
+				return upstream, peer
+			}
+		}
 	}
+	return nil, Peer{}
 }
 
 // readWait returns the longest time that a read waits for a change.
