Links: a refused target is probed again before it counts as ended

Order of events: the VM's dial is refused, as its links are cut; no peer answers in time; the links come back; the VM has contact with another target, which Check took for proof that its links had worked when the dial was refused. TestLinksThatComeBackDuringCheckAreNoCrash plays that order and fails before.

--- a/internal/links/check.go
+++ b/internal/links/check.go
@@ -44,7 +44,24 @@
 		return Lost
 	case !isRefused(err):
 		return Unproven
-	case errors.Is(perr, errRefusedAtPeer) || t.heardSince(began) || t.reachesOther(ctx, tgt):
+	case errors.Is(perr, errRefusedAtPeer):
+		return Ended
+	case t.heardSince(began) || t.reachesOther(ctx, tgt):
+		return t.checkAgain(ctx, tgt)
+	default:
+		return Unproven
+	}
+}
+
+// checkAgain probes a target once more that has refused a connection, after this VM's links are known to work: they may
+// have come back in the meantime.
+func (t *Table) checkAgain(ctx context.Context, tgt Target) State {
+	c, err := t.probe(ctx, tgt)
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return Reachable
+	case isRefused(err):
 		return Ended
 	default:
 		return Unproven
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -255,6 +255,20 @@
 	}
 }
 
+// TestLinksThatComeBackDuringCheckAreNoCrash restores a VM's links between the check of a target, which was refused, and
+// the comparison with another one.
+func TestLinksThatComeBackDuringCheckAreNoCrash(t *testing.T) {
+	vm := startNode(t, "vm", threeTargets(t))
+	vm.cut(t, cutlink.Refuses)
+	vm.Targets = func() []Target {
+		vm.cut(t, cutlink.Up)
+		return vm.targets()
+	}
+	if got := vm.Check(t.Context(), vm.target("a")); got != Reachable {
+		t.Errorf("got state %v, want reachable", got)
+	}
+}
+
 // TestPeersThatCannotHelpArePassedOver asks peers that are cut off too, gone or of an older release, and one that can
 // help. A tunnel never leads through two VMs.
 func TestPeersThatCannotHelpArePassedOver(t *testing.T) {
