--- a/internal/links/connect.go
+++ b/internal/links/connect.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"syscall"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/sockets"
-	"github.com/threadwall/threadwall/internal/tunnel"
 )
 
 // Connect connects to a target. An error does not tell whether the target or the link failed; nothing has
@@ -170,29 +168,6 @@
 	return nil, err
 }
 
-// stays waits for probation and returns an error if the connection has ended by then.
-func stays(c net.Conn) error {
-	if through, ok := c.(*tunnel.Conn); ok {
-		time.Sleep(probation)
-		if !through.Alive() {
-			return tunnel.ErrBroken
-		}
-		return nil
-	}
-	_ = c.SetReadDeadline(time.Now().Add(probation))
-	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return errors.Join(err, errClosedEarly)
-	}
-	return nil
-}
-
-// probation is how long a probed connection must stay open.
-const probation = 30 * time.Millisecond
-
-// errClosedEarly is the error of a probed connection that the target has closed.
-var errClosedEarly = eris.New("the connection was closed or carried unexpected bytes before it was used")
-
 // isRefused reports whether a dial failed because the target's host, or something before it, refused it.
 func isRefused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
