Tests that fail: streams go on at another software version

Stand-ins: replicas name the version in each event, break off streams between events or inside one, stop sending, and answer with neither length nor chunks; callers send Resumes.

--- a/internal/lab/platformlab/caller.go
+++ b/internal/lab/platformlab/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -19,6 +20,10 @@
 	Model    string        // if set, the call carries a prompt for this model
 	Tokens   int           // of the prompt
 	Parts    []string      // prefix of the prompt, ID:TOKENS each
+	// Resumes is the id of the call that brought the first event of the stream that this call takes up after
+	// LastEvent. Empty: it begins a stream.
+	Resumes   string
+	LastEvent int
 }
 
 // maxOutputTokens is the output limit that a call with a prompt declares.
@@ -38,6 +43,10 @@
 	if c.Key != "" {
 		req.Header.Set("Api-Key", c.Key)
 	}
+	if c.Resumes != "" {
+		req.Header.Set("Resumes", c.Resumes)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
+	}
 	if c.Model != "" {
 		req.Header.Set("X-Model", c.Model)
 		req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", c.Tokens, maxOutputTokens))
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -1,7 +1,6 @@
 package platformlab
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -100,6 +99,12 @@
 	CrashOn *CrashRule
 	// Software is the software version that the replica reports; empty: v1.
 	Software string
+	// NameSoftware makes each event of a stream name the software version that wrote it.
+	NameSoftware bool
+	// Break, if set, breaks off some of the streams.
+	Break *BreakRule
+	// Bare makes responses come with neither a length nor chunks: they end with their connection.
+	Bare bool
 	// WarmUp is the remaining warm-up time that the replica reports each time it registers.
 	WarmUp time.Duration
 
@@ -197,7 +202,7 @@
 
 func (r *Replica) register() {
 	r.mu.Lock()
-	e := entry{Version: cmp.Or(r.Software, "v1"), Cold: r.WarmUp.Milliseconds(), Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state, Born: r.StartedMS}
+	e := entry{Version: r.software(), Cold: r.WarmUp.Milliseconds(), Service: r.Service, Address: r.published, Zone: r.Zone, Slots: slots, State: r.state, Born: r.StartedMS}
 	if r.Model != "" {
 		e.Models = []modelState{{r.Model, r.version}}
 	}
@@ -377,24 +382,12 @@
 	}
 	time.Sleep(r.ServiceTime)
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
+	if r.Bare {
+		w.Header().Set("Transfer-Encoding", "identity") // keeps net/http from sending chunks
+	}
 	if r.Chunks == 0 {
 		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("X-Request-Id"))
 		return
 	}
 	r.stream(w, req)
 }
-
-func (r *Replica) stream(w http.ResponseWriter, req *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	out := http.NewResponseController(w)
-	for n := after + 1; n <= r.Chunks; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, req.Header.Get("X-Request-Id")); err != nil {
-			return
-		}
-		if out.Flush() != nil {
-			return
-		}
-		time.Sleep(r.ChunkInterval)
-	}
-}
