--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,7 @@
 	Tokens    int64         // prompt tokens plus the maximum of response tokens; zero: not given
 	Prompt    *Prompt       // nil: no prompt described
 	LastEvent string        // resume the stream after this event; empty: from the start
+	Resumes   ids.Request   // call that brought the first event of the stream; empty: not given
 }
 
 // Prompt describes a prompt without its text.
