--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -142,7 +142,7 @@
 func (r *run) logDecision(snap *fleet.Snapshot, d *routing.Decision, sc *fleet.Scratch, c *choice) {
 	in := &sc.Inputs[d.Index]
 	r.f.Log.Request("decide", string(r.call.ID)).Str("service", r.service).Str("target", string(c.target.ID)).
-		Str("weights", string(c.target.Weights)).Str("software", string(c.target.Software)).Int("attempt", r.sends+1).Str("resumes", string(r.call.Resumes)).
+		Str("weights", string(c.target.Weights)).Str("software", string(c.target.Software)).Int("attempt", r.sends+1).Str("resumes", string(r.call.Resumes)).Str("after", r.stream.resumeFrom(&r.call)).
 		Float32("cost_s", d.Cost).Int32("cached", d.Cached).Int32("best_cached", d.BestCached).
 		Int64("predicted_ms", c.wait.Milliseconds()).Float32("rate", c.rate).Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
 		Int64("view_age_ms", snap.Age(clock.Now()).Milliseconds()).Int("eligible", sc.Routing.Filtered[routing.Passed]).
