Streams go on only at the software version at which they began

What callers saw: streams with events of two software versions of one service. Change: the call's origin is one field, asked in chooseOrigin and softwareChoices by every way that sends a begun stream again. Package streams records, before the first event is passed on, at which version a stream began, with three holders chosen by rendezvous hashing over failure domains; a VM that is asked to take a stream up asks them. Without a record the call is refused as not run, unless the service has had one version only. Versions that take no new streams admit those that began there (Gate.Continue).

--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -271,6 +271,20 @@
 	return &Admission{gate: g, service: service, version: version, order: r.Order, canary: r.Canary != "" && version == r.Canary}, true
 }
 
+// Continue admits a call whose stream began at a version, also if the version gets no new calls. The caller must
+// call Release on the admission. On a nil Gate it returns nil.
+func (g *Gate) Continue(service string, version ids.SoftwareVersion) *Admission {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.service(service)
+	s.calls[version]++
+	r := &s.record
+	return &Admission{gate: g, service: service, version: version, order: r.Order, canary: r.Canary != "" && version == r.Canary}
+}
+
 // Release records that the call has left its target. Only the first Release has an effect.
 func (a *Admission) Release() {
 	if a == nil || a.released {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -80,6 +80,7 @@
 		"lease":         d.keepLease,
 		"orders":        d.sendOrders,
 		"links":         d.links.Run,
+		"streams":       d.streams.Run,
 		"canaries":      d.runCanaries,
 		"tell-canaries": d.sendCanaryReports,
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,7 @@
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/settings"
 	"github.com/threadwall/threadwall/internal/sockets"
+	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/traffic"
 	"github.com/threadwall/threadwall/internal/tunnel"
@@ -127,6 +128,7 @@
 	budgets    *retry.ServiceBudgets
 	crashes    *quarantine.Ledger
 	allowances *allowance.Limiter
+	streams    *streams.Directory
 	// canaries is nil if the settings disable canary releases.
 	canaries *canary.Controller
 	news     *news.Exchange
@@ -256,6 +258,7 @@
 		VM: s.VM, Domain: s.FailureDomain, Catalog: d.Catalog, Fleet: d.Fleet, Upstream: client,
 		Dialect: d.adapter.Dialect, Budgets: d.budgets, KV: planner, Weights: d.Weights, Log: d.Log,
 		AddRendezvousTargets: d.Replicas.AddRendezvousTargets,
+		Versions:             d.Replicas,
 		ObserveWeights:       func(id ids.Target, w ids.WeightsVersion) { d.Replicas.SetWeights(id, w, "answer") },
 		Tuning: forward.Tuning{
 			MaxBodyMemory:     int64(float64(edge.MemoryMB<<20) * bodyShare),
@@ -271,6 +274,8 @@
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
 	}}
+	d.streams = &streams.Directory{VM: s.VM, Candidates: d.vms.streamCandidates, Send: d.sendStreams, Now: clock.Now}
+	d.Forward.Streams = d.streams
 	d.allowances = allowance.New(s.VM, nil)
 	d.Forward.Allowances = d.allowances
 	d.Forward.KeyTTL.Store(maxProofAge(edge.KeyTTL.D()))
@@ -298,7 +303,7 @@
 			d.Fleet.Members.SetLostByPeer(peer, unresponsive, clock.Now())
 		},
 		OnStoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
-		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Allowances: d.allowances,
+		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Allowances: d.allowances, Streams: d.streams,
 		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
--- a/internal/follow/subset.go
+++ b/internal/follow/subset.go
@@ -46,8 +46,9 @@
 	byShortHash map[uint32]ids.Target // by the low 32 bits of the hash
 	services    map[string]*serviceReplicas
 	deployed    map[platform.Deployed]int
-	list        []platform.Record        // cached result of Records; nil: out of date
-	rendezvous  map[ids.Target]time.Time // last use of rendezvous targets beyond the subset
+	software    map[string]*softwareVersions // by service
+	list        []platform.Record            // cached result of Records; nil: out of date
+	rendezvous  map[ids.Target]time.Time     // last use of rendezvous targets beyond the subset
 	pinned      map[ids.Target]bool
 	// active are the replicas that this VM works with; published are the usable records of them.
 	active    map[ids.Target]bool
@@ -74,12 +75,14 @@
 		delete(d.byKey, old.Key())
 		delete(d.byShortHash, uint32(old.hash))
 		d.addDeployed(old.Model, old.Weights, -1)
+		d.addSoftware(old.Service, old.Software, -1)
 		d.service(old.Service).stale = d.service(old.Service).stale || moved
 	}
 	if rec != nil {
 		d.byKey[rec.Key()] = id
 		d.byShortHash[uint32(rec.hash)] = id
 		d.addDeployed(rec.Model, rec.Weights, 1)
+		d.addSoftware(rec.Service, rec.Software, 1)
 		d.service(rec.Service).stale = d.service(rec.Service).stale || moved
 	}
 }
@@ -231,18 +234,7 @@
 	if len(from) == 0 {
 		from = m.remote
 	}
-	now, changed := clock.Now(), false
-	for _, rec := range r.topRendezvous(from, key, n) {
-		id := ids.Target(rec.ID)
-		changed = changed || !r.isActive(id, rec)
-		if !rec.inSubset {
-			r.directory.rendezvous[id] = now
-		}
-	}
-	if changed {
-		r.expireRendezvous(now)
-		r.publish()
-	}
+	r.activate(r.topRendezvous(from, key, n))
 }
 
 // topRendezvous returns the n usable replicas with the highest rendezvous weight for a key.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,8 @@
 //     stream that breaks ends with a cut connection, so it never looks complete.
 //   - Events of a stream are delivered in order, each complete and once, also when
 //     another replica resumes the stream after the last one.
+//   - A stream goes on only at the software version at which it began, at any VM and over
+//     all calls by which its caller takes it up.
 //   - A call with an API key is sent only if this VM has proof, not older than KeyTTL, that
 //     its catalog was the newest one. This holds across suspensions of the VM.
 //   - Workspaces keep to their allowances summed over all VMs (package allowance).
@@ -41,6 +43,7 @@
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
+	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
 
@@ -139,6 +142,11 @@
 	AddRendezvousTargets func(service string, key uint64, n int)
 	// Software selects the versions of a service's software that calls may go to. Nil: all.
 	Software *canary.Gate
+	// Streams knows where streams began on all VMs. Nil: calls that take up a stream are served only if Versions shows that
+	// its version can't be another.
+	Streams *streams.Directory
+	// Versions knows the software versions of replicas. Nil: calls that take up a stream may go to any version.
+	Versions Versions
 	// ObserveWeights records the weights that a replica reports in a response.
 	ObserveWeights func(id ids.Target, w ids.WeightsVersion)
 	Tuning         Tuning
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,7 @@
 	status     int    // of the response that was passed on
 	via        ids.VM // the peer through which the last response came; empty: this VM's own link
 	stream     streamState
+	origin     origin
 	progress   progress
 	proofAge   time.Duration // age of the catalog's proof when the call was authorized
 	guard      quarantine.Call
--- /dev/null
+++ b/internal/forward/origin.go
@@ -0,0 +1,136 @@
+package forward
+
+import (
+	"context"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/canary"
+	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/streams"
+)
+
+// A stream may go on only at the software version at which it began, since what two versions write does not fit
+// together. Every way by which a begun stream is sent to a replica asks for its origin in softwareChoices or
+// chooseOrigin: a resume within a response, a call by which a caller takes a stream up, and the move of a stalled
+// or withdrawn call. The origin of a stream that another VM may have begun comes from package streams.
+
+// Versions knows the software versions that replicas run. Safe for concurrent use.
+type Versions interface {
+	// SoleSoftware returns the version of a service's replicas if this VM has seen no other one, and for how
+	// long it has seen it.
+	SoleSoftware(service string) (v ids.SoftwareVersion, seen time.Duration, ok bool)
+	// FindSoftware returns the service, among those given, and the version with an identifier, if replicas run it,
+	// and makes some of these replicas known to decisions. key spreads this over the replicas.
+	FindSoftware(services []string, id streams.Version, key uint64) (service string, v ids.SoftwareVersion, ok bool)
+	// ActivateSoftware makes some replicas of a version known to decisions.
+	ActivateSoftware(service string, v ids.SoftwareVersion, key uint64)
+}
+
+// origin is the software version at which a call's stream began.
+type origin struct {
+	key      streams.Key
+	known    bool // the stream has begun, or the call takes one up
+	software ids.SoftwareVersion
+}
+
+// number returns a number derived from the key, for rendezvous hashing.
+func (o *origin) number() uint64 { return binary.BigEndian.Uint64(o.key[:]) }
+
+// stepOrigin is the step of refusals of calls that take up a stream.
+const stepOrigin = "origin"
+
+// findOrigin finds out at which software version the stream began that the call takes up, if it takes one up. It
+// refuses the call if that is not known or has no replica: the caller may ask again, or at another VM.
+func (r *run) findOrigin(ctx context.Context) *outcome.Error {
+	if r.route.Kind != streamKind {
+		return nil
+	}
+	r.origin.key = r.streamKey()
+	if r.call.Resumes == "" && r.call.LastEvent == "" || r.f.Versions == nil {
+		return nil
+	}
+	v, result := streams.Version(0), streams.NotFound
+	if r.call.Resumes != "" && r.f.Streams != nil {
+		v, result = r.f.Streams.Lookup(ctx, r.origin.key)
+	}
+	if result == streams.Found {
+		return r.takeUpAt(v)
+	}
+	software, seen, sole := r.f.Versions.SoleSoftware(r.service)
+	if !sole || result != streams.NotFound || r.call.Resumes != "" && seen < streams.RecordTTL {
+		r.logOrigin(result, "")
+		return r.refuseOrigin("the software version at which the stream began is not known")
+	}
+	r.origin.known, r.origin.software = true, software
+	return nil
+}
+
+// streamKey returns the key of the call's stream.
+func (r *run) streamKey() streams.Key {
+	first := r.call.Resumes
+	if first == "" {
+		first = r.call.ID
+	}
+	workspace := ids.Workspace("")
+	if r.workspace != nil {
+		workspace = r.workspace.Name
+	}
+	return streams.KeyOf(workspace, strings.ToLower(r.req.Host), first)
+}
+
+// takeUpAt makes the call go on at a version.
+func (r *run) takeUpAt(v streams.Version) *outcome.Error {
+	services := make([]string, 0, len(r.route.Split))
+	for i := range r.route.Split {
+		services = append(services, r.route.Split[i].Service)
+	}
+	service, software, ok := r.f.Versions.FindSoftware(services, v, r.origin.number())
+	if !ok {
+		r.logOrigin(streams.Found, "")
+		return r.refuseOrigin("no replica runs the software version at which the stream began")
+	}
+	r.service, r.origin.known, r.origin.software = service, true, software
+	r.logOrigin(streams.Found, software)
+	return nil
+}
+
+func (r *run) refuseOrigin(message string) *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.CodeNoTarget, stepOrigin, "", message).After(noTargetRetryAfter)
+}
+
+func (r *run) logOrigin(result streams.Result, software ids.SoftwareVersion) {
+	r.f.Log.Request("origin", string(r.call.ID)).Str("resumes", string(r.call.Resumes)).Str("result", result.String()).
+		Str("service", r.service).Str("software", string(software)).Send()
+}
+
+// beginStream records where the stream begins, or goes on, before its first event is passed on.
+func (t *attempt) beginStream() {
+	r := t.r
+	r.origin.known, r.origin.software = true, t.c.target.Software
+	if r.f.Streams != nil && r.route.Resumable {
+		r.f.Streams.Begin(r.origin.key, streams.VersionOf(t.c.target.Service, t.c.target.Software))
+	}
+}
+
+// chooseOrigin picks a target of the version at which the stream began. That version may have been taken out of service
+// for new streams. If each of its targets has been tried, a tried one may serve again.
+func (r *run) chooseOrigin(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
+	f := r.f
+	if f.Versions != nil {
+		f.Versions.ActivateSoftware(r.service, r.origin.software, r.origin.number())
+	}
+	req.Software = &routing.SoftwareChoice{Version: r.origin.software}
+	snap, d := f.Fleet.Decide(req, r.tried, sc)
+	if d.Index < 0 {
+		snap, d = f.Fleet.Decide(req, nil, sc)
+	}
+	if d.Index < 0 {
+		return snap, d, nil
+	}
+	return snap, d, f.Software.Continue(r.service, r.origin.software)
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -31,6 +31,10 @@
 
 // serve runs attempts until the call is answered.
 func (r *run) serve(ctx context.Context) {
+	if refusal := r.findOrigin(ctx); refusal != nil {
+		r.refuse(refusal)
+		return
+	}
 	r.startGuard()
 	r.f.Budgets.Of(r.service).Deposit()
 	for {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -75,6 +75,7 @@
 func (t *attempt) writeEvent(a *upstream.Response, ev *relay.RawEvent) error {
 	r := t.r
 	if !r.begun {
+		t.beginStream()
 		r.writeHead(a, unknownLength)
 	}
 	r.f.Stats.Events.Add(1)
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -34,6 +34,7 @@
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/ratelimit"
+	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/timing"
 	"github.com/threadwall/threadwall/internal/traffic"
 )
@@ -74,6 +75,8 @@
 	Limits []ratelimit.Report
 	// Canaries are the counts of this VM for versions that are being rolled out.
 	Canaries []canary.Report
+	// Streams concerns the directory of where streams began. Such a message carries nothing else.
+	Streams *streams.Message
 	// Report and Total carry the state of several VMs in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -185,6 +188,8 @@
 	// OnCanaryReports is called with the canary counts of a VM. Nil: the exchange ignores those that
 	// it receives.
 	OnCanaryReports func(vm ids.VM, incarnation int64, r []canary.Report)
+	// Streams is the directory of where streams began. Nil: the exchange ignores messages about it.
+	Streams *streams.Directory
 	// Meter counts the bytes sent. Nil: they are not counted.
 	Meter *traffic.Meter
 
@@ -329,6 +334,11 @@
 	x.Received.Add(1)
 	if x.recordContact(m.VM, m.Incarnation, clock.Now()) {
 		x.Crashes.ResendAll()
+		x.Streams.PeerStarted(m.VM)
+	}
+	if m.Streams != nil {
+		x.Streams.Receive(m.VM, m.Streams)
+		return
 	}
 	if len(m.Crashes) > 0 && x.Crashes != nil {
 		x.Crashes.Receive(m.VM, m.Crashes, x.usesTree())
@@ -480,6 +490,13 @@
 	}
 }
 
+// SendStreams sends a message about where streams began to one VM, if it is listed.
+func (x *Exchange) SendStreams(to ids.VM, m streams.Message) {
+	if p, ok := x.tree.peer(to); ok && p.Addr != "" {
+		x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Streams: &m}, []Peer{p})
+	}
+}
+
 // SendStoreDown reports to all peers that the KV cache store at addr does not answer.
 func (x *Exchange) SendStoreDown(addr string) {
 	if x.usesTree() {
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -13,6 +13,7 @@
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/streams"
 )
 
 // A datagram is CBOR with numbered fields. Except in orders, targets are identified by 32 bits of
@@ -45,6 +46,8 @@
 	Limits  []wireLimit         `cbor:"16,keyasint,omitempty"`
 
 	Canaries []canary.Report `cbor:"17,keyasint,omitempty"`
+
+	Streams *streams.Message `cbor:"18,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -76,7 +79,7 @@
 	w := wireMessage{
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
-		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries,
+		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams,
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, NotResumable: l.NotResumable})
@@ -100,7 +103,7 @@
 	}
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
-		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries,
+		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams,
 	}
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
--- /dev/null
+++ b/internal/streams/streams.go
@@ -0,0 +1,248 @@
+// Package streams records at which software version each stream began, so that any VM can tell where a
+// stream that a caller takes up may go on.
+//
+// # Protocol
+//
+// The VM that passes on the first event of a stream first sends a record of it to a few holders: VMs
+// that the stream's key selects by rendezvous hashing, in several failure domains. A VM that is asked to go on with
+// a stream asks the VMs that may be holders, unless it has the record itself. So a record outlives the VM at
+// which the stream began, its failure domain and the store. Holders acknowledge records; a record that too few have
+// acknowledged is sent again, to further VMs as well, until it expires.
+//
+// # Invariants
+//
+//   - A record never changes. Two records of one key that differ void each other: Lookup then finds a conflict.
+//   - Nothing is derived from the absence of a record.
+//
+// # Cost
+//
+// A VM keeps records for RecordTTL: those of its own streams and, as a holder, copies times its share of the
+// fleet's, at most maxRecords. A begin costs copies datagrams of about 80 bytes and as many acknowledgements.
+package streams
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// Key identifies a stream. It is a cryptographic hash, so that no caller can forge the key of
+// another one's stream.
+type Key [16]byte
+
+// KeyOf returns the key of the stream whose first event the call with the given id brought. workspace is
+// empty on public routes.
+func KeyOf(workspace ids.Workspace, host string, first ids.Request) Key {
+	h := sha256.New()
+	for _, field := range []string{string(workspace), host, string(first)} {
+		var length [8]byte // separates the fields
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		h.Write([]byte(field))
+	}
+	return Key(h.Sum(nil)[:len(Key{})])
+}
+
+// Version identifies a software version of a service by a hash, which is equal on all VMs.
+type Version uint64
+
+// VersionOf returns the identifier of a software version of a service.
+func VersionOf(service string, v ids.SoftwareVersion) Version {
+	return Version(xxh3.HashStringSeed(string(v), xxh3.HashString(service)))
+}
+
+// Record says at which version a stream began.
+type Record struct {
+	_       struct{} `cbor:",toarray"`
+	Key     Key
+	Version Version
+	AgeMs   int64 // since the stream began or was last taken up
+}
+
+// Message is what VMs send each other.
+type Message struct {
+	_       struct{} `cbor:",toarray"`
+	Records []Record // to be kept
+	Acks    []Key    // records that the sender keeps
+	Asked   []Key    // the sender wants the records of these keys
+	// Found and Missing answer Asked. A key with records that differ is in Conflicts.
+	Found              []Record
+	Missing, Conflicts []Key
+}
+
+const (
+	// RecordTTL is how long a record is kept: the longest call, and the time in which a caller may
+	// take its stream up after that.
+	RecordTTL = 90 * time.Second
+	// copies is the number of holders of a record beside the VM that made it.
+	copies = 3
+	// maxRecords bounds the records of one VM, of about 100 bytes each. Beyond, the oldest are dropped.
+	maxRecords = 16 << 10
+)
+
+// Directory is one VM's part of the directory. Set the exported fields before the first call. Safe
+// for concurrent use.
+type Directory struct {
+	VM ids.VM
+	// Candidates returns the listed VMs, without this one, that may hold the record of a key, in the order in which
+	// they are chosen. VMs with the same list agree on the order, but for VMs of their own failure domain, which
+	// come earlier.
+	Candidates func(k Key) []Candidate
+	// Send sends a message to a VM. It must not block and may lose the message.
+	Send func(to ids.VM, m Message)
+	// Now returns the current time.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	records map[Key]*entry
+	queue   []queued          // of records, the oldest first; may hold outdated elements
+	unacked map[Key]*transfer // records that too few holders have acknowledged
+	acks    map[ids.VM][]Key  // not yet sent
+	lookups map[Key][]*lookup // in progress
+	started map[ids.VM]bool   // VMs that have started, and lack the records that they should hold
+	wake    chan struct{}     // has a value if Run has something to do
+
+	// Begun counts the records that this VM made, Kept those that it received, Repeated the records that it sent again, and
+	// Dropped those that it dropped before they expired.
+	Begun, Kept, Repeated, Dropped atomic.Int64
+	// Lookups counts the streams that were looked up, and NotFound those of them without a record or with records that
+	// differ.
+	Lookups, NotFound atomic.Int64
+}
+
+// Candidate is a VM that may hold a record.
+type Candidate struct {
+	VM    ids.VM
+	Alive bool // it has sent messages lately
+}
+
+// entry is a record on this VM.
+type entry struct {
+	version     Version
+	conflicting bool      // VMs sent records with different versions
+	at          time.Time // when the stream began or was last taken up
+}
+
+// queued is the time of a record at which it was put into the queue.
+type queued struct {
+	key Key
+	at  time.Time
+}
+
+// Begin records that a stream begins at a version, or goes on there, and sends the record to its holders. Call it before the
+// stream's first event is passed on.
+func (d *Directory) Begin(k Key, v Version) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Begun.Add(1)
+	now := d.Now()
+	d.put(k, v, now)
+	d.startTransfer(k, now)
+}
+
+// put stores a record. The caller holds d.mu.
+func (d *Directory) put(k Key, v Version, at time.Time) {
+	if d.records == nil {
+		d.records = map[Key]*entry{}
+	}
+	e := d.records[k]
+	if e == nil {
+		e = &entry{version: v}
+		d.records[k] = e
+	}
+	e.conflicting = e.conflicting || e.version != v
+	if at.After(e.at) {
+		e.at = at
+		d.queue = append(d.queue, queued{k, at})
+	}
+	d.expire()
+}
+
+// expire drops expired records, and the oldest beyond maxRecords. The caller holds d.mu.
+func (d *Directory) expire() {
+	expired := d.Now().Add(-RecordTTL)
+	for len(d.queue) > 0 {
+		first := d.queue[0]
+		e := d.records[first.key]
+		current := e != nil && e.at.Equal(first.at)
+		switch {
+		case !current:
+		case !first.at.After(expired):
+			delete(d.records, first.key)
+		case len(d.records) > maxRecords:
+			delete(d.records, first.key)
+			d.Dropped.Add(1)
+		default:
+			return
+		}
+		d.queue = d.queue[1:]
+	}
+}
+
+// Len returns the number of records that this VM has.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.records)
+}
+
+// Receive handles a message of a peer. On a nil Directory it does nothing.
+func (d *Directory) Receive(from ids.VM, m *Message) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	for i := range m.Records {
+		d.keep(from, &m.Records[i], now)
+	}
+	for _, k := range m.Acks {
+		d.acknowledged(from, k)
+	}
+	d.answer(from, m.Asked, now)
+	d.answered(from, m)
+}
+
+// keep stores a record that a peer sent. The caller holds d.mu.
+func (d *Directory) keep(from ids.VM, r *Record, now time.Time) {
+	if r.AgeMs < 0 || r.AgeMs >= RecordTTL.Milliseconds() {
+		return
+	}
+	d.Kept.Add(1)
+	d.put(r.Key, r.Version, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
+	if d.acks == nil {
+		d.acks = map[ids.VM][]Key{}
+	}
+	d.acks[from] = append(d.acks[from], r.Key)
+	d.wakeUp()
+}
+
+// answer answers the questions of a peer at once. The caller holds d.mu.
+func (d *Directory) answer(to ids.VM, asked []Key, now time.Time) {
+	if len(asked) == 0 {
+		return
+	}
+	var m Message
+	for _, k := range asked {
+		switch e := d.records[k]; {
+		case e == nil:
+			m.Missing = append(m.Missing, k)
+		case e.conflicting:
+			m.Conflicts = append(m.Conflicts, k)
+		default:
+			m.Found = append(m.Found, e.record(k, now))
+		}
+	}
+	d.Send(to, m)
+}
+
+func (e *entry) record(k Key, now time.Time) Record {
+	return Record{Key: k, Version: e.version, AgeMs: max(now.Sub(e.at).Milliseconds(), 0)}
+}
--- /dev/null
+++ b/internal/streams/transfer.go
@@ -0,0 +1,244 @@
+package streams
+
+import (
+	"context"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/timing"
+)
+
+const (
+	// firstRepeat is the time until a record is sent again to the holders that have not acknowledged it. The time doubles
+	// with each repeat, up to maxRepeat.
+	firstRepeat = 150 * time.Millisecond
+	maxRepeat   = 5 * time.Second
+	// ackDelay is how long acknowledgements are collected.
+	ackDelay = 30 * time.Millisecond
+	// maxPerMessage bounds the records of one message, so that it fits in one packet.
+	maxPerMessage = 40
+)
+
+// transfer is a record that too few holders have acknowledged.
+type transfer struct {
+	acked map[ids.VM]bool
+	sends int
+	due   time.Time // of the next repeat
+}
+
+// startTransfer sends a record to its holders. The caller holds d.mu.
+func (d *Directory) startTransfer(k Key, now time.Time) {
+	t := &transfer{acked: map[ids.VM]bool{}}
+	if d.unacked == nil {
+		d.unacked = map[Key]*transfer{}
+	}
+	d.unacked[k] = t
+	r := d.records[k].record(k, now)
+	for _, vm := range t.receivers(d.Candidates(k)) {
+		d.Send(vm, Message{Records: []Record{r}})
+	}
+	t.sent(now)
+	d.wakeUp()
+}
+
+// sent records one send and sets the time of the next one.
+func (t *transfer) sent(now time.Time) {
+	t.due = now.Add(min(firstRepeat<<min(t.sends, 10), maxRepeat))
+	t.sends++
+}
+
+// receivers returns the VMs to which the record is sent now: the first candidates, and one more with each repeat, without
+// those that have it.
+func (t *transfer) receivers(all []Candidate) []ids.VM {
+	var out []ids.VM
+	left := copies + t.sends
+	for _, c := range preferAlive(all) {
+		if left--; left < 0 {
+			break
+		}
+		if !t.acked[c.VM] {
+			out = append(out, c.VM)
+		}
+	}
+	return out
+}
+
+// preferAlive returns the live candidates, or all if none is known to be alive.
+func preferAlive(all []Candidate) []Candidate {
+	var alive []Candidate
+	for _, c := range all {
+		if c.Alive {
+			alive = append(alive, c)
+		}
+	}
+	if len(alive) == 0 {
+		return all
+	}
+	return alive
+}
+
+// acknowledged records that a peer has a record. The caller holds d.mu.
+func (d *Directory) acknowledged(from ids.VM, k Key) {
+	t := d.unacked[k]
+	if t == nil {
+		return
+	}
+	t.acked[from] = true
+	if len(t.acked) >= copies {
+		delete(d.unacked, k)
+	}
+}
+
+// Run sends acknowledgements, and records again, until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	wake := d.wakeChannel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		}
+		if !timing.Sleep(ctx, ackDelay) {
+			return
+		}
+		d.Round()
+		d.restoreRecords()
+	}
+}
+
+// wakeChannel returns the channel that has a value if Run has something to do.
+func (d *Directory) wakeChannel() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wake == nil {
+		d.wake = make(chan struct{}, 1)
+	}
+	return d.wake
+}
+
+// wakeUp makes Run start a round. The caller holds d.mu.
+func (d *Directory) wakeUp() {
+	if d.wake == nil {
+		d.wake = make(chan struct{}, 1)
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default: // a wake-up is pending
+	}
+}
+
+// Round sends the collected acknowledgements, and the records that are due again.
+func (d *Directory) Round() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	d.expire()
+	out := map[ids.VM]*Message{}
+	to := func(vm ids.VM) *Message {
+		if out[vm] == nil {
+			out[vm] = &Message{}
+		}
+		return out[vm]
+	}
+	for vm, keys := range d.acks {
+		to(vm).Acks = keys
+	}
+	d.acks = nil
+	d.addRepeats(to, now)
+	for vm, m := range out {
+		d.send(vm, m)
+	}
+	if len(d.unacked) > 0 {
+		d.wakeUp()
+	}
+}
+
+// addRepeats adds the records that are due again to the messages. A record with no further VM to send it to is given
+// up. The caller holds d.mu.
+func (d *Directory) addRepeats(to func(ids.VM) *Message, now time.Time) {
+	for k, t := range d.unacked {
+		if now.Before(t.due) {
+			continue
+		}
+		e := d.records[k]
+		receivers := t.receivers(d.Candidates(k))
+		if e == nil || len(receivers) == 0 {
+			delete(d.unacked, k)
+			continue
+		}
+		for _, vm := range receivers {
+			m := to(vm)
+			m.Records = append(m.Records, e.record(k, now))
+			d.Repeated.Add(1)
+		}
+		t.sent(now)
+	}
+}
+
+// send sends a message in as many parts as needed.
+func (d *Directory) send(vm ids.VM, m *Message) {
+	for len(m.Records) > 0 || len(m.Acks) > 0 {
+		records, acks := min(len(m.Records), maxPerMessage), min(len(m.Acks), maxPerMessage)
+		d.Send(vm, Message{Records: m.Records[:records], Acks: m.Acks[:acks]})
+		m.Records, m.Acks = m.Records[records:], m.Acks[acks:]
+	}
+}
+
+// PeerStarted makes Run send a VM that has just started the records that it should hold. On a nil
+// Directory it does nothing.
+func (d *Directory) PeerStarted(vm ids.VM) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.started == nil {
+		d.started = map[ids.VM]bool{}
+	}
+	d.started[vm] = true
+	d.wakeUp()
+}
+
+// restoreRecords sends records to the VMs that have just started. Of the VMs that have a record, the first live one
+// in the order of rankOf sends it.
+func (d *Directory) restoreRecords() {
+	d.mu.Lock()
+	started, now := d.started, d.Now()
+	d.started = nil
+	var records []Record
+	for k, e := range d.records {
+		if len(started) > 0 && !e.conflicting {
+			records = append(records, e.record(k, now))
+		}
+	}
+	d.mu.Unlock()
+	for vm := range started {
+		m := Message{}
+		for _, r := range records {
+			if restores(d.Candidates(r.Key), vm, d.VM) {
+				m.Records = append(m.Records, r)
+			}
+		}
+		d.send(vm, &m)
+	}
+}
+
+// restores reports whether this VM sends a record again to a holder that has started: vm is one of the first
+// copies candidates, and self ranks before the other live ones. all lacks self.
+func restores(all []Candidate, vm, self ids.VM) bool {
+	for i, c := range all {
+		switch {
+		case i > copies:
+			return false
+		case c.VM == vm:
+			return true
+		case c.Alive && rankOf(c.VM) > rankOf(self):
+			return false
+		}
+	}
+	return false
+}
+
+// rankOf orders the VMs that may send a record again.
+func rankOf(vm ids.VM) uint64 { return routing.HashTarget(ids.Target(vm)) }
