--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,8 +8,8 @@
 //   - if nothing was delivered, the dispatcher tries another target;
 //   - otherwise it asks the same incarnation of the same target to resume after the
 //     last delivered event;
-//   - if the target can't resume, and the template allows it, another target
-//     continues from the delivered text;
+//   - if the target can't resume, and the template allows it, another target of the
+//     same software version continues from the delivered text;
 //   - otherwise the stream ends with an error event, never as if complete.
 package dispatch
 
@@ -80,8 +80,9 @@
 	sink           Sink
 	tried          []ids.Target
 	attempts       int
-	started        bool // the sink has received a part of the response
-	mayHaveRun     bool // an attempt had an outcome other than not-run
+	started        bool                // the sink has received a part of the response
+	software       ids.SoftwareVersion // of the current attempt's target; a response that has started goes on there only
+	mayHaveRun     bool                // an attempt had an outcome other than not-run
 	guard          quarantine.Call
 	closedByTarget bool // the target of the current attempt closed the connection
 	text           deliveredText
@@ -165,6 +166,7 @@
 	}
 	r.attempts++
 	r.tried = append(r.tried, choice.target.ID)
+	r.software = choice.target.Software
 	call := &engine.Call{
 		Attempt: ids.NewAttempt(), Target: choice.target.ID, Addr: choice.target.Addr,
 		Path: r.p.Path, Body: r.p.targetBody(r.text.String()),
@@ -213,6 +215,9 @@
 		Model: r.p.Model, FailureDomain: r.d.Domain, Levels: r.p.Levels, Tokens: r.p.Tokens,
 		RecomputeWeight: float32(*r.p.Template.RecomputeWeight), Seed: r.d.Fleet.Seed(),
 	}
+	if r.started {
+		req.Software = &routing.SoftwareChoice{Version: r.software}
+	}
 	snap, dec := r.d.Fleet.Decide(&req, r.tried, sc)
 	rec := routing.NewRecord(r.d.Fleet.PolicyName(), &req, &snap.View, sc.Inputs, &sc.Routing, dec)
 	r.d.Events.Record(timeline.Event{Kind: timeline.KindDecision, Request: r.p.Request, Peer: string(rec.Chosen)}, rec)
