--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -337,3 +337,35 @@
 		}
 	}
 }
+
+// TestStreamsGoOnAtVersionsOutOfService checks that a call whose stream began at a version is admitted there after
+// the version was rolled back or another one is promoted, and that it counts as a call in progress there.
+func TestStreamsGoOnAtVersionsOutOfService(t *testing.T) {
+	for name, r := range map[string]Record{
+		"rolled back": {Service: "s", Stable: "v2", Barred: []ids.SoftwareVersion{"v1"}},
+		"promoting":   {Service: "s", Stable: "v1", Canary: "v2", Stage: Promoting, Share: 1, Part: 1, Order: OrderID{1, "v2"}, By: "holder"},
+	} {
+		g := newGate()
+		g.Apply(r, 5)
+		if _, ok := g.Admit("s", "v1"); ok {
+			t.Errorf("%s: a new call was admitted", name)
+		}
+		pass := g.Continue("s", "v1")
+		if pass == nil {
+			t.Fatalf("%s: a stream may not go on", name)
+		}
+		left := func() int {
+			if reports := g.Reports(true)["holder"]; len(reports) > 0 {
+				return reports[0].OtherCalls
+			}
+			return 0
+		}
+		if name == "promoting" && left() != 1 {
+			t.Errorf("%s: %d calls in progress at the version, want 1", name, left())
+		}
+		pass.Release()
+		if left() != 0 {
+			t.Errorf("%s: %d calls in progress at the version after the release", name, left())
+		}
+	}
+}
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -85,6 +85,7 @@
 	StoreCalls    *objectapi.CountingStore  `json:"store_calls"` // by method and kind
 	News          NewsMetrics               `json:"news"`
 	Links         LinkMetrics               `json:"links"`
+	Streams       StreamMetrics             `json:"streams"`
 	HeapBytes     int64                     `json:"heap_bytes"`
 	Goroutines    int                       `json:"goroutines"`
 }
@@ -167,7 +168,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -274,7 +274,8 @@
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
 	}}
-	d.streams = &streams.Directory{VM: s.VM, Candidates: d.vms.streamCandidates, Send: d.sendStreams, Now: clock.Now}
+	d.streams = &streams.Directory{VM: s.VM, FailureDomain: s.FailureDomain, Peers: d.vms.streamPeers, Sole: d.Replicas.SoleVersion, Send: d.sendStreams, Now: clock.Now}
+	d.Replicas.OnNewSoftware = d.streams.VersionsChanged
 	d.Forward.Streams = d.streams
 	d.allowances = allowance.New(s.VM, nil)
 	d.Forward.Allowances = d.allowances
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -36,6 +36,8 @@
 	// OnGone is called for each replica that is gone or has restarted, with the lock held: it must
 	// not call methods of Replicas.
 	OnGone func(id ids.Target)
+	// OnNewSoftware is called, with the lock held, when a service has a further version of its software.
+	OnNewSoftware func()
 	// Configured reports whether the configuration names a service. Replicas of other services
 	// are not published. If nil, all are. It is called with the lock held.
 	Configured func(service string) bool
@@ -292,6 +294,10 @@
 // publish passes the active replicas to the fleet. The caller holds the lock.
 func (r *Replicas) publish() {
 	now := clock.Now()
+	if r.directory.newSoftware && r.OnNewSoftware != nil {
+		r.OnNewSoftware()
+	}
+	r.directory.newSoftware = false
 	r.updateSubsets()
 	var out []platform.Record
 	before := r.directory.active
--- a/internal/follow/software.go
+++ b/internal/follow/software.go
@@ -12,6 +12,7 @@
 // softwareVersions are the versions of one service's software that replicas have, or had within
 // streams.RecordTTL. It grows with the versions of that time.
 type softwareVersions struct {
+	hash     uint64    // streams.ServiceHash of the service
 	since    time.Time // the first replica of the service was listed
 	versions map[ids.SoftwareVersion]*softwareVersion
 }
@@ -22,14 +23,15 @@
 	goneAt   time.Time // zero: there are replicas
 }
 
-// addSoftware adds n to the number of replicas of a service that run a software version.
-func (d *directory) addSoftware(service string, v ids.SoftwareVersion, n int) {
+// addSoftware adds n to the number of replicas of a service that run a software version. It reports whether the
+// service has a further version now.
+func (d *directory) addSoftware(service string, v ids.SoftwareVersion, n int) (further bool) {
 	if d.software == nil {
 		d.software = map[string]*softwareVersions{}
 	}
 	s := d.software[service]
 	if s == nil {
-		s = &softwareVersions{since: clock.Now(), versions: map[ids.SoftwareVersion]*softwareVersion{}}
+		s = &softwareVersions{hash: streams.ServiceHash(service), since: clock.Now(), versions: map[ids.SoftwareVersion]*softwareVersion{}}
 		d.software[service] = s
 	}
 	s.forgetGone()
@@ -37,12 +39,14 @@
 	if c == nil {
 		c = &softwareVersion{}
 		s.versions[v] = c
+		further = len(s.versions) > 1
 	}
 	c.replicas += n
 	c.goneAt = time.Time{}
 	if c.replicas <= 0 {
 		c.goneAt = clock.Now()
 	}
+	return further
 }
 
 // forgetGone drops the versions without replicas whose streams are over.
@@ -55,22 +59,40 @@
 }
 
 // SoleSoftware returns the software version of a service's replicas if it is the only one that this VM has
-// seen since the start of any stream that may still go on, and how long this VM has seen it.
-func (r *Replicas) SoleSoftware(service string) (v ids.SoftwareVersion, seen time.Duration, ok bool) {
+// seen within streams.RecordTTL.
+func (r *Replicas) SoleSoftware(service string) (v ids.SoftwareVersion, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.directory.software[service]
 	if s == nil {
-		return "", 0, false
+		return "", false
 	}
+	return s.sole()
+}
+
+// sole returns the only version; false: there are several, or none.
+func (s *softwareVersions) sole() (v ids.SoftwareVersion, ok bool) {
 	s.forgetGone()
-	if len(s.versions) != 1 {
-		return "", 0, false
+	for v := range s.versions {
+		return v, len(s.versions) == 1
 	}
-	for only := range s.versions {
-		v = only
+	return "", false
+}
+
+// SoleVersion returns the identifier of the only software version of a service that this VM has seen for
+// streams.RecordTTL; zero: there is none. serviceHash is that of streams.ServiceHash.
+func (r *Replicas) SoleVersion(serviceHash uint64) streams.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, s := range r.directory.software {
+		if s.hash != serviceHash || clock.Since(s.since) < streams.RecordTTL {
+			continue
+		}
+		if v, ok := s.sole(); ok {
+			return streams.VersionOf(service, v)
+		}
 	}
-	return v, clock.Since(s.since), true
+	return 0
 }
 
 // softwareTargets is the number of replicas of a version that FindSoftware makes active.
--- a/internal/follow/subset.go
+++ b/internal/follow/subset.go
@@ -47,6 +47,7 @@
 	services    map[string]*serviceReplicas
 	deployed    map[platform.Deployed]int
 	software    map[string]*softwareVersions // by service
+	newSoftware bool                         // a service has a further version since the last publish
 	list        []platform.Record            // cached result of Records; nil: out of date
 	rendezvous  map[ids.Target]time.Time     // last use of rendezvous targets beyond the subset
 	pinned      map[ids.Target]bool
@@ -82,7 +83,7 @@
 		d.byKey[rec.Key()] = id
 		d.byShortHash[uint32(rec.hash)] = id
 		d.addDeployed(rec.Model, rec.Weights, 1)
-		d.addSoftware(rec.Service, rec.Software, 1)
+		d.newSoftware = d.addSoftware(rec.Service, rec.Software, 1) || d.newSoftware
 		d.service(rec.Service).stale = d.service(rec.Service).stale || moved
 	}
 }
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"strings"
-	"time"
 
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -21,9 +20,8 @@
 
 // Versions knows the software versions that replicas run. Safe for concurrent use.
 type Versions interface {
-	// SoleSoftware returns the version of a service's replicas if this VM has seen no other one, and for how
-	// long it has seen it.
-	SoleSoftware(service string) (v ids.SoftwareVersion, seen time.Duration, ok bool)
+	// SoleSoftware returns the version of a service's replicas if this VM has seen no other one.
+	SoleSoftware(service string) (v ids.SoftwareVersion, ok bool)
 	// FindSoftware returns the service, among those given, and the version with an identifier, if replicas run it,
 	// and makes some of these replicas known to decisions. key spreads this over the replicas.
 	FindSoftware(services []string, id streams.Version, key uint64) (service string, v ids.SoftwareVersion, ok bool)
@@ -38,8 +36,8 @@
 	software ids.SoftwareVersion
 }
 
-// number returns a number derived from the key, for rendezvous hashing.
-func (o *origin) number() uint64 { return binary.BigEndian.Uint64(o.key[:]) }
+// spread returns a number that differs from stream to stream, for rendezvous hashing.
+func (o *origin) spread() uint64 { return binary.BigEndian.Uint64(o.key[:]) }
 
 // stepOrigin is the step of refusals of calls that take up a stream.
 const stepOrigin = "origin"
@@ -56,13 +54,13 @@
 	}
 	v, result := streams.Version(0), streams.NotFound
 	if r.call.Resumes != "" && r.f.Streams != nil {
-		v, result = r.f.Streams.Lookup(ctx, r.origin.key)
+		v, result = r.f.Streams.Lookup(ctx, r.origin.key, r.service)
 	}
 	if result == streams.Found {
 		return r.takeUpAt(v)
 	}
-	software, seen, sole := r.f.Versions.SoleSoftware(r.service)
-	if !sole || result != streams.NotFound || r.call.Resumes != "" && seen < streams.RecordTTL {
+	software, sole := r.f.Versions.SoleSoftware(r.service)
+	if !sole || r.call.Resumes != "" && r.f.Streams != nil {
 		r.logOrigin(result, "")
 		return r.refuseOrigin("the software version at which the stream began is not known")
 	}
@@ -89,7 +87,7 @@
 	for i := range r.route.Split {
 		services = append(services, r.route.Split[i].Service)
 	}
-	service, software, ok := r.f.Versions.FindSoftware(services, v, r.origin.number())
+	service, software, ok := r.f.Versions.FindSoftware(services, v, r.origin.spread())
 	if !ok {
 		r.logOrigin(streams.Found, "")
 		return r.refuseOrigin("no replica runs the software version at which the stream began")
@@ -113,7 +111,7 @@
 	r := t.r
 	r.origin.known, r.origin.software = true, t.c.target.Software
 	if r.f.Streams != nil && r.route.Resumable {
-		r.f.Streams.Begin(r.origin.key, streams.VersionOf(t.c.target.Service, t.c.target.Software))
+		r.f.Streams.Begin(r.origin.key, t.c.target.Service, t.c.target.Software)
 	}
 }
 
@@ -122,7 +120,7 @@
 func (r *run) chooseOrigin(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
 	f := r.f
 	if f.Versions != nil {
-		f.Versions.ActivateSoftware(r.service, r.origin.software, r.origin.number())
+		f.Versions.ActivateSoftware(r.service, r.origin.software, r.origin.spread())
 	}
 	req.Software = &routing.SoftwareChoice{Version: r.origin.software}
 	snap, d := f.Fleet.Decide(req, r.tried, sc)
--- a/internal/streams/lookup.go
+++ b/internal/streams/lookup.go
@@ -15,7 +15,7 @@
 const (
 	// NotFound: no VM that answered has a record.
 	NotFound Result = iota
-	// Found: the stream began at the version.
+	// Found: the stream began at the version, or can't have begun at another.
 	Found
 	// Conflict: records differ, so that two callers use the same id, or one of them is wrong.
 	Conflict
@@ -35,8 +35,9 @@
 	// askAgain is the interval at which VMs are asked again, since messages get lost and records may still be
 	// on their way.
 	askAgain = 60 * time.Millisecond
-	// settleTime is how long a lookup goes on at least before it ends without a record.
-	settleTime = 150 * time.Millisecond
+	// settleTime is how long a lookup goes on at least before it ends without a record: until a record that was lost
+	// on its way has been sent again.
+	settleTime = firstRepeat + 100*time.Millisecond
 	// lookupTimeout bounds a lookup.
 	lookupTimeout = 400 * time.Millisecond
 )
@@ -46,30 +47,32 @@
 	started  time.Time
 	asked    []ids.VM
 	missing  map[ids.VM]bool // VMs that have no record
+	sole     Version         // the only version that this VM or one of them has seen; zero: none has
+	soles    bool            // they have seen different ones
 	version  Version
 	result   Result
 	finished chan struct{} // closed when result is final
 }
 
-// Lookup returns at which version a stream began. It asks other VMs if this one has no record, for up to
+// Lookup returns at which version a stream of a service began. It asks other VMs if this one has no record, for up to
 // lookupTimeout.
-func (d *Directory) Lookup(ctx context.Context, k Key) (Version, Result) {
+func (d *Directory) Lookup(ctx context.Context, k Key, service string) (Version, Result) {
 	d.Lookups.Add(1)
-	v, result := d.lookup(ctx, k)
+	v, result := d.lookup(ctx, Question{Key: k, Service: ServiceHash(service)})
 	if result != Found {
 		d.NotFound.Add(1)
 	}
 	return v, result
 }
 
-func (d *Directory) lookup(ctx context.Context, k Key) (Version, Result) {
-	l := d.startLookup(k)
+func (d *Directory) lookup(ctx context.Context, q Question) (Version, Result) {
+	l := d.startLookup(q)
 	if l == nil {
-		return d.own(k)
+		return d.own(q.Key)
 	}
-	defer d.endLookup(k, l)
+	defer d.endLookup(q.Key, l)
 	if len(l.asked) == 0 {
-		return 0, NotFound // there is no other VM
+		return l.absent() // there is no other VM
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -77,7 +80,7 @@
 	defer again.Stop()
 	for {
 		for _, vm := range l.asked {
-			d.Send(vm, Message{Asked: []Key{k}})
+			d.Send(vm, Message{Asked: []Question{q}})
 		}
 		select {
 		case <-l.finished:
@@ -90,13 +93,14 @@
 }
 
 // startLookup registers a lookup. It returns nil if this VM has a record.
-func (d *Directory) startLookup(k Key) *lookup {
+func (d *Directory) startLookup(q Question) *lookup {
+	k := q.Key
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.records[k] != nil {
 		return nil
 	}
-	l := &lookup{started: d.Now(), asked: mayHold(d.Candidates(k)), missing: map[ids.VM]bool{}, finished: make(chan struct{})}
+	l := &lookup{started: d.Now(), asked: mayHold(d.candidates(k)), missing: map[ids.VM]bool{}, sole: d.Sole(q.Service), finished: make(chan struct{})}
 	if d.lookups == nil {
 		d.lookups = map[Key][]*lookup{}
 	}
@@ -105,20 +109,10 @@
 }
 
 // mayHold returns the VMs to ask: the live ones first, since the VM that made the record took others for dead.
-func mayHold(all []Candidate) []ids.VM {
-	sorted := slices.Clone(all)
-	slices.SortStableFunc(sorted, func(a, b Candidate) int {
-		switch {
-		case a.Alive == b.Alive:
-			return 0
-		case a.Alive:
-			return -1
-		}
-		return 1
-	})
+func mayHold(all []Peer) []ids.VM {
 	out := make([]ids.VM, 0, maxAsked)
-	for _, c := range sorted[:min(len(sorted), maxAsked)] {
-		out = append(out, c.VM)
+	for _, p := range aliveFirst(all)[:min(len(all), maxAsked)] {
+		out = append(out, p.VM)
 	}
 	return out
 }
@@ -149,7 +143,15 @@
 	if len(l.missing) == 0 {
 		return 0, NoAnswer
 	}
-	return 0, NotFound
+	return l.absent()
+}
+
+// absent returns the result if no VM has a record. The caller holds Directory.mu.
+func (l *lookup) absent() (Version, Result) {
+	if l.sole == 0 || l.soles {
+		return 0, NotFound
+	}
+	return l.sole, Found
 }
 
 func (d *Directory) endLookup(k Key, l *lookup) {
@@ -171,16 +173,25 @@
 	for _, k := range m.Conflicts {
 		d.finish(k, 0, Conflict)
 	}
-	for _, k := range m.Missing {
-		for _, l := range d.lookups[k] {
-			l.missing[from] = true
+	for i := range m.Missing {
+		for _, l := range d.lookups[m.Missing[i].Key] {
+			l.addMissing(from, m.Missing[i].Sole)
 			if len(l.missing) >= len(l.asked) && d.Now().Sub(l.started) >= settleTime {
-				l.finish(0, NotFound)
+				l.finish(l.absent())
 			}
 		}
 	}
 }
 
+// addMissing records that a peer has no record. The caller holds Directory.mu.
+func (l *lookup) addMissing(from ids.VM, sole Version) {
+	l.missing[from] = true
+	l.soles = l.soles || sole != 0 && l.sole != 0 && sole != l.sole
+	if sole != 0 {
+		l.sole = sole
+	}
+}
+
 // finish ends the lookups of a key. The caller holds d.mu.
 func (d *Directory) finish(k Key, v Version, result Result) {
 	for _, l := range d.lookups[k] {
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -3,21 +3,26 @@
 //
 // # Protocol
 //
-// The VM that passes on the first event of a stream first sends a record of it to a few holders: VMs
-// that the stream's key selects by rendezvous hashing, in several failure domains. A VM that is asked to go on with
-// a stream asks the VMs that may be holders, unless it has the record itself. So a record outlives the VM at
-// which the stream began, its failure domain and the store. Holders acknowledge records; a record that too few have
-// acknowledged is sent again, to further VMs as well, until it expires.
+// The VM that passes on the first event of a stream first sends a record of it to a few holders: VMs that the stream's
+// key selects by rendezvous hashing, in several failure domains. A VM that is asked to go on with a stream asks the VMs
+// that may be holders, unless it has the record itself. So a record outlives the VM at which the stream began, its
+// failure domain and the store. Holders acknowledge records; a record that too few have acknowledged is sent again, to
+// further VMs as well, until it expires.
+//
+// While a service has had one version only, for RecordTTL, VMs keep their records to themselves, and send
+// them when a second version appears. A VM that is asked for a record that it lacks says so if it has seen one version
+// only: the stream can't have begun at another.
 //
 // # Invariants
 //
 //   - A record never changes. Two records of one key that differ void each other: Lookup then finds a conflict.
-//   - Nothing is derived from the absence of a record.
+//   - Nothing is derived from the absence of a record, except by a VM that has seen one version only since before any
+//     stream began that may still go on.
 //
 // # Cost
 //
-// A VM keeps records for RecordTTL: those of its own streams and, as a holder, copies times its share of the
-// fleet's, at most maxRecords. A begin costs copies datagrams of about 80 bytes and as many acknowledgements.
+// A VM keeps records for RecordTTL: those of its own streams and, as a holder, its share of the copies of the
+// fleet's, at most maxRecords. A begin costs a datagram of about 95 bytes to each holder, and its acknowledgement.
 package streams
 
 import (
@@ -52,11 +57,14 @@
 // Version identifies a software version of a service by a hash, which is equal on all VMs.
 type Version uint64
 
-// VersionOf returns the identifier of a software version of a service.
+// VersionOf returns the identifier of a software version of a service. It is never zero.
 func VersionOf(service string, v ids.SoftwareVersion) Version {
-	return Version(xxh3.HashStringSeed(string(v), xxh3.HashString(service)))
+	return max(Version(xxh3.HashStringSeed(string(v), ServiceHash(service))), 1)
 }
 
+// ServiceHash returns the hash by which VMs name a service.
+func ServiceHash(service string) uint64 { return xxh3.HashString(service) }
+
 // Record says at which version a stream began.
 type Record struct {
 	_       struct{} `cbor:",toarray"`
@@ -70,18 +78,39 @@
 	_       struct{} `cbor:",toarray"`
 	Records []Record // to be kept
 	Acks    []Key    // records that the sender keeps
-	Asked   []Key    // the sender wants the records of these keys
-	// Found and Missing answer Asked. A key with records that differ is in Conflicts.
-	Found              []Record
-	Missing, Conflicts []Key
+	Asked   []Question
+	// Found, Missing and Conflicts answer Asked. A key with records that differ is in Conflicts.
+	Found     []Record
+	Missing   []Absence
+	Conflicts []Key
+}
+
+// Question asks for a record.
+type Question struct {
+	_   struct{} `cbor:",toarray"`
+	Key Key
+	// Service is a hash of the service that would run the call.
+	Service uint64
+}
+
+// Absence says that the sender has no record of a key.
+type Absence struct {
+	_   struct{} `cbor:",toarray"`
+	Key Key
+	// Sole is the only version of the service that the sender has seen for RecordTTL. Zero: there are several, or it
+	// has not seen them for so long.
+	Sole Version
 }
 
 const (
 	// RecordTTL is how long a record is kept: the longest call, and the time in which a caller may
 	// take its stream up after that.
 	RecordTTL = 90 * time.Second
-	// copies is the number of holders of a record beside the VM that made it.
-	copies = 3
+	// copies is the number of holders of a record beside the VM that made it, and copiesInLargeFleet that in a fleet of more
+	// than largeFleet VMs, where few of them fail at a time.
+	copies             = 3
+	copiesInLargeFleet = 2
+	largeFleet         = 100
 	// maxRecords bounds the records of one VM, of about 100 bytes each. Beyond, the oldest are dropped.
 	maxRecords = 16 << 10
 )
@@ -89,11 +118,13 @@
 // Directory is one VM's part of the directory. Set the exported fields before the first call. Safe
 // for concurrent use.
 type Directory struct {
-	VM ids.VM
-	// Candidates returns the listed VMs, without this one, that may hold the record of a key, in the order in which
-	// they are chosen. VMs with the same list agree on the order, but for VMs of their own failure domain, which
-	// come earlier.
-	Candidates func(k Key) []Candidate
+	VM            ids.VM
+	FailureDomain ids.FailureDomain
+	// Peers returns the listed VMs without this one, in any order.
+	Peers func() []Peer
+	// Sole returns the only version of a service that this VM has seen for RecordTTL; zero: there is none. serviceHash is that of
+	// ServiceHash. Sole must not call methods of the Directory.
+	Sole func(serviceHash uint64) Version
 	// Send sends a message to a VM. It must not block and may lose the message.
 	Send func(to ids.VM, m Message)
 	// Now returns the current time.
@@ -106,7 +137,10 @@
 	acks    map[ids.VM][]Key  // not yet sent
 	lookups map[Key][]*lookup // in progress
 	started map[ids.VM]bool   // VMs that have started, and lack the records that they should hold
-	wake    chan struct{}     // has a value if Run has something to do
+
+	changed  atomic.Bool // VersionsChanged was called
+	wakeOnce sync.Once
+	wake     chan struct{} // has a value if Run has something to do
 
 	// Begun counts the records that this VM made, Kept those that it received, Repeated the records that it sent again, and
 	// Dropped those that it dropped before they expired.
@@ -116,16 +150,11 @@
 	Lookups, NotFound atomic.Int64
 }
 
-// Candidate is a VM that may hold a record.
-type Candidate struct {
-	VM    ids.VM
-	Alive bool // it has sent messages lately
-}
-
 // entry is a record on this VM.
 type entry struct {
 	version     Version
 	conflicting bool      // VMs sent records with different versions
+	private     uint64    // this VM made it and has not sent it, since the service with this hash had one version; zero: no
 	at          time.Time // when the stream began or was last taken up
 }
 
@@ -135,14 +164,20 @@
 	at  time.Time
 }
 
-// Begin records that a stream begins at a version, or goes on there, and sends the record to its holders. Call it before the
-// stream's first event is passed on.
-func (d *Directory) Begin(k Key, v Version) {
+// Begin records that a stream of a service begins at a version, or goes on there, and sends the record to its holders. Call
+// it before the stream's first event is passed on.
+func (d *Directory) Begin(k Key, service string, v ids.SoftwareVersion) {
+	version, hash := VersionOf(service, v), ServiceHash(service)
+	sole := d.Sole(hash) == version
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.Begun.Add(1)
 	now := d.Now()
-	d.put(k, v, now)
+	d.put(k, version, now)
+	if sole {
+		d.records[k].private = hash
+		return
+	}
 	d.startTransfer(k, now)
 }
 
@@ -225,19 +260,19 @@
 }
 
 // answer answers the questions of a peer at once. The caller holds d.mu.
-func (d *Directory) answer(to ids.VM, asked []Key, now time.Time) {
+func (d *Directory) answer(to ids.VM, asked []Question, now time.Time) {
 	if len(asked) == 0 {
 		return
 	}
 	var m Message
-	for _, k := range asked {
-		switch e := d.records[k]; {
+	for _, q := range asked {
+		switch e := d.records[q.Key]; {
 		case e == nil:
-			m.Missing = append(m.Missing, k)
+			m.Missing = append(m.Missing, Absence{Key: q.Key, Sole: d.Sole(q.Service)})
 		case e.conflicting:
-			m.Conflicts = append(m.Conflicts, k)
+			m.Conflicts = append(m.Conflicts, q.Key)
 		default:
-			m.Found = append(m.Found, e.record(k, now))
+			m.Found = append(m.Found, e.record(q.Key, now))
 		}
 	}
 	d.Send(to, m)
--- a/internal/streams/transfer.go
+++ b/internal/streams/transfer.go
@@ -22,26 +22,64 @@
 
 // transfer is a record that too few holders have acknowledged.
 type transfer struct {
-	acked map[ids.VM]bool
-	sends int
-	due   time.Time // of the next repeat
+	acked  map[ids.VM]bool
+	copies int // holders that must acknowledge it
+	sends  int
+	due    time.Time // of the next repeat
 }
 
 // startTransfer sends a record to its holders. The caller holds d.mu.
 func (d *Directory) startTransfer(k Key, now time.Time) {
-	t := &transfer{acked: map[ids.VM]bool{}}
+	peers := d.candidates(k)
+	t := d.newTransfer(k, len(peers))
+	r := d.records[k].record(k, now)
+	for _, vm := range t.receivers(peers) {
+		d.Send(vm, Message{Records: []Record{r}})
+	}
+	t.sent(now)
+	d.wakeUp()
+}
+
+// newTransfer adds a record to those that too few holders have acknowledged. The caller holds d.mu.
+func (d *Directory) newTransfer(k Key, peers int) *transfer {
+	t := &transfer{acked: map[ids.VM]bool{}, copies: copiesAmong(peers)}
 	if d.unacked == nil {
 		d.unacked = map[Key]*transfer{}
 	}
 	d.unacked[k] = t
-	r := d.records[k].record(k, now)
-	for _, vm := range t.receivers(d.Candidates(k)) {
-		d.Send(vm, Message{Records: []Record{r}})
+	return t
+}
+
+// copiesAmong returns the number of holders of a record in a fleet with so many other VMs.
+func copiesAmong(peers int) int {
+	if peers > largeFleet {
+		return copiesInLargeFleet
 	}
-	t.sent(now)
+	return copies
+}
+
+// VersionsChanged makes Run send the records that this VM has kept to itself, of services that no longer have
+// one version. It takes no lock.
+func (d *Directory) VersionsChanged() {
+	d.changed.Store(true)
 	d.wakeUp()
 }
 
+// publishPrivate makes the private records of services that no longer have one version due for their holders. The caller
+// holds d.mu.
+func (d *Directory) publishPrivate(now time.Time) {
+	if !d.changed.Swap(false) {
+		return
+	}
+	peers := len(d.Peers())
+	for k, e := range d.records {
+		if e.private != 0 && d.Sole(e.private) != e.version {
+			e.private = 0
+			d.newTransfer(k, peers).due = now
+		}
+	}
+}
+
 // sent records one send and sets the time of the next one.
 func (t *transfer) sent(now time.Time) {
 	t.due = now.Add(min(firstRepeat<<min(t.sends, 10), maxRepeat))
@@ -50,10 +88,10 @@
 
 // receivers returns the VMs to which the record is sent now: the first candidates, and one more with each repeat, without
 // those that have it.
-func (t *transfer) receivers(all []Candidate) []ids.VM {
+func (t *transfer) receivers(all []Peer) []ids.VM {
 	var out []ids.VM
-	left := copies + t.sends
-	for _, c := range preferAlive(all) {
+	left := t.copies + t.sends
+	for _, c := range onlyAlive(all) {
 		if left--; left < 0 {
 			break
 		}
@@ -64,20 +102,6 @@
 	return out
 }
 
-// preferAlive returns the live candidates, or all if none is known to be alive.
-func preferAlive(all []Candidate) []Candidate {
-	var alive []Candidate
-	for _, c := range all {
-		if c.Alive {
-			alive = append(alive, c)
-		}
-	}
-	if len(alive) == 0 {
-		return all
-	}
-	return alive
-}
-
 // acknowledged records that a peer has a record. The caller holds d.mu.
 func (d *Directory) acknowledged(from ids.VM, k Key) {
 	t := d.unacked[k]
@@ -85,7 +109,7 @@
 		return
 	}
 	t.acked[from] = true
-	if len(t.acked) >= copies {
+	if len(t.acked) >= t.copies {
 		delete(d.unacked, k)
 	}
 }
@@ -109,21 +133,14 @@
 
 // wakeChannel returns the channel that has a value if Run has something to do.
 func (d *Directory) wakeChannel() chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.wake == nil {
-		d.wake = make(chan struct{}, 1)
-	}
+	d.wakeOnce.Do(func() { d.wake = make(chan struct{}, 1) })
 	return d.wake
 }
 
-// wakeUp makes Run start a round. The caller holds d.mu.
+// wakeUp makes Run start a round.
 func (d *Directory) wakeUp() {
-	if d.wake == nil {
-		d.wake = make(chan struct{}, 1)
-	}
 	select {
-	case d.wake <- struct{}{}:
+	case d.wakeChannel() <- struct{}{}:
 	default: // a wake-up is pending
 	}
 }
@@ -145,6 +162,7 @@
 		to(vm).Acks = keys
 	}
 	d.acks = nil
+	d.publishPrivate(now)
 	d.addRepeats(to, now)
 	for vm, m := range out {
 		d.send(vm, m)
@@ -162,7 +180,7 @@
 			continue
 		}
 		e := d.records[k]
-		receivers := t.receivers(d.Candidates(k))
+		receivers := t.receivers(d.candidates(k))
 		if e == nil || len(receivers) == 0 {
 			delete(d.unacked, k)
 			continue
@@ -170,7 +188,9 @@
 		for _, vm := range receivers {
 			m := to(vm)
 			m.Records = append(m.Records, e.record(k, now))
-			d.Repeated.Add(1)
+			if t.sends > 0 {
+				d.Repeated.Add(1)
+			}
 		}
 		t.sent(now)
 	}
@@ -208,7 +228,7 @@
 	d.started = nil
 	var records []Record
 	for k, e := range d.records {
-		if len(started) > 0 && !e.conflicting {
+		if len(started) > 0 && !e.conflicting && e.private == 0 {
 			records = append(records, e.record(k, now))
 		}
 	}
@@ -216,7 +236,7 @@
 	for vm := range started {
 		m := Message{}
 		for _, r := range records {
-			if restores(d.Candidates(r.Key), vm, d.VM) {
+			if restores(d.candidates(r.Key), vm, d.VM) {
 				m.Records = append(m.Records, r)
 			}
 		}
@@ -226,7 +246,7 @@
 
 // restores reports whether this VM sends a record again to a holder that has started: vm is one of the first
 // copies candidates, and self ranks before the other live ones. all lacks self.
-func restores(all []Candidate, vm, self ids.VM) bool {
+func restores(all []Peer, vm, self ids.VM) bool {
 	for i, c := range all {
 		switch {
 		case i > copies:
