--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -111,6 +111,7 @@
 	store     *Store
 	ledger    *Ledger
 	server    *http.Server
+	conns     sync.Map // open connections
 	addr      string
 	published string // address in the replica's entry, may be that of a proxy
 	mu        sync.Mutex
@@ -161,7 +162,7 @@
 	if r.version == 0 {
 		r.version = 1
 	}
-	r.server = &http.Server{Handler: r}
+	r.server = &http.Server{Handler: r, ConnState: r.trackConn}
 	go func() { _ = r.server.Serve(l) }() // returns after Crash
 	return nil
 }
@@ -224,8 +225,24 @@
 	r.register()
 }
 
-// Crash closes the replica's server at once; its entry stays in the store.
-func (r *Replica) Crash() { _ = r.server.Close() }
+// Crash closes the replica's server at once and resets its connections; its entry stays in the store.
+func (r *Replica) Crash() {
+	r.conns.Range(func(c, _ any) bool {
+		_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+		return true
+	})
+	_ = r.server.Close()
+}
+
+// trackConn records which connections are open.
+func (r *Replica) trackConn(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		r.conns.Store(c, true)
+	case http.StateClosed, http.StateHijacked:
+		r.conns.Delete(c)
+	}
+}
 
 // SetUnresponsive makes requests hang until their callers close them.
 func (r *Replica) SetUnresponsive(on bool) { r.unresponsive.Store(on) }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -28,6 +27,11 @@
 	signed    bool
 	faultFree bool // no fault on its VM or outside the VMs, from faultFreeTime before it was sent to its end
 	version   int  // newest configuration that the store confirmed propagationTime before the call was sent
+	// Streams of engines of several software versions.
+	resumes string // id of the call that brought the first event of the stream that this one takes up; empty: none
+	after   int    // number of the last event before this call
+	leave   int    // the caller leaves after so many events; zero: it stays
+	left    bool   // it has left
 }
 
 // Paths of the routes, by kind.
@@ -45,7 +49,9 @@
 	number atomic.Int64 // of the last call
 	mu     sync.Mutex
 	calls  []call
-	wg     sync.WaitGroup
+	// streams are those that began, with all calls that took them up.
+	streams []*stream
+	wg      sync.WaitGroup
 }
 
 // callPause is the mean pause between two calls of one caller.
@@ -74,13 +80,20 @@
 	c.call(rng, transport, paths[rng.IntN(len(paths))], c.h.key(rng.IntN(keyCount)))
 }
 
-// call makes one call to a random VM.
+// call makes one call to a random VM. If it is to engines of several software versions, the caller may leave and take
+// the stream up.
 func (c *callers) call(rng *rand.Rand, transport *http.Transport, path, key string) {
-	h := c.h
-	out := call{
-		id: fmt.Sprintf("s%08d", c.number.Add(1)), path: path, key: key,
-		vm: h.vms[rng.IntN(len(h.vms))], version: h.confirmedVersion(),
+	if path == pathStream && c.h.versions {
+		c.readStream(rng, transport, key)
+		return
 	}
+	c.send(rng, transport, call{path: path, key: key})
+}
+
+// send makes one call to a random VM and returns it with its result.
+func (c *callers) send(rng *rand.Rand, transport *http.Transport, out call) call {
+	h := c.h
+	out.id, out.vm, out.version = fmt.Sprintf("s%08d", c.number.Add(1)), h.vms[rng.IntN(len(h.vms))], h.confirmedVersion()
 	faultFree := h.faultFree(out.vm)
 	out.sent = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
@@ -89,6 +102,7 @@
 	if out.path == pathStream {
 		spec.Model, spec.Tokens = model, 1000
 		spec.Parts = []string{"aa:500", fmt.Sprintf("b%d:400", rng.IntN(20)), out.id + ":100"}
+		spec.Resumes, spec.LastEvent = out.resumes, out.after
 	}
 	req, err := spec.Request(ctx, "http://"+out.vm.listen)
 	if err != nil {
@@ -97,8 +111,7 @@
 	resp, err := transport.RoundTrip(req)
 	if err == nil {
 		out.status, out.signed = resp.StatusCode, platformlab.Signed(resp)
-		data, rerr := io.ReadAll(resp.Body)
-		out.body, out.broken = string(data), rerr != nil
+		out.read(resp.Body)
 		_ = resp.Body.Close()
 	}
 	out.ended = time.Now()
@@ -106,6 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, out)
+	return out
 }
 
 // all returns a copy of the calls made so far.
@@ -121,7 +135,7 @@
 		return "answer to " + c.id
 	}
 	var b strings.Builder
-	for n := 1; n <= chunks; n++ {
+	for n := c.after + 1; n <= chunks; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", n, n, c.id)
 	}
 	return b.String()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -62,7 +62,7 @@
 	c.keys(k, runs)
 	c.routeFound(k)
 	c.replicas(k, runs)
-	if c.h.checkTiming && k.faultFree && !c.acceptable(k) && !c.withoutWeights(k) {
+	if c.h.checkTiming && k.faultFree && !k.left && k.resumes == "" && !c.acceptable(k) && !c.withoutWeights(k) {
 		c.report("call %s on %s to %s failed without a fault: status %d, broken %v, after %v", k.id, k.path, k.vm.name, k.status, k.broken, k.ended.Sub(k.sent))
 	}
 }
@@ -107,6 +107,7 @@
 	if k.status != http.StatusOK {
 		return
 	}
+	k.body = writtenBy.ReplaceAllString(k.body, "\n")
 	switch {
 	case !k.signed:
 		c.report("call %s got a successful response without a signature", k.id)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,9 @@
 	// Cuts states that VMs lose their links to all replicas, and that replicas are brittle at times. It needs at most
 	// maxLinkedVMs VMs.
 	Cuts bool
+	// Versions states that engines of several software versions serve, that some of their streams break off, and that
+	// callers take streams up at other VMs.
+	Versions bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -37,6 +40,8 @@
 	Served     int            `json:"served"`
 	Runs       int            `json:"runs"`             // of calls at replicas
 	Faults     map[string]int `json:"faults"`           // number of faults and signals, by name
+	TakenUp    int            `json:"taken_up"`         // streams that callers took up at another VM
+	WentOn     int            `json:"went_on"`          // of these, streams of which a further event came
 	Violations []string       `json:"broken,omitempty"` // of the guarantees
 	Logs       []string       `json:"logs,omitempty"`   // paths of files that were kept
 }
@@ -62,7 +67,7 @@
 	if o.Cuts && o.VMs > maxLinkedVMs {
 		return report, fmt.Errorf("a soak with cuts has at most %d VMs", maxLinkedVMs)
 	}
-	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed), o.Cuts)
+	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed), o.Cuts, o.Versions)
 	defer h.close()
 	h.checkTiming = !o.Busy
 	if err != nil {
@@ -97,6 +102,7 @@
 	stopCalls()
 	c.wg.Wait()
 	h.evaluate(c.all(), &report)
+	h.evaluateStreams(c.allStreams(), &report)
 	if len(report.Violations) > 0 || o.Keep {
 		report.Logs = h.logs()
 		return report, nil
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,6 +74,26 @@
 	}
 }
 
+// versionSeeds are seeds that are run with several software versions. 5301 showed streams of two versions before VMs
+// kept to the one that began a stream.
+var versionSeeds = []uint64{5301, 5302, 5303}
+
+// TestSoakWithVersions runs daemon processes under drawn faults while engines of three software versions serve, break
+// streams off, and callers take streams up at other VMs, for 4 s with each seed.
+func TestSoakWithVersions(t *testing.T) {
+	program := build(t)
+	for _, seed := range versionSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: seed, VMs: 4, Callers: 6, FaultDuration: 4 * time.Second, Busy: true, Versions: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Violations) > 0 || report.Served == 0 || report.TakenUp == 0 {
+			t.Errorf("seed %d: %d of %d calls served, %d of %d streams taken up went on, %v, logs %v", seed, report.Served, report.Calls,
+				report.WentOn, report.TakenUp, report.Violations, report.Logs)
+		}
+	}
+}
+
 // TestSoak runs daemon processes under drawn faults for 3 s with each seed. It does not check
 // timing bounds, because the CI machine may be busy.
 func TestSoak(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -62,6 +62,7 @@
 	brittle       int                    // refusals beyond which replicas of the plain service fall over; zero: they do not
 	falls         int                    // of brittle replicas
 	cuts          bool                   // VMs have links of their own
+	versions      bool                   // engines of several software versions serve
 	fatal         map[string][]fatalCall // repeats of fatal requests, by body
 	crashes       int                    // of replicas that ran fatal requests
 	allKilled     []time.Time            // times at which all VMs were killed
@@ -108,8 +109,8 @@
 
 // newHarness starts the store, three replicas of each service and vms processes. The caller
 // must close the returned harness, also after an error.
-func newHarness(dir, program string, vms, directFleet int, cuts bool) (*harness, error) {
-	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: cuts}
+func newHarness(dir, program string, vms, directFleet int, cuts, versions bool) (*harness, error) {
+	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: cuts, versions: versions}
 	h.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -128,6 +129,13 @@
 	})
 	h.writeConfig()
 	h.store.Put("versions", model, map[string]any{"model": model, "version": h.weights})
+	if versions {
+		for range 6 {
+			if err := h.addReplica("llm"); err != nil {
+				return h, err
+			}
+		}
+	}
 	for range 3 {
 		if err := h.addReplica("llm"); err != nil {
 			return h, err
@@ -175,6 +183,7 @@
 	if service == "llm" {
 		r.Model, r.Chunks, r.ChunkInterval = model, chunks, 5*time.Millisecond
 		r.SetVersion(h.weights)
+		h.setSoftware(r)
 	}
 	if service == "svc" && h.cuts {
 		r.Room = &platformlab.Room{OnFall: func(*platformlab.Replica) { h.fell(r) }}
