Tests that fail: a part of prompts that crashes replicas

Stand-ins: parts of prompts crash replicas that begin an answer on them, with a head, a piece of an event, or nothing; a crash resets connections.

--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -390,7 +390,10 @@
 		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
 		Header: req.Header.Clone(), At: time.Now(),
 	})
-	if r.CrashOn.matches(req.Header.Get("X-Tenant-Id"), string(body)) {
+	if r.Bare {
+		w.Header().Set("Transfer-Encoding", "identity") // keeps net/http from sending chunks
+	}
+	if r.CrashOn.matches(req.Header.Get("X-Tenant-Id"), req.Header.Get("X-Prompt-Prefix"), string(body)) {
 		r.crashDuring(w, req)
 		return
 	}
@@ -399,9 +402,6 @@
 	}
 	time.Sleep(r.ServiceTime)
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
-	if r.Bare {
-		w.Header().Set("Transfer-Encoding", "identity") // keeps net/http from sending chunks
-	}
 	if r.Chunks == 0 {
 		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("X-Request-Id"))
 		return
