Quarantine: parts of prompts that crash replicas are found, and kept from further ones

What callers saw: for seconds nearly no prompt was served, as requests with one part in their prompts ended one replica after the other. Beside that, sound requests that were repeated whole beside crashing ones had three crashes and were refused (41 quarantined lines). Change: a second ledger judges the shared parts of prompts, by workspace, model and id: four crashes, unless any VM has seen the part answered. VMs that remember an answer say so when a peer reports crashes, so evidence settles for four rounds before it is judged. An answer is a whole one with a status below 300, or one that has gone on to a second event; one that doesn't mark its own end counts once its replica has been heard of again. A request that shares parts is judged whole by five crashes that no part explains. A call with a suspected part is not sent a second time.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -68,7 +68,7 @@
 		"sweep":         every(sweepEvery, d.Replicas.Sweep),
 		"clock":         func(ctx context.Context) { clock.Watch(ctx, d.onSuspension) },
 		"allowances":    every(allowance.SweepEvery, d.allowances.Sweep),
-		"forget":        every(forgetEvery, d.crashes.Sweep),
+		"forget":        every(forgetEvery, func() { d.crashes.Sweep(); d.badParts.Sweep() }),
 		"log":           every(logEvery, d.Log.ReportDropped),
 		"usage":         every(usageEvery, d.logUsage),
 		"feeds":         d.feeds.Run,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,6 +127,7 @@
 	feeds      *kvfeed.Feeds
 	budgets    *retry.ServiceBudgets
 	crashes    *quarantine.Ledger
+	badParts   *quarantine.Ledger // parts of prompts under which replicas crashed
 	allowances *allowance.Limiter
 	streams    *streams.Directory
 	// canaries is nil if the settings disable canary releases.
@@ -267,9 +268,10 @@
 			ReaderTimeout: edge.ReaderTimeout.D(),
 		},
 	}
-	d.crashes = quarantine.NewLedger(d.Log, nil)
+	d.crashes, d.badParts = quarantine.NewLedger(d.Log, nil), quarantine.NewPartLedger(d.Log, nil)
+	d.crashes.Otherwise = d.badParts.Explains
 	d.Forward.Guard = &quarantine.Guard{Rank: d.vms.rank, Detector: &quarantine.Detector{
-		Ledger: d.crashes,
+		Ledger: d.crashes, Parts: d.badParts,
 		Check: func(ctx context.Context, t ids.Target, addr string) quarantine.Liveness {
 			return client.Check(ctx, upstream.Replica{ID: t, Addr: addr})
 		},
@@ -304,10 +306,11 @@
 			d.Fleet.Members.SetLostByPeer(peer, unresponsive, clock.Now())
 		},
 		OnStoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
-		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Allowances: d.allowances, Streams: d.streams,
+		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams,
 		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
+	d.crashes.Settle, d.badParts.Settle = d.news.SettleTime, d.news.SettleTime
 	d.vms.d = d
 	d.buildCanaries()
 	d.Fleet.Members.Limits.Position = d.limitPosition
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/routing"
@@ -17,9 +19,39 @@
 	if r.workspace != nil {
 		request.Workspace = r.workspace.Name
 	}
+	if p := r.call.Prompt; p != nil && r.route.Prompts {
+		request.Model = p.Model
+		for _, part := range kvcache.Shared(p.Parts) {
+			request.Parts = append(request.Parts, part.ID)
+		}
+	}
 	r.guard = r.f.Guard.Call(r.call.ID, request)
 }
 
+// unframedChecks are the times after the end of an unframed response at which the VM checks whether its replica has
+// shown since that it lives.
+var unframedChecks = []time.Duration{time.Second, 4 * time.Second}
+
+// unframedMargin is the time for which events of other responses may still be read after their replica has ended.
+const unframedMargin = 200 * time.Millisecond
+
+// answeredUnframed records the answer of a response that does not mark its own end, once its replica has shown that it outlived
+// the response. Until then the response may have ended with its replica.
+func (r *run) answeredUnframed(t *attempt) {
+	answered := r.guard.AnsweredLater(r.status)
+	if answered == nil {
+		return
+	}
+	target, ended, members := t.c.target, clock.Now().Add(unframedMargin), r.f.Fleet.Members
+	for _, after := range unframedChecks {
+		time.AfterFunc(after, func() {
+			if members.SeenSince(target.ID, target.Incarnation, ended) {
+				answered()
+			}
+		})
+	}
+}
+
 // checkForCrash starts a check of whether a replica crashed while it ran an attempt that failed. It
 // skips replicas that were leaving, since they stop anyway.
 func (r *run) checkForCrash(ctx context.Context, t *attempt, err *outcome.Error) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -108,6 +108,8 @@
 		return false
 	case r.guard.Refusal(false) != nil:
 		return false // the crash of this attempt may have quarantined the request
+	case err.Outcome != outcome.NotRun && r.guard.Suspected():
+		return false // it may have crashed the replica, and would crash the next one
 	case !nothingSent(err) && !r.f.Budgets.Of(r.service).Withdraw():
 		r.f.Stats.BudgetEmpty.Add(1)
 		r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").Send()
@@ -174,6 +176,7 @@
 	responded bool          // the replica's first event, or its response, has arrived
 	computing bool          // the planner counts this send as computing shared parts
 	framed    bool          // the response marks its own end
+	events    int           // complete events passed on
 	unread    time.Duration // total time that writes to the caller took
 }
 
@@ -331,6 +334,8 @@
 	if err == nil {
 		if t.framed {
 			r.guard.Answered(r.status)
+		} else {
+			r.answeredUnframed(t)
 		}
 		switch {
 		case r.superseded(c):
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// eventsOfBegunAnswer is the number of complete events of one replica that show that it survives the beginning of the answer.
+const eventsOfBegunAnswer = 2
+
 // duplicate reports whether an event was passed on before, by an earlier attempt or by this one.
 func (s *streamState) duplicate(ev *relay.RawEvent) bool {
 	return ev.Numbered && s.numbered && ev.ID <= s.last
@@ -79,6 +82,9 @@
 		r.writeHead(a, unknownLength)
 	}
 	r.f.Stats.Events.Add(1)
+	if t.events++; t.events == eventsOfBegunAnswer {
+		r.guard.GoesOn()
+	}
 	r.progress.observe(clock.Now())
 	if ev.Numbered {
 		r.stream.last, r.stream.numbered = ev.ID, true
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// SeenSince reports whether an incarnation of the target is the latest one and this VM has received an event, a
+// response or its feed since a time.
+func (t *Table) SeenSince(id ids.Target, inc ids.Incarnation, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.targets[id]
+	return m != nil && m.record.Incarnation == inc && m.seenAt.After(since)
+}
+
 // ForgetFailures drops this VM's own evidence against a target: failed requests, timeouts and long-lived calls that
 // were not answered. They were due to this VM's link to the target.
 func (t *Table) ForgetFailures(id ids.Target) {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -68,6 +68,8 @@
 	LeaseLapse *LeaseLapse
 	// Crashes are requests that were in progress when replicas crashed.
 	Crashes []quarantine.Report
+	// Parts are parts of prompts of requests that were in progress when replicas crashed.
+	Parts []quarantine.Report
 	// Uses are what this VM has admitted of each workspace and the demand on it. They belong to
 	// the round Seq.
 	Uses []allowance.Use
@@ -179,6 +181,8 @@
 	// Crashes stores the requests that were in progress when replicas crashed. Nil: the exchange
 	// sends and receives none.
 	Crashes *quarantine.Ledger
+	// Parts does the same for parts of prompts. Nil: as for Crashes.
+	Parts *quarantine.Ledger
 	// Allowances limits the use of workspaces over all VMs. Nil: the use is not limited.
 	Allowances *allowance.Limiter
 	// Limits returns the rate limits of targets to report to peers. OnLimit is called for each one
@@ -334,6 +338,7 @@
 	x.Received.Add(1)
 	if x.recordContact(m.VM, m.Incarnation, clock.Now()) {
 		x.Crashes.ResendAll()
+		x.Parts.ResendAll()
 		x.Streams.PeerStarted(m.VM)
 	}
 	if m.Streams != nil {
@@ -343,6 +348,9 @@
 	if len(m.Crashes) > 0 && x.Crashes != nil {
 		x.Crashes.Receive(m.VM, m.Crashes, x.usesTree())
 	}
+	if len(m.Parts) > 0 && x.Parts != nil {
+		x.Parts.Receive(m.VM, m.Parts, x.usesTree())
+	}
 	if len(m.Canaries) > 0 && x.OnCanaryReports != nil {
 		x.OnCanaryReports(m.VM, m.Incarnation, m.Canaries)
 		return
@@ -420,6 +428,23 @@
 	return max(minRoundInterval, x.receiveInterval())
 }
 
+// SettleTime returns the time in which a report of this VM reaches all VMs and their replies come back, if a round
+// is lost on the way.
+func (x *Exchange) SettleTime() time.Duration {
+	if x.usesTree() {
+		return treeSettleTime
+	}
+	return settleRounds * x.RoundInterval()
+}
+
+const (
+	// settleRounds is the number of rounds in which a report and the replies to it have arrived: one each, one that is lost, and
+	// one for the delay of the messages.
+	settleRounds = 4
+	// treeSettleTime is the same time over the tree: three VMs forward a report, each in its next round, and three the reply.
+	treeSettleTime = 8 * treeRoundInterval
+)
+
 // receiveInterval returns the interval between two rounds at which a VM receives
 // messagesPerSecond from its peers.
 func (x *Exchange) receiveInterval() time.Duration {
@@ -434,8 +459,8 @@
 	x.Load.Own(func(t ids.Target, l loadview.TargetWork) {
 		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), NotResumable: l.NotResumable})
 	})
-	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits()}
-	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Limits) == 0 && x.skippedRounds < maxSkippedRounds {
+	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits()}
+	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && x.skippedRounds < maxSkippedRounds {
 		x.skippedRounds++
 		return
 	}
--- a/internal/news/tree_exchange.go
+++ b/internal/news/tree_exchange.go
@@ -40,18 +40,18 @@
 	x.Load.ExpirePeers(now)
 	own, loads := x.ownDigest()
 	s := x.tree.nextRound(x.VM, own, loads, now)
-	var crashes []quarantine.Report
+	var crashes, parts []quarantine.Report
 	if s.full {
-		crashes = x.Crashes.DueReports(len(s.reportTo))
+		parts, crashes = x.Parts.DueReports(len(s.reportTo)), x.Crashes.DueReports(len(s.reportTo))
 	}
-	x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Report: &s.report, Crashes: crashes}, s.reportTo)
+	x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Report: &s.report, Crashes: crashes, Parts: parts}, s.reportTo)
 	if s.announce {
 		x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation}, x.domainPeers())
 	}
 	if s.total == nil {
 		return
 	}
-	x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Total: s.total, Crashes: crashes}, s.totalTo)
+	x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Total: s.total, Crashes: crashes, Parts: parts}, s.totalTo)
 	if s.applies {
 		x.applyTotal(s.total, now)
 	}
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -47,7 +47,8 @@
 
 	Canaries []canary.Report `cbor:"17,keyasint,omitempty"`
 
-	Streams *streams.Message `cbor:"18,keyasint,omitempty"`
+	Streams *streams.Message    `cbor:"18,keyasint,omitempty"`
+	Parts   []quarantine.Report `cbor:"19,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -79,7 +80,7 @@
 	w := wireMessage{
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
-		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams,
+		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts,
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, NotResumable: l.NotResumable})
@@ -103,7 +104,7 @@
 	}
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
-		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams,
+		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts,
 	}
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -35,13 +35,16 @@
 type run struct {
 	Send
 	request Fingerprint
-	id      ids.Request // id of the caller's attempt
+	parts   []Fingerprint // of the request's prompt, which other requests may share
+	id      ids.Request   // id of the caller's attempt
 }
 
 // Detector checks whether replicas have ended when runs break there, and records the crashes in
 // the ledger. Safe for concurrent use.
 type Detector struct {
 	Ledger *Ledger
+	// Parts records crashes under parts of prompts. Nil: parts are not judged.
+	Parts *Ledger
 	// Check returns whether a replica still listens, has ended, or neither is known. ctx ends
 	// after checkTimeout. Checks of several replicas run concurrently.
 	Check func(ctx context.Context, t ids.Target, addr string) Liveness
@@ -88,13 +91,19 @@
 // recordCrash records the crash of a replica that broke these runs.
 func (d *Detector) recordCrash(runs []run) {
 	d.Ledger.Crashes.Add(1)
-	findings := make([]Finding, 0, len(runs))
+	findings, parts := make([]Finding, 0, len(runs)), []Finding(nil)
 	for i := range runs {
 		r := &runs[i]
 		d.Ledger.Log.Request("crashed-under", string(r.id)).Str("fingerprint", r.request.String()).Str("target", string(r.Target)).
 			Uint64("incarnation", uint64(r.Incarnation)).Int64("ran_ms", r.Broke.Sub(r.Sent).Milliseconds()).Send()
 		crash := Crash{Replica: ReplicaOf(r.Target, r.Incarnation), Sent: r.Sent, Ended: r.Broke}
 		findings = append(findings, Finding{Request: r.request, Crash: crash})
+		for _, f := range r.parts {
+			parts = append(parts, Finding{Request: f, Crash: crash})
+		}
+	}
+	if d.Parts != nil {
+		d.Parts.Crashed(parts...) // first, since a part may explain the crash
 	}
 	d.Ledger.Crashed(findings...)
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
@@ -27,7 +28,8 @@
 	guard       *Guard
 	id          ids.Request
 	request     Request
-	fingerprint *Fingerprint // nil until first needed
+	fingerprint *Fingerprint  // nil until first needed
+	parts       []Fingerprint // nil until first needed
 }
 
 // Call returns a guarded call. The request's body must not change until the call ends.
@@ -50,6 +52,23 @@
 	return *c.fingerprint
 }
 
+// partLedger returns the guard's ledger of parts, or nil if there is none.
+func (c *Call) partLedger() *Ledger {
+	if c.guard == nil || c.guard.Detector == nil {
+		return nil
+	}
+	return c.guard.Detector.Parts
+}
+
+// Parts returns the fingerprints of the parts of the call's prompt that other requests may share, computing them on the first
+// use.
+func (c *Call) Parts() []Fingerprint {
+	if c.parts == nil && len(c.request.Parts) > 0 {
+		c.parts = c.request.PartFingerprints()
+	}
+	return c.parts
+}
+
 // FingerprintText returns the fingerprint as text for logs, or an empty string if it has not
 // been computed yet.
 func (c *Call) FingerprintText() string {
@@ -75,31 +94,99 @@
 	return c.refusal(first, (*Ledger).Trial)
 }
 
-func (c *Call) refusal(first bool, trial func(l *Ledger, f Fingerprint, rank int) bool) *outcome.Error {
+func (c *Call) refusal(first bool, trial trialFunc) *outcome.Error {
+	if e := c.refusalOfParts(first, trial); e != nil {
+		return e
+	}
 	ledger := c.ledger()
 	if ledger.Empty() {
 		return nil
 	}
 	crashes, quarantined := ledger.Quarantined(c.Fingerprint())
-	if !quarantined || first && trial(ledger, c.Fingerprint(), c.rank()) {
+	if !quarantined || first && trial(ledger, c.Fingerprint(), c.rank(c.Fingerprint())) {
 		return nil
 	}
 	return outcome.New(outcome.NotRun, outcome.CodeQuarantined, Step, "",
 		fmt.Sprintf("%d replicas crashed while they ran this request; it is not sent to any more", crashes))
 }
 
-func (c *Call) rank() int {
+// trialFunc is TrialDue or Trial of a ledger.
+type trialFunc func(l *Ledger, f Fingerprint, rank int) bool
+
+// refusalOfParts returns the refusal of a call whose prompt holds a part that crashes replicas, or nil. A call with several
+// such parts is no trial.
+func (c *Call) refusalOfParts(first bool, trial trialFunc) *outcome.Error {
+	ledger := c.partLedger()
+	if ledger.Empty() {
+		return nil
+	}
+	var found []Fingerprint
+	crashes := 0
+	for _, f := range c.Parts() {
+		if n, quarantined := ledger.Quarantined(f); quarantined {
+			found, crashes = append(found, f), max(crashes, n)
+		}
+	}
+	if len(found) == 0 || len(found) == 1 && first && trial(ledger, found[0], c.rank(found[0])) {
+		return nil
+	}
+	return outcome.New(outcome.NotRun, outcome.CodeQuarantined, Step, "",
+		fmt.Sprintf("%d replicas crashed while they ran requests with a part of this prompt; such requests are not sent to any more", crashes))
+}
+
+// Suspected reports whether replicas crashed under a part of the call's prompt that no VM has seen answered.
+func (c *Call) Suspected() bool {
+	ledger := c.partLedger()
+	if ledger.Empty() {
+		return false
+	}
+	return slices.ContainsFunc(c.Parts(), ledger.Suspected)
+}
+
+// rank returns the number of live VMs that precede this one for the trial of a request or a part.
+func (c *Call) rank(f Fingerprint) int {
 	if c.guard.Rank == nil {
 		return 0
 	}
-	return c.guard.Rank(ids.Target(c.Fingerprint().String()))
+	return c.guard.Rank(ids.Target(f.String()))
 }
 
 // Answered records that a replica answered the call with a status. It ignores statuses from 500
 // up, since a call that failed may not have reached the fault.
 func (c *Call) Answered(status int) {
-	if ledger := c.ledger(); status < http.StatusInternalServerError && ledger != nil {
-		ledger.Answered(c.Fingerprint())
+	if answered := c.AnsweredLater(status); answered != nil {
+		answered()
+	}
+}
+
+// GoesOn records that the answer to the call has gone on after its beginning, which shows that the replica survives the
+// parts of the prompt.
+func (c *Call) GoesOn() {
+	ledger := c.partLedger()
+	if ledger == nil {
+		return
+	}
+	for _, f := range c.Parts() {
+		ledger.Answered(f)
+	}
+}
+
+// AnsweredLater returns a function that does the same as Answered, for an answer whose end does not show that it is complete. The function
+// does not hold the request, and may be called at any time; nil: there is nothing to record.
+func (c *Call) AnsweredLater(status int) (answered func()) {
+	ledger, partLedger := c.ledger(), c.partLedger()
+	if ledger == nil || status >= http.StatusInternalServerError {
+		return nil
+	}
+	request, parts := c.Fingerprint(), c.Parts()
+	if partLedger == nil || status >= http.StatusMultipleChoices {
+		parts = nil // the replica has not begun to write an answer on them
+	}
+	return func() {
+		ledger.Answered(request)
+		for _, f := range parts {
+			partLedger.Answered(f)
+		}
 	}
 }
 
@@ -109,7 +196,7 @@
 	if c.ledger() == nil {
 		return
 	}
-	r := run{Send: s, request: c.Fingerprint(), id: c.id}
+	r := run{Send: s, request: c.Fingerprint(), parts: c.Parts(), id: c.id}
 	if ended {
 		c.guard.Detector.recordCrash([]run{r})
 		return
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -41,6 +41,8 @@
 	// Quarantined is set if this VM or another already quarantined the request.
 	Quarantined bool
 	Crashes     []Crash // in the order of Ended
+	// Needed is the number of crashes that quarantines the request; zero: crashesNeeded, or crashesIfAnswered.
+	Needed int
 }
 
 const (
@@ -51,6 +53,12 @@
 	// crashesIfAnswered is the same number for a request that was answered before without
 	// crashing its replica. A frequent request is in progress wherever replicas end.
 	crashesIfAnswered = 12
+	// crashesOfPart is the same number for a part of prompts: one more than for a request, since many requests share
+	// it. Operators count the requests that come after the fifth crash.
+	crashesOfPart = 4
+	// crashesIfShared is the same number for a request that shares parts of its prompt. It exceeds crashesOfPart, so that a
+	// part is found before the requests that hold it and those that run beside them.
+	crashesIfShared = 5
 	// sameEventWindow is the time within which several crashes are one event. A cause that
 	// ends all replicas of a service at once breaks a run at one replica and its retry at
 	// the next. When each crash counted, a harmless request that twelve callers shared was
@@ -62,14 +70,14 @@
 )
 
 // Judge returns the requests that crash replicas according to the cases, without those already
-// quarantined.
+// quarantined. otherwise reports which replicas crashed for another known reason; nil: none.
 //
 // Every request in progress on a crashing replica loses its run and is retried together with the
 // request that caused the crash. So a crash counts against one request only: the request that
 // first has enough crashes is taken for the cause of all its crashes, and the other requests are
 // judged by the remaining crashes. Of two requests with the same crashes Judge finds one. If it is
 // the wrong one, the next crash identifies the other, and a trial lifts the quarantine of the first.
-func Judge(cases []Case) []Fingerprint {
+func Judge(cases []Case, otherwise func(Replica) bool) []Fingerprint {
 	explained := map[Replica]bool{}
 	var open []Case
 	for _, c := range cases {
@@ -81,6 +89,13 @@
 			explained[crash.Replica] = true
 		}
 	}
+	if otherwise != nil {
+		for i := range open {
+			for _, crash := range open[i].Crashes {
+				explained[crash.Replica] = explained[crash.Replica] || otherwise(crash.Replica)
+			}
+		}
+	}
 	var found []Fingerprint
 	for {
 		first := -1
@@ -103,8 +118,13 @@
 }
 
 func (c *Case) needed() int {
-	if c.Answered {
+	switch {
+	case c.Needed > 0:
+		return c.Needed
+	case c.Answered:
 		return crashesIfAnswered
+	case c.Request.sharesParts():
+		return crashesIfShared
 	}
 	return crashesNeeded
 }
--- a/internal/quarantine/judge_test.go
+++ b/internal/quarantine/judge_test.go
@@ -48,7 +48,7 @@
 			cases = append(cases, c)
 		}
 		var out []string
-		for _, f := range Judge(cases) {
+		for _, f := range Judge(cases, nil) {
 			out = append(out, names[f])
 		}
 		slices.Sort(out)
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -54,7 +54,17 @@
 	// lifted, and for each trial.
 	Log *eventlog.Log
 
+	// Settle returns how long evidence against a part, or against a request that shares parts, is held before it is judged:
+	// until VMs that remember an answer can have said so. Nil: no time.
+	Settle func() time.Duration
+	// Otherwise reports which replicas crashed for another known reason. Nil: none. It is called with the lock
+	// held and must not call methods of the ledger.
+	Otherwise func(Replica) bool
+
 	now func() time.Time
+	// parts states that the ledger holds parts of prompts. A part that was answered once is sound for good: VMs that
+	// remember an answer say so to those that report crashes.
+	parts bool
 
 	mu         sync.Mutex
 	cases      map[Fingerprint]*entry
@@ -87,7 +97,8 @@
 	trials     uint32
 	triedAt    time.Time // the latest trial that this VM knows of
 	changed    time.Time
-	roundsLeft int // rounds in which the entry is still to be reported
+	since      int64 // when this VM created the entry, in nanoseconds of Unix time
+	roundsLeft int   // rounds in which the entry is still to be reported
 }
 
 // NewLedger returns an empty ledger. A nil now means clock.Now.
@@ -98,6 +109,13 @@
 	return &Ledger{Log: log, now: now, cases: map[Fingerprint]*entry{}}
 }
 
+// NewPartLedger returns an empty ledger of parts of prompts. A nil now means clock.Now.
+func NewPartLedger(log *eventlog.Log, now func() time.Time) *Ledger {
+	l := NewLedger(log, now)
+	l.parts = true
+	return l
+}
+
 // Empty reports whether the ledger, which may be nil, has no cases. Then no request needs a
 // look-up.
 func (l *Ledger) Empty() bool { return l == nil || l.caseCount.Load() == 0 }
@@ -170,6 +188,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, f := range findings {
+		if l.parts && l.isSound(f.Request) {
+			continue
+		}
 		if e := l.entry(f.Request); e.observe(f.Crash) {
 			e.changed, e.roundsLeft = l.now(), ownRounds
 		}
@@ -177,13 +198,47 @@
 	l.judge("")
 }
 
+// isSound reports whether a part was answered. The caller holds l.mu.
+func (l *Ledger) isSound(f Fingerprint) bool {
+	e := l.cases[f]
+	return l.remembers(f) || e != nil && e.answers > 0
+}
+
+// Suspected reports whether replicas crashed under a part, which may be due to it.
+func (l *Ledger) Suspected(f Fingerprint) bool {
+	if l.Empty() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.cases[f]
+	return e != nil && len(e.crashes) >= crashesSuspected
+}
+
+// crashesSuspected is the number of crashes under a part from which the VM does not send a request that holds it a second time.
+const crashesSuspected = 2
+
+// Explains reports whether a replica crashed under a quarantined request or part.
+func (l *Ledger) Explains(r Replica) bool {
+	if l.Empty() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.cases {
+		if e.quarantined && e.crashOf(r) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Answered records that a replica answered a request. This clears the crashes of the request and
 // lifts its quarantine.
 func (l *Ledger) Answered(f Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	slot, tag := f.answeredSlot()
-	l.answered[slot] = tag
+	l.remember(f)
 	e := l.cases[f]
 	if e == nil || len(e.crashes) == 0 {
 		return
@@ -223,8 +278,8 @@
 	if len(l.cases) >= maxCases {
 		l.remove(l.evictionCandidate())
 	}
-	e := &entry{changed: l.now()}
-	if slot, tag := f.answeredSlot(); l.answered[slot] == tag {
+	e := &entry{changed: l.now(), since: l.now().UnixNano()}
+	if l.remembers(f) {
 		e.answers = 1
 	}
 	l.cases[f] = e
@@ -232,6 +287,18 @@
 	return e
 }
 
+// remember records that a request was answered. The caller holds l.mu.
+func (l *Ledger) remember(f Fingerprint) {
+	slot, tag := f.answeredSlot()
+	l.answered[slot] = tag
+}
+
+// remembers reports whether this VM remembers an answer to a request. The caller holds l.mu.
+func (l *Ledger) remembers(f Fingerprint) bool {
+	slot, tag := f.answeredSlot()
+	return l.answered[slot] == tag
+}
+
 // answeredSlot returns the slot of a request in Ledger.answered and the tag stored there.
 func (f Fingerprint) answeredSlot() (slot int, tag uint64) {
 	return int(binary.BigEndian.Uint16(f[:]) % answeredSlots), binary.BigEndian.Uint64(f[2:])
@@ -329,15 +396,36 @@
 func (l *Ledger) judge(from ids.VM) (found bool) {
 	cases := make([]Case, 0, len(l.cases))
 	for f, e := range l.cases {
-		cases = append(cases, Case{Request: f, Answered: e.answers > 0, Quarantined: e.quarantined, Crashes: e.crashes})
+		if e.quarantined || l.mayJudge(f, e) {
+			cases = append(cases, Case{Request: f, Answered: e.answers > 0, Quarantined: e.quarantined, Crashes: e.crashes, Needed: l.needed()})
+		}
 	}
-	for _, f := range Judge(cases) {
+	for _, f := range Judge(cases, l.Otherwise) {
 		l.quarantine(f, from)
 		found = true
 	}
 	return found
 }
 
+// needed returns the number of crashes that quarantines a part; zero for requests, for which it depends.
+func (l *Ledger) needed() int {
+	if l.parts {
+		return crashesOfPart
+	}
+	return 0
+}
+
+// mayJudge reports whether the evidence against a request or a part may be judged now. The caller holds l.mu.
+func (l *Ledger) mayJudge(f Fingerprint, e *entry) bool {
+	if l.parts && e.answers > 0 {
+		return false
+	}
+	if l.Settle == nil || !l.parts && !f.sharesParts() {
+		return true
+	}
+	return l.now().UnixNano()-e.since >= int64(l.Settle())
+}
+
 // quarantine quarantines a request. The caller holds l.mu.
 func (l *Ledger) quarantine(f Fingerprint, from ids.VM) {
 	e := l.cases[f]
--- a/internal/quarantine/reports.go
+++ b/internal/quarantine/reports.go
@@ -57,6 +57,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.Settle != nil {
+		l.judge("") // evidence may have settled since it arrived
+	}
 	now := l.now()
 	var due []Fingerprint
 	for f, e := range l.cases {
@@ -177,6 +180,9 @@
 // merge merges one report, and returns the entry that it changed, or nil if there is none. The
 // caller holds l.mu.
 func (l *Ledger) merge(r *Report, from ids.VM) *entry {
+	if l.parts && (r.Answers > 0 || l.isSound(r.Request)) {
+		return l.mergeSound(r, from)
+	}
 	e, now := l.cases[r.Request], l.now()
 	if e == nil && len(r.Crashes) == 0 || e != nil && r.Answers < e.answers {
 		return nil // no evidence against the request, or it has been answered since
@@ -211,6 +217,31 @@
 	return e
 }
 
+// mergeSound merges a report on a part that was answered, as the peer or this VM knows. If the peer does not know,
+// this VM reports it. It returns the entry that it changed, or nil if there is none. The caller holds l.mu.
+func (l *Ledger) mergeSound(r *Report, from ids.VM) *entry {
+	l.remember(r.Request)
+	e := l.cases[r.Request]
+	if e == nil && r.Answers > 0 {
+		return nil // this VM holds nothing against it
+	}
+	known := e != nil && e.answers > 0
+	if e == nil {
+		e = l.entry(r.Request)
+	}
+	if len(e.crashes) > 0 || e.answers == 0 {
+		l.clear(r.Request, e, max(r.Answers, 1), from)
+	}
+	switch {
+	case r.Answers == 0 && e.roundsLeft == 0:
+		e.roundsLeft = ownRounds
+	case known:
+		return nil
+	}
+	e.changed = l.now()
+	return e
+}
+
 // crashes returns the valid crashes of a report that are not too old, in this VM's time.
 func (r *Report) crashes(now time.Time) []Crash {
 	var out []Crash
