--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -93,7 +93,7 @@
 // send makes one call to a random VM and returns it with its result.
 func (c *callers) send(rng *rand.Rand, transport *http.Transport, out call) call {
 	h := c.h
-	out.id, out.vm, out.version = fmt.Sprintf("s%08d", c.number.Add(1)), h.vms[rng.IntN(len(h.vms))], h.confirmedVersion()
+	out.id, out.vm, out.version = fmt.Sprintf("s%08d", c.number.Add(1)), h.pickVM(rng), h.confirmedVersion()
 	faultFree := h.faultFree(out.vm)
 	out.sent = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,7 +35,13 @@
 			known[k.id] = true
 		}
 	}
+	for _, bad := range h.badPrompts {
+		for _, k := range bad {
+			known[k.id] = true
+		}
+	}
 	c.fatalBound()
+	c.partBound()
 	c.allowance(calls)
 	c.signals(calls)
 	c.fences()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,8 @@
 	// Versions states that engines of several software versions serve, that some of their streams break off, and that
 	// callers take streams up at other VMs.
 	Versions bool
+	// Parts states that parts of prompts crash engines, and that most connections go to one VM at times.
+	Parts bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -67,7 +69,7 @@
 	if o.Cuts && o.VMs > maxLinkedVMs {
 		return report, fmt.Errorf("a soak with cuts has at most %d VMs", maxLinkedVMs)
 	}
-	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed), o.Cuts, o.Versions)
+	h, err := newHarness(dir, o.Program, o.VMs, directFleet(o.Seed), o.Cuts, o.Versions, o.Parts)
 	defer h.close()
 	h.checkTiming = !o.Busy
 	if err != nil {
@@ -89,12 +91,17 @@
 	if o.Cuts {
 		waitCuts = h.injectCuts(faultCtx, o.Seed)
 	}
+	waitParts := func() map[string]int { return nil }
+	if o.Parts {
+		waitParts = h.injectParts(faultCtx, o.Seed)
+	}
 	waitExtraFaults, waitSignals := h.injectExtraFaults(faultCtx, o.Seed), h.injectSignals(faultCtx, o.Seed)
 	h.inject(faultCtx, rand.New(rand.NewPCG(o.Seed, 0)), func(name string) { report.Faults[name]++ })
 	maps.Copy(report.Faults, waitExtraFaults())
 	maps.Copy(report.Faults, waitSignals())
 	maps.Copy(report.Faults, waitDrills())
 	maps.Copy(report.Faults, waitCuts())
+	maps.Copy(report.Faults, waitParts())
 	report.Faults["a brittle replica fell over"] = h.countFalls()
 	stopFaults()
 	h.awaitRecovery(&report)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// partSeeds are seeds that are run with parts of prompts that crash engines.
+var partSeeds = []uint64{5501, 5502, 5503}
+
+// TestSoakWithParts runs daemon processes under drawn faults while parts of prompts crash engines and most connections go to one VM
+// at times, for 6 s with each seed.
+func TestSoakWithParts(t *testing.T) {
+	program := build(t)
+	for _, seed := range partSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: seed, VMs: 4, Callers: 6, FaultDuration: 6 * time.Second, Busy: true, Versions: true, Parts: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Violations) > 0 || report.Served == 0 {
+			t.Errorf("seed %d: %d of %d calls served, %v, logs %v", seed, report.Served, report.Calls, report.Violations, report.Logs)
+		}
+	}
+}
+
 // TestSoak runs daemon processes under drawn faults for 3 s with each seed. It does not check
 // timing bounds, because the CI machine may be busy.
 func TestSoak(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/lab/platformlab"
@@ -57,18 +58,21 @@
 	issued        map[string]time.Time // when the store confirmed a key that replaced another
 	drainStart    map[string]time.Time // when a replica began to drain, by its id
 	keys          [keyCount]string
-	keyNumber     int                    // of the last key
-	weights       int                    // newest version
-	brittle       int                    // refusals beyond which replicas of the plain service fall over; zero: they do not
-	falls         int                    // of brittle replicas
-	cuts          bool                   // VMs have links of their own
-	versions      bool                   // engines of several software versions serve
-	fatal         map[string][]fatalCall // repeats of fatal requests, by body
-	crashes       int                    // of replicas that ran fatal requests
-	allKilled     []time.Time            // times at which all VMs were killed
-	drills        []time.Time            // ends of drills: what the store lost has been written again
-	lastFault     time.Time              // start or end of the last fault outside the VMs
-	activeFaults  int                    // number of faults in progress outside the VMs
+	keyNumber     int                     // of the last key
+	weights       int                     // newest version
+	brittle       int                     // refusals beyond which replicas of the plain service fall over; zero: they do not
+	falls         int                     // of brittle replicas
+	cuts          bool                    // VMs have links of their own
+	versions      bool                    // engines of several software versions serve
+	parts         bool                    // parts of prompts crash engines
+	badPrompts    map[string][]fatalCall  // requests with a bad part, by the part
+	crowded       atomic.Pointer[process] // VM to which most connections go; nil: none
+	fatal         map[string][]fatalCall  // repeats of fatal requests, by body
+	crashes       int                     // of replicas that ran fatal requests
+	allKilled     []time.Time             // times at which all VMs were killed
+	drills        []time.Time             // ends of drills: what the store lost has been written again
+	lastFault     time.Time               // start or end of the last fault outside the VMs
+	activeFaults  int                     // number of faults in progress outside the VMs
 }
 
 // replica is a simulated replica behind a proxy.
@@ -109,8 +113,8 @@
 
 // newHarness starts the store, three replicas of each service and vms processes. The caller
 // must close the returned harness, also after an error.
-func newHarness(dir, program string, vms, directFleet int, cuts, versions bool) (*harness, error) {
-	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: cuts, versions: versions}
+func newHarness(dir, program string, vms, directFleet int, cuts, versions, parts bool) (*harness, error) {
+	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: cuts, versions: versions, parts: parts, badPrompts: map[string][]fatalCall{}}
 	h.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -190,6 +194,9 @@
 		h.setRoom(r)
 	}
 	r.CrashOn = &platformlab.CrashRule{Body: fatalBody, Delay: fatalWork, OnCrash: func(*platformlab.Replica) { h.onFatalCrash(r) }}
+	if h.parts && service == "llm" {
+		h.partRule(r.CrashOn)
+	}
 	h.mu.Unlock()
 	if err := r.Listen(h.ledger); err != nil {
 		return err
