Replica limits: a VM to which most calls come gets the room of others

Cause: Position.share gives each sender an equal part of a limit, whatever comes to it. Change: credit and the room in the buckets move to a VM that asks, within the sum of the buckets.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -307,7 +307,7 @@
 		},
 		OnStoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
 		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams,
-		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit,
+		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit, Credit: d.Fleet.Members.Limits,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
 	d.crashes.Settle, d.badParts.Settle = d.news.SettleTime, d.news.SettleTime
--- a/internal/fleet/signals.go
+++ b/internal/fleet/signals.go
@@ -81,6 +81,9 @@
 		if !in.RateLimited && !in.Resting {
 			return 0, 0, false
 		}
+		if in.RateLimited {
+			f.Members.Limits.Lacked(snap.View.Targets[i].ID)
+		}
 		w, between, ok := f.Members.Limits.Wait(snap.View.Targets[i].ID)
 		w = max(w, snap.restLeft(i, f.now()))
 		if ok && (!known || w < wait) {
--- a/internal/news/limits.go
+++ b/internal/news/limits.go
@@ -81,3 +81,39 @@
 	}
 	d.Limits = append(d.Limits, w)
 }
+
+// lacking returns the targets for whose limits this VM asks its peers for credit.
+func (x *Exchange) lacking() []ids.Target {
+	if x.Credit == nil {
+		return nil
+	}
+	return x.Credit.Lacking()
+}
+
+// grant sends a peer the credit for targets that this VM does not need.
+func (x *Exchange) grant(to ids.VM, lacking []ids.Target) {
+	if x.Credit == nil {
+		return
+	}
+	var grants []ratelimit.Grant
+	for _, t := range lacking {
+		if n := x.Credit.Give(t); n > 0 {
+			grants = append(grants, ratelimit.Grant{Target: uint32(shorten(t)), Requests: n})
+		}
+	}
+	if p, ok := x.tree.peer(to); ok && len(grants) > 0 {
+		x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Grants: grants}, []Peer{p})
+	}
+}
+
+// receiveGrants applies the credit that a peer has granted.
+func (x *Exchange) receiveGrants(grants []ratelimit.Grant) {
+	if x.Credit == nil {
+		return
+	}
+	for _, g := range grants {
+		if t, ok := x.Resolve(g.Target); ok {
+			x.Credit.Receive(t, g.Requests)
+		}
+	}
+}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -75,6 +75,10 @@
 	Uses []allowance.Use
 	// Limits are rate limits that targets reported, and ends of such limits.
 	Limits []ratelimit.Report
+	// Lacking are targets for whose limits this VM asks its peers for credit.
+	Lacking []ids.Target
+	// Grants answer Lacking. Such a message carries nothing else.
+	Grants []ratelimit.Grant
 	// Canaries are the counts of this VM for versions that are being rolled out.
 	Canaries []canary.Report
 	// Streams concerns the directory of where streams began. Such a message carries nothing else.
@@ -189,6 +193,8 @@
 	// that a peer reports.
 	Limits  func() []ratelimit.Report
 	OnLimit func(w ratelimit.Report)
+	// Credit moves credit for limits of targets between VMs. Nil: it is not moved.
+	Credit *ratelimit.Limiter
 	// OnCanaryReports is called with the canary counts of a VM. Nil: the exchange ignores those that
 	// it receives.
 	OnCanaryReports func(vm ids.VM, incarnation int64, r []canary.Report)
@@ -341,6 +347,10 @@
 		x.Parts.ResendAll()
 		x.Streams.PeerStarted(m.VM)
 	}
+	if len(m.Grants) > 0 {
+		x.receiveGrants(m.Grants)
+		return
+	}
 	if m.Streams != nil {
 		x.Streams.Receive(m.VM, m.Streams)
 		return
@@ -392,6 +402,7 @@
 	for _, w := range m.Limits {
 		x.OnLimit(w)
 	}
+	x.grant(m.VM, m.Lacking)
 }
 
 // SendLoads sends this VM's loads in rounds until ctx ends: to each peer, or over the tree in
@@ -459,8 +470,8 @@
 	x.Load.Own(func(t ids.Target, l loadview.TargetWork) {
 		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), NotResumable: l.NotResumable})
 	})
-	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits()}
-	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && x.skippedRounds < maxSkippedRounds {
+	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking()}
+	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && x.skippedRounds < maxSkippedRounds {
 		x.skippedRounds++
 		return
 	}
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -12,6 +12,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/quarantine"
+	"github.com/threadwall/threadwall/internal/ratelimit"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/streams"
 )
@@ -49,6 +50,9 @@
 
 	Streams *streams.Message    `cbor:"18,keyasint,omitempty"`
 	Parts   []quarantine.Report `cbor:"19,keyasint,omitempty"`
+
+	Lacking []shortID         `cbor:"20,keyasint,omitempty"`
+	Grants  []ratelimit.Grant `cbor:"21,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -80,7 +84,7 @@
 	w := wireMessage{
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
-		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts,
+		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts, Grants: m.Grants,
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, NotResumable: l.NotResumable})
@@ -88,6 +92,9 @@
 	for _, t := range m.Unresponsive {
 		w.Unresponsive = append(w.Unresponsive, shorten(t))
 	}
+	for _, t := range m.Lacking {
+		w.Lacking = append(w.Lacking, shorten(t))
+	}
 	data, err := cbor.Marshal(w)
 	return append([]byte{actionDeliver}, data...), eris.Wrap(err, "encode peer message")
 }
@@ -104,7 +111,7 @@
 	}
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
-		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts,
+		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts, Grants: w.Grants,
 	}
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
@@ -123,6 +130,11 @@
 			m.Unresponsive = append(m.Unresponsive, t)
 		}
 	}
+	for _, s := range w.Lacking {
+		if t, ok := resolve(uint32(s)); ok {
+			m.Lacking = append(m.Lacking, t)
+		}
+	}
 	for _, c := range w.CacheChanges {
 		if t, ok := resolve(uint32(c.Target)); ok {
 			m.CacheChanges = append(m.CacheChanges, c.changes(t)...)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -75,6 +75,9 @@
 	share      float64 // requests/s
 	credit     float64 // requests that may be sent
 	creditAt   time.Time
+	tookAt     time.Time // when this VM last used credit
+	lackedAt   time.Time // when it last refused a call for want of credit
+	loans      []loan
 }
 
 // ObserveResponse records the limit that a target's response announces, or that it announces none.
@@ -204,7 +207,7 @@
 // advance updates the credit to now. The caller holds the lock.
 func (l *Limiter) advance(id ids.Target, e *targetLimit, now time.Time) {
 	if dt := now.Sub(e.creditAt).Seconds(); dt > 0 {
-		e.credit = min(e.credit+e.share*dt, 1+e.share*creditTime.Seconds())
+		e.credit = min(e.credit+e.share*dt, e.bucket(now))
 		e.creditAt = now
 	}
 	if now.Sub(e.positionAt) >= positionMaxAge {
@@ -253,6 +256,7 @@
 		return false
 	}
 	e.credit--
+	e.tookAt = now
 	return true
 }
 
