--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -267,8 +267,14 @@
 	if s.written > 0 && (r.barred(version) || r.Stage == Promoting && version != r.Canary) {
 		return nil, false
 	}
+	return g.admit(s, service, version), true
+}
+
+// admit counts a call in progress at a version. The caller holds g.mu.
+func (g *Gate) admit(s *serviceGate, service string, version ids.SoftwareVersion) *Admission {
 	s.calls[version]++
-	return &Admission{gate: g, service: service, version: version, order: r.Order, canary: r.Canary != "" && version == r.Canary}, true
+	r := &s.record
+	return &Admission{gate: g, service: service, version: version, order: r.Order, canary: r.Canary != "" && version == r.Canary}
 }
 
 // Continue admits a call whose stream began at a version, also if the version gets no new calls. The caller must
@@ -279,10 +285,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.service(service)
-	s.calls[version]++
-	r := &s.record
-	return &Admission{gate: g, service: service, version: version, order: r.Order, canary: r.Canary != "" && version == r.Canary}
+	return g.admit(g.service(service), service, version)
 }
 
 // Release records that the call has left its target. Only the first Release has an effect.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -269,7 +269,7 @@
 		},
 	}
 	d.crashes, d.badParts = quarantine.NewLedger(d.Log, nil), quarantine.NewPartLedger(d.Log, nil)
-	d.crashes.Otherwise = d.badParts.Explains
+	d.crashes.ExplainedElsewhere = d.badParts.Explains
 	d.Forward.Guard = &quarantine.Guard{Rank: d.vms.rank, Detector: &quarantine.Detector{
 		Ledger: d.crashes, Parts: d.badParts,
 		Check: func(ctx context.Context, t ids.Target, addr string) quarantine.Liveness {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -70,14 +70,14 @@
 )
 
 // Judge returns the requests that crash replicas according to the cases, without those already
-// quarantined. otherwise reports which replicas crashed for another known reason; nil: none.
+// quarantined. elsewhere reports which replicas crashed for another known reason; nil: none.
 //
 // Every request in progress on a crashing replica loses its run and is retried together with the
 // request that caused the crash. So a crash counts against one request only: the request that
 // first has enough crashes is taken for the cause of all its crashes, and the other requests are
 // judged by the remaining crashes. Of two requests with the same crashes Judge finds one. If it is
 // the wrong one, the next crash identifies the other, and a trial lifts the quarantine of the first.
-func Judge(cases []Case, otherwise func(Replica) bool) []Fingerprint {
+func Judge(cases []Case, elsewhere func(Replica) bool) []Fingerprint {
 	explained := map[Replica]bool{}
 	var open []Case
 	for _, c := range cases {
@@ -89,10 +89,10 @@
 			explained[crash.Replica] = true
 		}
 	}
-	if otherwise != nil {
+	if elsewhere != nil {
 		for i := range open {
 			for _, crash := range open[i].Crashes {
-				explained[crash.Replica] = explained[crash.Replica] || otherwise(crash.Replica)
+				explained[crash.Replica] = explained[crash.Replica] || elsewhere(crash.Replica)
 			}
 		}
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -57,9 +57,9 @@
 	// Settle returns how long evidence against a part, or against a request that shares parts, is held before it is judged:
 	// until VMs that remember an answer can have said so. Nil: no time.
 	Settle func() time.Duration
-	// Otherwise reports which replicas crashed for another known reason. Nil: none. It is called with the lock
+	// ExplainedElsewhere reports which replicas crashed for another known reason. Nil: none. It is called with the lock
 	// held and must not call methods of the ledger.
-	Otherwise func(Replica) bool
+	ExplainedElsewhere func(Replica) bool
 
 	now func() time.Time
 	// parts states that the ledger holds parts of prompts. A part that was answered once is sound for good: VMs that
@@ -400,7 +400,7 @@
 			cases = append(cases, Case{Request: f, Answered: e.answers > 0, Quarantined: e.quarantined, Crashes: e.crashes, Needed: l.needed()})
 		}
 	}
-	for _, f := range Judge(cases, l.Otherwise) {
+	for _, f := range Judge(cases, l.ExplainedElsewhere) {
 		l.quarantine(f, from)
 		found = true
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -106,7 +106,7 @@
 func (f *partSim) newVM() *partVM {
 	now := func() time.Time { return f.now }
 	v := &partVM{parts: NewPartLedger(nil, now), requests: NewLedger(nil, now), started: f.now}
-	v.parts.Settle, v.requests.Settle, v.requests.Otherwise = f.settle, f.settle, v.parts.Explains
+	v.parts.Settle, v.requests.Settle, v.requests.ExplainedElsewhere = f.settle, f.settle, v.parts.Explains
 	return v
 }
 
--- a/internal/streams/lookup.go
+++ b/internal/streams/lookup.go
@@ -48,7 +48,7 @@
 	asked    []ids.VM
 	missing  map[ids.VM]bool // VMs that have no record
 	sole     Version         // the only version that this VM or one of them has seen; zero: none has
-	soles    bool            // they have seen different ones
+	differ   bool            // they have seen different ones
 	version  Version
 	result   Result
 	finished chan struct{} // closed when result is final
@@ -148,7 +148,7 @@
 
 // absent returns the result if no VM has a record. The caller holds Directory.mu.
 func (l *lookup) absent() (Version, Result) {
-	if l.sole == 0 || l.soles {
+	if l.sole == 0 || l.differ {
 		return 0, NotFound
 	}
 	return l.sole, Found
@@ -186,7 +186,7 @@
 // addMissing records that a peer has no record. The caller holds Directory.mu.
 func (l *lookup) addMissing(from ids.VM, sole Version) {
 	l.missing[from] = true
-	l.soles = l.soles || sole != 0 && l.sole != 0 && sole != l.sole
+	l.differ = l.differ || sole != 0 && l.sole != 0 && sole != l.sole
 	if sole != 0 {
 		l.sole = sole
 	}
--- a/internal/streams/transfer.go
+++ b/internal/streams/transfer.go
@@ -244,8 +244,8 @@
 	}
 }
 
-// restores reports whether this VM sends a record again to a holder that has started: vm is one of the first
-// copies candidates, and self ranks before the other live ones. all lacks self.
+// restores reports whether self sends a record again to vm, a holder that has started: vm is one of the first
+// candidates, and no live candidate before it precedes self by rankOf. all are the candidates, without self.
 func restores(all []Peer, vm, self ids.VM) bool {
 	for i, c := range all {
 		switch {
@@ -260,5 +260,5 @@
 	return false
 }
 
-// rankOf orders the VMs that may send a record again.
+// rankOf returns the rank by which one of the VMs that have a record is chosen to send it again.
 func rankOf(vm ids.VM) uint64 { return routing.HashTarget(ids.Target(vm)) }
