Streams: the origin of a call is read by its stall timer while the call relays events

The race detector found a real fault in TestPartThatCrashesReplicas: attempt.onStall reads the call's origin in the timer's goroutine while beginStream writes it. It is an atomic pointer now. A unit test of its own could not bring it about, since locks on the way order the two. The soak's two bounds on crashes share one function.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"strings"
+	"sync/atomic"
 
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/fleet"
@@ -29,13 +30,22 @@
 	ActivateSoftware(service string, v ids.SoftwareVersion, key uint64)
 }
 
-// origin is the software version at which a call's stream began.
+// origin is the software version at which a call's stream began. The stall timer reads it while the call relays events.
 type origin struct {
 	key      streams.Key
-	known    bool // the stream has begun, or the call takes one up
-	software ids.SoftwareVersion
+	software atomic.Pointer[ids.SoftwareVersion] // nil: the stream has not begun, and the call takes none up
 }
 
+// version returns the version at which the stream began; false: it has not begun, and the call takes none up.
+func (o *origin) version() (v ids.SoftwareVersion, known bool) {
+	if p := o.software.Load(); p != nil {
+		return *p, true
+	}
+	return "", false
+}
+
+func (o *origin) set(v ids.SoftwareVersion) { o.software.Store(&v) }
+
 // spread returns a number that differs from stream to stream, for rendezvous hashing.
 func (o *origin) spread() uint64 { return binary.BigEndian.Uint64(o.key[:]) }
 
@@ -64,7 +74,7 @@
 		r.logOrigin(result, "")
 		return r.refuseOrigin("the software version at which the stream began is not known")
 	}
-	r.origin.known, r.origin.software = true, software
+	r.origin.set(software)
 	return nil
 }
 
@@ -92,7 +102,8 @@
 		r.logOrigin(streams.Found, "")
 		return r.refuseOrigin("no replica runs the software version at which the stream began")
 	}
-	r.service, r.origin.known, r.origin.software = service, true, software
+	r.service = service
+	r.origin.set(software)
 	r.logOrigin(streams.Found, software)
 	return nil
 }
@@ -109,7 +120,7 @@
 // beginStream records where the stream begins, or goes on, before its first event is passed on.
 func (t *attempt) beginStream() {
 	r := t.r
-	r.origin.known, r.origin.software = true, t.c.target.Software
+	r.origin.set(t.c.target.Software)
 	if r.f.Streams != nil && r.route.Resumable {
 		r.f.Streams.Begin(r.origin.key, t.c.target.Service, t.c.target.Software)
 	}
@@ -117,12 +128,12 @@
 
 // chooseOrigin picks a target of the version at which the stream began. That version may have been taken out of service
 // for new streams. If each of its targets has been tried, a tried one may serve again.
-func (r *run) chooseOrigin(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
+func (r *run) chooseOrigin(v ids.SoftwareVersion, req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
 	f := r.f
 	if f.Versions != nil {
-		f.Versions.ActivateSoftware(r.service, r.origin.software, r.origin.spread())
+		f.Versions.ActivateSoftware(r.service, v, r.origin.spread())
 	}
-	req.Software = &routing.SoftwareChoice{Version: r.origin.software}
+	req.Software = &routing.SoftwareChoice{Version: v}
 	snap, d := f.Fleet.Decide(req, r.tried, sc)
 	if d.Index < 0 {
 		snap, d = f.Fleet.Decide(req, nil, sc)
@@ -130,5 +141,5 @@
 	if d.Index < 0 {
 		return snap, d, nil
 	}
-	return snap, d, f.Software.Continue(r.service, r.origin.software)
+	return snap, d, f.Software.Continue(r.service, v)
 }
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -34,8 +34,8 @@
 // chooseWithin implements choose within req.MaxSilence.
 func (r *run) chooseWithin(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
 	f := r.f
-	if r.origin.known {
-		return r.chooseOrigin(req, sc)
+	if v, known := r.origin.version(); known {
+		return r.chooseOrigin(v, req, sc)
 	}
 	if f.Software == nil {
 		snap, d := f.Fleet.Decide(req, r.tried, sc)
@@ -66,8 +66,8 @@
 
 // softwareChoices returns the software versions that the call may go to, in order of preference.
 func (r *run) softwareChoices(req *routing.Request, firstAttempt bool) []routing.SoftwareChoice {
-	if r.origin.known {
-		return []routing.SoftwareChoice{{Version: r.origin.software}}
+	if v, known := r.origin.version(); known {
+		return []routing.SoftwareChoice{{Version: v}}
 	}
 	snap := r.f.Fleet.Snapshot()
 	choices := r.f.Software.Choices(r.service, &snap.View, snap.State, canary.ChoiceParams{FirstAttempt: firstAttempt, Seed: req.Seed})
@@ -84,7 +84,7 @@
 	req, _ := r.routingRequest()
 	sc := fl.Acquire()
 	defer fl.Release(sc)
-	if r.f.Software == nil && !r.origin.known {
+	if _, known := r.origin.version(); r.f.Software == nil && !known {
 		return fl.MayMove(&req, from, r.tried, sc)
 	}
 	choices := r.softwareChoices(&req, false)
@@ -121,7 +121,7 @@
 // checkVersion refuses a send to a software version that was taken out of service since the
 // target was chosen, unless the call's stream began there.
 func (t *attempt) checkVersion() *outcome.Error {
-	if t.r.origin.known || !t.r.f.Software.Retiring(t.r.service, t.c.target.Software) {
+	if _, known := t.r.origin.version(); known || !t.r.f.Software.Retiring(t.r.service, t.c.target.Software) {
 		return nil
 	}
 	return outcome.Wrap(errNotAllowed, outcome.NotRun, outcome.CodeUpstream, "send", string(t.c.target.ID), "the replica's software has been taken out of service since it was chosen")
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -83,30 +83,34 @@
 }
 
 // fatalBound checks that a fatal request reaches at most maxFatalReplicas replicas after all VMs
-// can know that it is fatal. Calls after a kill of all VMs do not count, since the fleet loses
-// that knowledge then.
+// can know that it is fatal.
 func (c *checker) fatalBound() {
 	for body, calls := range c.h.fatal {
-		var starts []time.Time // of runs, which end soon after
-		for _, k := range calls {
-			for _, r := range c.runs[k.id] {
-				starts = append(starts, r.At)
-			}
-		}
-		if len(starts) < maxFatalReplicas {
-			continue
+		if late := c.lateRuns(calls, maxFatalReplicas); late > maxFatalReplicas {
+			c.report("request %q reached %d replicas after all VMs could know that it crashes replicas, allowed are %d", body, late, maxFatalReplicas)
 		}
-		known := starts[maxFatalReplicas-1].Add(faultFreeTime + time.Second) // allows for the end of that run and one more crash
-		late := 0
-		for _, k := range calls {
-			if k.faultFree && k.sent.After(known) && !c.h.allKilledBetween(known, k.sent) {
-				late += len(c.runs[k.id])
-			}
+	}
+}
+
+// lateRuns returns the number of runs of calls at VMs without faults that were sent after all VMs could know that so many
+// runs had crashed their replicas. Calls after a kill of all VMs do not count, since the fleet loses that knowledge then.
+func (c *checker) lateRuns(calls []fatalCall, crashes int) (late int) {
+	var starts []time.Time // of runs, which end soon after
+	for _, k := range calls {
+		for _, r := range c.runs[k.id] {
+			starts = append(starts, r.At)
 		}
-		if late > maxFatalReplicas {
-			c.report("request %q reached %d replicas after all VMs could know that it crashes replicas, allowed are %d", body, late, maxFatalReplicas)
+	}
+	if len(starts) < crashes {
+		return 0
+	}
+	known := starts[crashes-1].Add(faultFreeTime + time.Second) // allows for the end of that run and one more crash
+	for _, k := range calls {
+		if k.faultFree && k.sent.After(known) && !c.h.allKilledBetween(known, k.sent) {
+			late += len(c.runs[k.id])
 		}
 	}
+	return late
 }
 
 // allKilledBetween reports whether all VMs were killed between from and to, or less than twice
--- a/internal/soak/parts.go
+++ b/internal/soak/parts.go
@@ -96,27 +96,10 @@
 	}
 }
 
-// partBound checks that few requests with a bad part reach engines after all VMs can know of it. Calls after a kill of all VMs
-// do not count, since the fleet loses that knowledge then.
+// partBound checks that few requests with a bad part reach engines after all VMs can know of it.
 func (c *checker) partBound() {
 	for part, calls := range c.h.badPrompts {
-		var starts []time.Time // of runs, which end soon after
-		for _, k := range calls {
-			for _, r := range c.runs[k.id] {
-				starts = append(starts, r.At)
-			}
-		}
-		if len(starts) < partCrashesKnown {
-			continue
-		}
-		known := starts[partCrashesKnown-1].Add(faultFreeTime + time.Second) // allows for the end of that run
-		late := 0
-		for _, k := range calls {
-			if k.faultFree && k.sent.After(known) && !c.h.allKilledBetween(known, k.sent) {
-				late += len(c.runs[k.id])
-			}
-		}
-		if late > maxLateParts {
+		if late := c.lateRuns(calls, partCrashesKnown); late > maxLateParts {
 			c.report("requests with the part %s reached %d engines after all VMs could know that it crashes them, allowed are %d", part, late, maxLateParts)
 		}
 	}
