--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/follow"
@@ -130,6 +131,7 @@
 	badParts   *quarantine.Ledger // parts of prompts under which replicas crashed
 	allowances *allowance.Limiter
 	streams    *streams.Directory
+	demand     *demand.Tracker
 	// canaries is nil if the settings disable canary releases.
 	canaries *canary.Controller
 	news     *news.Exchange
@@ -279,6 +281,8 @@
 	d.streams = &streams.Directory{VM: s.VM, FailureDomain: s.FailureDomain, Peers: d.vms.streamPeers, Sole: d.Replicas.SoleVersion, Send: d.sendStreams, Now: clock.Now}
 	d.Replicas.OnNewSoftware = d.streams.VersionsChanged
 	d.Forward.Streams = d.streams
+	d.demand = demand.New(nil)
+	d.Forward.Demand = d.demand
 	d.allowances = allowance.New(s.VM, nil)
 	d.Forward.Allowances = d.allowances
 	d.Forward.KeyTTL.Store(maxProofAge(edge.KeyTTL.D()))
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -140,6 +140,7 @@
 	}
 	c.d.budgets.SetVMs(len(c.records))
 	c.d.Fleet.SetPeerCount(len(c.records) - 1)
+	c.d.demand.SetListed(len(c.records))
 	names := make([]ids.VM, 0, len(c.records))
 	peers := make([]news.Peer, 0, len(c.records))
 	for _, r := range c.records {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -205,6 +205,10 @@
 	return l, time.Duration(l.Pending / f.defaultRate * float64(time.Second))
 }
 
+// PrefillSeconds returns how long a target takes to compute prompt tokens at the default prefill
+// rate.
+func (f *Fleet) PrefillSeconds(tokens int32) float64 { return float64(tokens) / f.defaultRate }
+
 // LoadAge returns the age of the data behind a target's load estimate, by the target's
 // index in the snapshot's View.
 func (f *Fleet) LoadAge(s *Snapshot, i int) time.Duration {
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -96,6 +96,7 @@
 	}
 	r.logDecision(snap, &d, sc, &c)
 	refusal := r.shed(&c)
+	r.countDecision(&c, refusal)
 	if refusal != nil {
 		f.Fleet.GiveBack(c.target.ID)
 		c.admission.Release()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,7 @@
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/eventlog"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -142,6 +143,8 @@
 	AddRendezvousTargets func(service string, key uint64, n int)
 	// Software selects the versions of a service's software that calls may go to. Nil: all.
 	Software *canary.Gate
+	// Demand counts calls and knows those of all VMs. Nil: they are not counted.
+	Demand *demand.Tracker
 	// Streams knows where streams began on all VMs. Nil: calls that take up a stream are served only if Versions shows that
 	// its version can't be another.
 	Streams *streams.Directory
--- a/internal/forward/late.go
+++ b/internal/forward/late.go
@@ -94,6 +94,12 @@
 	}
 }
 
+// countEnd counts the end of a response that was passed on completely.
+func (r *run) countEnd() {
+	cause, p := r.lateCause(), &r.progress
+	r.f.Demand.Ended(r.class(), p.last.Sub(p.first), cause != OnTime && cause != LatePause, cause == LatePause)
+}
+
 // RefusalCounts counts refusals and failures by their code and step. Safe for concurrent
 // use.
 type RefusalCounts struct{ tally.Counts }
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/verdict"
 )
@@ -11,6 +12,30 @@
 // stepShed is the step of a refusal of a call that would be late.
 const stepShed = "shed"
 
+// class returns the class under which the call is counted.
+func (r *run) class() demand.Class {
+	c := demand.Class{Service: r.service, Route: r.route.Name}
+	if r.workspace != nil {
+		c.Workspace = r.workspace.Name
+	}
+	return c
+}
+
+// workOf returns the work of a call that is sent to a choice, as for demand.RouteSums.
+func (r *run) workOf(c *choice) float64 {
+	if r.call.Prompt == nil || !r.route.Prompts {
+		return 1
+	}
+	return r.f.Fleet.PrefillSeconds(c.work)
+}
+
+// countDecision counts the first decision of a call.
+func (r *run) countDecision(c *choice, refusal *outcome.Error) {
+	if r.sends == 0 {
+		r.f.Demand.Decided(r.class(), r.workOf(c), refusal == nil)
+	}
+}
+
 // shed refuses a call that would be late (package verdict), or returns nil.
 func (r *run) shed(c *choice) *outcome.Error {
 	if r.call.Prompt == nil || !r.route.Prompts || r.mayHaveRun || r.begun {
