Engine pools: long prompts and long streams on different engines

Change: package pools derives, from the picture of demand, the kind of each route and the size of the decode pool, with hysteresis, and assigns engines by rank of their hashes within each failure domain. Decisions add a soft cost for engines of the other pool, choose the rendezvous target within the own pool and sample enough of it. The log line pools tells changes, the counter off_pool calls off their pool.

Ruled out: a route's kind by streaming time against prefill time alone. Few events of a long prompt at a busy engine take longer than its prefill, so both kinds of route would be decode-heavy; streaming counts by slots, as in the engine time.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -67,6 +67,7 @@
 	Unread        int64                     `json:"unread"`       // calls aborted because their callers did not read
 	ResponseBytes int64                     `json:"answer_bytes"` // memory of responses that are buffered completely
 	Withdrawn     int64                     `json:"withdrawn"`    // sends not yet started when their target's weights became too old
+	OffPool       int64                     `json:"off_pool"`     // sends to an engine of the other pool than the route's
 	Events        int64                     `json:"stream_events"`
 	Fetches       int64                     `json:"kv_fetches"`
 	Saves         int64                     `json:"kv_saves"`
@@ -164,7 +165,7 @@
 	return Metrics{
 		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
 		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(),
-		Unread: s.Unread.Load(), ResponseBytes: f.ResponseBytes(),
+		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	batches  []batch
 	handles  []loadview.Handle
 	reports  []loadview.Report
+	pools    []routing.Pool // of the targets; nil: no service has pools
 	maxNum   int
 	at       time.Time
 	changes  uint64 // Fleet.changes when the refresh began
@@ -73,6 +74,7 @@
 	scratch     sync.Pool
 	now         func() time.Time
 	transit     transit
+	pools       enginePools
 	defaultRate float64 // prefill rate assumed while no target reports one, in tokens/s
 
 	// KnownFraction returns the fraction of a service's targets that this VM knows, 0 to 1.
@@ -129,6 +131,7 @@
 		}
 		f.fill(s, i, assumed)
 	}
+	f.dividePools(s)
 	f.snap.Store(s)
 	return s
 }
@@ -311,6 +314,7 @@
 		in.PrefillRate /= float32(sc.loads[i].Slowdown)
 		in.Resting = in.Resting && snap.restLeft(i, now) > 0
 	}
+	snap.markOffPool(r, sc.Inputs)
 	for _, b := range f.Members.BrittleTargets() {
 		snap.withIndex(b.ID, func(i int) { sc.Inputs[i].NoRoom = !f.hasRoom(b, snap.batches[i].slots, sc.loads[i]) })
 	}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -51,6 +51,10 @@
 // VMs at once. Settings allow older weights for longer than that (weights_within is at least 2 s).
 const newWeightsGrace = time.Second
 
+// minOffPool is the least cost of an engine of the other pool. It is about the time in which an
+// engine computes two long prompts; with less, the pools would mix as soon as a queue forms.
+const minOffPool = 200 * time.Millisecond
+
 // routingRequest returns the call as the routing policy sees it, and the shared parts of its prompt.
 func (r *run) routingRequest() (req routing.Request, parts []kvcache.Part) {
 	f := r.f
@@ -64,6 +68,9 @@
 	req.Tokens = p.Tokens
 	req.FetchRate = f.KV.FetchRate
 	req.Pending = f.KV.computingTarget(req.Levels)
+	if req.Pool = f.Fleet.PoolOf(r.service, r.route.Name); req.Pool != routing.NoPool {
+		req.OffPoolSeconds = float32(max(r.route.MaxEventGap, minOffPool).Seconds())
+	}
 	newest, since, old := f.Weights.Wanted(p.Model, clock.Now())
 	req.OldWeights, req.LostIfWithdrawn = old, !r.route.Repeatable() || r.route.Kind != streamKind
 	if since >= newWeightsGrace {
@@ -76,7 +83,7 @@
 func (r *run) decide() (choice, *outcome.Error) {
 	f, p := r.f, r.call.Prompt
 	req, parts := r.routingRequest()
-	r.addRendezvousTargets(req.Levels)
+	r.addRendezvousTargets(req.Levels, req.Pool)
 	sc := f.Fleet.Acquire()
 	defer f.Fleet.Release(sc)
 	snap, d, admission := r.choose(&req, sc)
@@ -100,6 +107,8 @@
 	if refusal != nil {
 		f.Fleet.GiveBack(c.target.ID)
 		c.admission.Release()
+	} else if sc.Inputs[d.Index].OffPool {
+		f.Stats.OffPool.Add(1)
 	}
 	return c, refusal
 }
@@ -108,11 +117,19 @@
 // The second one stands in when the first is gone.
 const rendezvousTargets = 2
 
+// pooledRendezvousTargets is the same while the engines are divided into pools: with pools of half the
+// engines, one of four rendezvous targets is in the own pool for 15 of 16 prefixes.
+const pooledRendezvousTargets = 4
+
 // addRendezvousTargets makes the rendezvous targets of the prompt's shared levels known to the
 // decision, although they may lie outside this VM's subset of replicas.
-func (r *run) addRendezvousTargets(levels []prefix.Level) {
+func (r *run) addRendezvousTargets(levels []prefix.Level, pool routing.Pool) {
 	if r.f.AddRendezvousTargets != nil && len(levels) > 0 {
-		r.f.AddRendezvousTargets(r.service, routing.RendezvousKey(levels), rendezvousTargets)
+		n := rendezvousTargets
+		if pool != routing.NoPool {
+			n = pooledRendezvousTargets
+		}
+		r.f.AddRendezvousTargets(r.service, routing.RendezvousKey(levels), n)
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,7 +116,9 @@
 	// its weights became too old.
 	Withdrawn atomic.Int64
 	// Unread counts calls that were aborted because their callers did not read.
-	Unread                 atomic.Int64
+	Unread atomic.Int64
+	// OffPool counts decisions for an engine of the other pool than the route's.
+	OffPool                atomic.Int64
 	Fetches, Saves, Events atomic.Int64
 }
 
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -136,6 +136,7 @@
 			OldWeightsScorer{Seconds: defaultOldWeightsSeconds},
 			DistanceScorer{Seconds: defaultFetchDistanceSeconds},
 			SlowStartScorer{Seconds: defaultSlowStart},
+			OffPoolScorer{},
 		},
 		Picker:                BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
 		Sampling:              Sampling{MinTargets: defaultMinTargets, MaxHerd: defaultMaxHerd},
@@ -154,6 +155,7 @@
 			RecomputeScorer{PerSecondWait: defaultPerSecondWait},
 			DistanceScorer{Seconds: defaultDistanceSeconds},
 			SlowStartScorer{Seconds: defaultSlowStart},
+			OffPoolScorer{},
 		},
 		Picker: BandPicker{Ratio: defaultBandRatio, Seconds: defaultBandSeconds},
 	}
--- /dev/null
+++ b/internal/routing/pools.go
@@ -0,0 +1,41 @@
+package routing
+
+// Pool is one of the two parts into which the engines of a service are divided, so that long
+// prompts do not delay the events of long streams (package pools).
+type Pool uint8
+
+// The pools. A request or a target without a pool is not restricted.
+const (
+	NoPool Pool = iota
+	DecodePool
+	PrefillPool
+)
+
+// String returns the pool's name in logs.
+func (p Pool) String() string { return [...]string{"none", "decode", "prefill"}[p] }
+
+// Excludes reports whether a target of the pool t is off the request's pool p.
+func (p Pool) Excludes(t Pool) bool { return p != NoPool && t != NoPool && p != t }
+
+// OffPoolScorer returns Request.OffPoolSeconds for targets of the other pool than the request's,
+// for requests with a prompt. The cost is finite, so that an idle target of the other pool is used
+// if all targets of the own one are busier than that.
+type OffPoolScorer struct{}
+
+var _ Scorer = OffPoolScorer{}
+
+// Cost implements Scorer.
+func (OffPoolScorer) Cost(r *Request, _ *Target, in *Input, _ *Eligible) float32 {
+	if !in.OffPool || r.Tokens <= 0 {
+		return 0
+	}
+	return r.OffPoolSeconds
+}
+
+// ownSample returns the probability, in units of 1/sampleScale, with which a target of the request's
+// own pool belongs to a sample of size targets. Sampling all targets alike would leave less than one
+// target of a pool of 1/8 of the engines in the smallest sample.
+func (s Sampling) ownSample(size float32, e *Eligible) uint64 {
+	own := float32(e.Count - e.OffPool)
+	return uint64(min(max(float32(s.MinTargets), size*own/float32(e.Count))/max(own, 1), 1) * sampleScale)
+}
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -76,6 +76,8 @@
 	Candidates []Candidate       `json:"candidates"`
 	Chosen     ids.Target        `json:"chosen,omitempty"`
 	Predicted  float32           `json:"predicted_ttft_s"`
+	// OffPoolSeconds is Request.OffPoolSeconds.
+	OffPoolSeconds float32 `json:"off_pool_s,omitempty"`
 }
 
 // NewRecord returns a record of d, which must be the last decision made with s.
@@ -83,6 +85,7 @@
 	rec := Record{
 		Policy: policy, Seed: r.Seed, Tokens: r.Tokens, Weight: r.RecomputeWeight, Levels: r.Levels, Domain: r.FailureDomain,
 		Eligible: s.eligible, Filtered: s.FilteredByName(), Candidates: TopCandidates(v, in, s), Predicted: d.PredictedTTFT,
+		OffPoolSeconds: r.OffPoolSeconds,
 	}
 	if d.Index >= 0 {
 		rec.Chosen = v.Targets[d.Index].ID
@@ -93,7 +96,7 @@
 // Replay repeats a recorded decision with the scorers and the picker of the given policy among
 // the recorded candidates. It returns the picked target, or the empty string if there is none.
 func Replay(p *Router, rec *Record) ids.Target {
-	r := Request{FailureDomain: rec.Domain, Levels: rec.Levels, Tokens: rec.Tokens, RecomputeWeight: rec.Weight, Seed: rec.Seed}
+	r := Request{FailureDomain: rec.Domain, Levels: rec.Levels, Tokens: rec.Tokens, RecomputeWeight: rec.Weight, Seed: rec.Seed, OffPoolSeconds: rec.OffPoolSeconds}
 	v := View{Targets: make([]Target, len(rec.Candidates))}
 	costs := make([]float32, len(rec.Candidates))
 	for i, c := range rec.Candidates {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -84,6 +84,8 @@
 	// Silence is the time for which the target has sent nothing while a request of this VM was
 	// waiting there, in seconds.
 	Silence float32 `json:"silence,omitempty"`
+	// OffPool is set if the target is in the other pool than the request's (package pools).
+	OffPool bool `json:"off_pool,omitempty"`
 }
 
 // Request holds the attributes of a request that a decision depends on.
@@ -117,6 +119,10 @@
 	// InTransit is the estimated number of requests to the service that other VMs have sent but
 	// this VM has not received a report of.
 	InTransit float32
+	// Pool is the pool of the request's route, or NoPool. OffPoolSeconds is the cost of a target
+	// of the other pool, in seconds.
+	Pool           Pool
+	OffPoolSeconds float32
 }
 
 // WeightsBound limits the use of all weights versions older than OlderThan: a request must
@@ -186,8 +192,9 @@
 // Eligible summarizes the targets that passed the filters.
 type Eligible struct {
 	Count    int     `json:"count"`
-	Best     int32   `json:"best"`      // longest estimated cached prefix, in tokens
-	MeanWait float32 `json:"mean_wait"` // mean wait until a target starts the request, in seconds
+	OffPool  int     `json:"off_pool,omitempty"` // of these, targets of the other pool than the request's
+	Best     int32   `json:"best"`               // longest estimated cached prefix, in tokens
+	MeanWait float32 `json:"mean_wait"`          // mean wait until a target starts the request, in seconds
 	// Rendezvous is the index of the target that should compute the shared levels if no
 	// target has them cached, or -1. All VMs that see the same targets agree on it.
 	Rendezvous int `json:"home"`
@@ -291,11 +298,14 @@
 			continue
 		}
 		e.Count++
+		if in[i].OffPool {
+			e.OffPool++
+		}
 		e.Best = max(e.Best, in[i].Cached)
 		e.MeanWait += queueWait(&in[i])
 	}
 	e.MeanWait /= float32(max(e.Count, 1))
-	e.Rendezvous = rendezvous(r, v, s.costs)
+	e.Rendezvous = rendezvous(r, v, in, s.costs, e.OffPool < e.Count)
 	return e
 }
 
@@ -305,15 +315,17 @@
 
 // rendezvous returns the index of the eligible target that should compute levels that no
 // target has cached, or -1 if there is none. It is r.Pending, if eligible, or else the target
-// with the highest rendezvous weight.
-func rendezvous(r *Request, v *View, costs []float32) int {
+// with the highest rendezvous weight. With ownPool, it is one of the request's own pool: the cost of
+// another target than the rendezvous target is that of some thousand tokens, more than
+// OffPoolSeconds, so a rendezvous target of the other pool would draw the request there.
+func rendezvous(r *Request, v *View, in []Input, costs []float32, ownPool bool) int {
 	best, bestWeight := -1, uint64(0)
 	if len(r.Levels) == 0 {
 		return best
 	}
 	key := RendezvousKey(r.Levels)
 	for i := range v.Targets {
-		if costs[i] == infinite {
+		if costs[i] == infinite || ownPool && in[i].OffPool {
 			continue
 		}
 		if v.Targets[i].ID == r.Pending {
--- a/internal/routing/sampling.go
+++ b/internal/routing/sampling.go
@@ -30,7 +30,15 @@
 		return
 	}
 	chance := uint64(size / float32(e.Count) * sampleScale)
+	chances := [2]uint64{chance, chance}
+	if e.OffPool > 0 && e.OffPool < e.Count {
+		chances[0] = s.ownSample(size, e)
+	}
 	sampled := func(i int) bool {
+		chance := chances[0]
+		if in[i].OffPool {
+			chance = chances[1]
+		}
 		return i == e.Rendezvous || in[i].Reserved || e.Best > 0 && in[i].Cached == e.Best || Affinity(r.Seed, &v.Targets[i])%sampleScale < chance
 	}
 	found := false
