News: early rounds of loads while calls wait

Cause: VMs report loads every 155 ms at 32 VMs and every 330 ms at 66.

Change: while this VM's own calls wait (measured time to the first token beyond an idle engine's, mean of the last second above 50 ms until below 25 ms), a change of its work of more than 20 ms starts a round of loads early: at least 50 ms after the last round, at most 640 messages/s and 375 kB/s to each VM. Early messages carry loads only, under a field that earlier releases ignore; all other state stays in the regular rounds, whose times do not change. Counters early_rounds, early_heard and mean_wait_ms.

Ruled out: the fleet's sums of package demand as signal; their measured time includes transfer and computation of the prompt, and their decay time is 2 s. Repeating the whole message: uses of 580 workspaces take 9 kB, and what a message does not repeat counts as withdrawn.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -105,13 +105,19 @@
 // NewsMetrics counts the datagrams exchanged with other VMs, and holds this VM's position in the
 // distribution tree.
 type NewsMetrics struct {
-	Sent      int64  `json:"sent"`
-	Forwarded int64  `json:"passed_on"` // from VMs of other failure domains to VMs of this one
-	Received  int64  `json:"heard"`
-	Rejected  int64  `json:"rejected"`         // could not be decoded or sent
-	Dropped   int64  `json:"untold"`           // cache changes left out because there were too many
-	Parent    ids.VM `json:"parent,omitempty"` // empty: this VM is a root, or there is no tree
-	Children  int    `json:"children"`
+	Sent      int64 `json:"sent"`
+	Forwarded int64 `json:"passed_on"` // from VMs of other failure domains to VMs of this one
+	Received  int64 `json:"heard"`
+	Rejected  int64 `json:"rejected"` // could not be decoded or sent
+	Dropped   int64 `json:"untold"`   // cache changes left out because there were too many
+	// EarlyRounds counts this VM's early rounds of loads, and EarlyReceived the messages of those of
+	// peers. MeanWaitMs is the mean wait of this VM's calls, on which early rounds depend.
+	EarlyRounds   int64 `json:"early_rounds"`
+	EarlyReceived int64 `json:"early_heard"`
+	MeanWaitMs    int64 `json:"mean_wait_ms"`
+
+	Parent   ids.VM `json:"parent,omitempty"` // empty: this VM is a root, or there is no tree
+	Children int    `json:"children"`
 }
 
 func (d *Daemon) newsMetrics() NewsMetrics {
@@ -119,6 +125,7 @@
 	parent, children := n.TreePosition()
 	return NewsMetrics{
 		Sent: n.Sent.Load(), Forwarded: n.Forwarded.Load(), Received: n.Received.Load(), Rejected: n.Rejected.Load(), Dropped: n.Dropped.Load(),
+		EarlyRounds: n.EarlyRounds.Load(), EarlyReceived: n.EarlyReceived.Load(), MeanWaitMs: d.Fleet.Load.MeanWait(clock.Now()).Milliseconds(),
 		Parent: parent, Children: children,
 	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -247,6 +247,7 @@
 	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.wait, now.Sub(t.sent))
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.ObserveTTFT(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
+		t.r.f.Fleet.Load.ObserveWait(now.Sub(t.sent)-seconds(float32(t.r.workOf(t.c)))-loadview.MinTTFT, now)
 		t.r.f.Prediction.Observe(t.r.route.Name, t.c.age, t.c.wait, now.Sub(t.sent))
 	}
 }
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -20,6 +20,9 @@
 	overall   slowdown // over all targets
 
 	peers map[ids.VM]*peerReport
+
+	waits   waits
+	changes chan struct{} // see Changes
 }
 
 // targetLoad is the work of this VM and its peers at one target.
@@ -42,7 +45,9 @@
 const sendWindow = 5 * time.Second
 
 // New returns an empty tracker.
-func New() *Tracker { return &Tracker{targets: map[ids.Target]*targetLoad{}} }
+func New() *Tracker {
+	return &Tracker{targets: map[ids.Target]*targetLoad{}, changes: make(chan struct{}, 1)}
+}
 
 // Work is one request's share of a target's load.
 type Work struct {
@@ -103,6 +108,7 @@
 	o.add(sent{at: now, tokens: tokens})
 	w := &Work{t: t, load: o, sentAt: now, tokens: tokens}
 	o.unanswered = append(o.unanswered, w)
+	t.notifyChange()
 	return w
 }
 
@@ -119,6 +125,7 @@
 	if !w.prefilled {
 		w.prefilled = true
 		w.load.pending -= w.tokens
+		w.t.notifyChange()
 	}
 }
 
@@ -130,6 +137,7 @@
 	if !w.ended {
 		w.ended = true
 		w.load.inFlight--
+		w.t.notifyChange()
 		w.load.dropUnanswered(w)
 		if w.notResumable {
 			w.load.notResumable--
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -49,8 +49,11 @@
 
 // Message is one datagram. Incarnation and Seq order the loads of one VM.
 type Message struct {
-	VM          ids.VM
-	Seq         uint64 // number of the round within one incarnation of the VM; zero: the message carries no loads
+	VM  ids.VM
+	Seq uint64 // number of the round within one incarnation of the VM; zero: the message carries no loads
+	// EarlySeq is the number of an early round (early.go). Such a message carries only Loads, and Seq
+	// is zero, so that earlier releases ignore it.
+	EarlySeq    uint64
 	Incarnation int64  // start of the VM's process, in milliseconds of its wall clock
 	Loads       []Load // all targets with work; the others have none
 	// Unresponsive are targets that do not answer, or have not yet answered, the calls by which
@@ -200,6 +203,8 @@
 	OnCanaryReports func(vm ids.VM, incarnation int64, r []canary.Report)
 	// Streams is the directory of where streams began. Nil: the exchange ignores messages about it.
 	Streams *streams.Directory
+	// PrefillRate is the assumed prefill rate of targets, in tokens/s. Zero: no round starts early.
+	PrefillRate float64
 	// Meter counts the bytes sent. Nil: they are not counted.
 	Meter *traffic.Meter
 
@@ -211,6 +216,7 @@
 	conn          *net.UDPConn
 	incarnation   int64
 	seq           atomic.Uint64
+	rounds        loadRounds
 	lastLoads     int // number of loads in the last round
 	skippedRounds int // rounds since this VM last sent a message
 
@@ -218,6 +224,8 @@
 	// the messages received, Rejected the failures to read, decode, encode or send a message, and
 	// Dropped the cache changes that were not sent because there were too many.
 	Sent, Forwarded, Received, Rejected, Dropped atomic.Int64
+	// EarlyRounds counts the early rounds of this VM, and EarlyReceived the messages of those of peers.
+	EarlyRounds, EarlyReceived atomic.Int64
 }
 
 // SetPeers replaces the list of peers. all may include VMs without an address, to which this VM
@@ -381,14 +389,19 @@
 	for _, c := range m.CacheChanges {
 		x.OnCacheChange(c)
 	}
-	if m.Seq == 0 {
+	seq := max(m.Seq, m.EarlySeq)
+	if seq == 0 {
 		return
 	}
 	loads := make(map[ids.Target]loadview.TargetWork, len(m.Loads))
 	for _, l := range m.Loads {
 		loads[l.Target] = loadview.TargetWork{InFlight: l.InFlight, Pending: float64(l.Pending), NotResumable: l.NotResumable}
 	}
-	x.Load.SetPeerLoads(m.VM, m.Incarnation, m.Seq, loads, clock.Now())
+	x.Load.SetPeerLoads(m.VM, m.Incarnation, seq, loads, clock.Now())
+	if m.Seq == 0 {
+		x.EarlyReceived.Add(1)
+		return
+	}
 	if !x.usesTree() { // otherwise the tree's totals include them
 		x.Allowances.RecordUse(m.VM, m.Incarnation, m.Seq, m.Uses)
 	}
@@ -409,15 +422,13 @@
 // large fleets.
 func (x *Exchange) SendLoads(ctx context.Context) {
 	x.sendRound(Message{}) // announces this VM to its peers at once
+	x.rounds.started(fullRound, roundState{now: clock.Now()})
 	for ctx.Err() == nil {
 		if x.usesTree() {
 			x.runTreeRound(ctx)
 			continue
 		}
-		if timing.Sleep(ctx, x.RoundInterval()) {
-			x.Load.ExpirePeers(clock.Now())
-			x.sendOwnLoads()
-		}
+		x.runLoadRound(ctx)
 	}
 }
 
@@ -466,10 +477,7 @@
 // targets, recent weights, a lapse of the lease, crashes, uses and rate limits. It skips up to
 // maxSkippedRounds consecutive rounds that have nothing to send.
 func (x *Exchange) sendOwnLoads() {
-	var loads []Load
-	x.Load.Own(func(t ids.Target, l loadview.TargetWork) {
-		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), NotResumable: l.NotResumable})
-	})
+	loads := x.ownLoads()
 	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking()}
 	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && x.skippedRounds < maxSkippedRounds {
 		x.skippedRounds++
