News: carry the demand of each VM to all others

Cause: internal/demand had no transport, so each VM knew only its own calls, about one per second in a large fleet.

Change: one message with loads in each 500 ms carries a VM's report (key 22), and in a tree the digests carry sums (key 11, with the number of VMs that are included). Sums are packed to two bytes each. A malformed report is left out and the rest of its message counts. A message without demand means "as before"; an empty report is sent with messages that are sent anyway, since receivers scale up for VMs that report nothing.

--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -237,8 +237,9 @@
 	r.Workspaces = fold(r.Workspaces, maxWorkspaces, func(a, b WorkspaceSums) bool { return a.Service == b.Service }, func(s WorkspaceSums) WorkspaceSums { s.Workspace = 0; return s }, WorkspaceSums.plus)
 }
 
-// fold keeps the first limit sums and adds up the others by service. rest returns the sum under
-// the hash 0, and plus adds two sums; the result takes its name from the first.
+// fold keeps the first limit sums and adds up the others by service, for at most limit services: the
+// services of a malformed report are not bounded. rest returns the sum under the hash 0, and plus
+// adds two sums; the result takes its name from the first.
 func fold[S any](sums []S, limit int, same func(a, b S) bool, rest func(S) S, plus func(a, b S) S) []S {
 	if len(sums) <= limit {
 		return sums
@@ -247,7 +248,9 @@
 	for _, s := range sums[limit:] {
 		i := slices.IndexFunc(out[limit:], func(o S) bool { return same(o, s) })
 		if i < 0 {
-			out = append(out, rest(s))
+			if len(out) < 2*limit {
+				out = append(out, rest(s))
+			}
 			continue
 		}
 		out[limit+i] = plus(out[limit+i], s)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -310,7 +310,7 @@
 			d.Fleet.Members.SetLostByPeer(peer, unresponsive, clock.Now())
 		},
 		OnStoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
-		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams,
+		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams, Demand: d.demand,
 		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit, Credit: d.Fleet.Members.Limits,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
--- a/internal/news/digest.go
+++ b/internal/news/digest.go
@@ -32,6 +32,8 @@
 	EventNumbers []uint64 `cbor:"9,keyasint,omitempty"`
 	// Acks are the numbered events that the sender of the digest has received lately.
 	Acks []ack `cbor:"10,keyasint,omitempty"`
+	// Demand holds the sums of the calls of the members. Nil: as in the sender's previous digest.
+	Demand *lenient[demandSums] `cbor:"11,keyasint,omitempty"`
 }
 
 // setEvents sets Events and EventNumbers. Numbered events must come first.
@@ -148,7 +150,7 @@
 }
 
 // sum adds digests up. Ages in a digest grow by the time since it was received. sum leaves events
-// out: receive queues each one for forwarding when it arrives.
+// out: receive queues each one for forwarding when it arrives. newRound adds demand up.
 func sum(parts []receivedDigest, now time.Time) digest {
 	var out digest
 	loads, uses := map[shortID]wireLoad{}, map[uint32]allowance.Use{}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -29,6 +29,7 @@
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -83,6 +84,8 @@
 	Canaries []canary.Report
 	// Streams concerns the directory of where streams began. Such a message carries nothing else.
 	Streams *streams.Message
+	// Demand holds the sums of this VM's calls. Nil: as in its previous report.
+	Demand *demand.Report
 	// Report and Total carry the state of several VMs in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -198,6 +201,9 @@
 	// OnCanaryReports is called with the canary counts of a VM. Nil: the exchange ignores those that
 	// it receives.
 	OnCanaryReports func(vm ids.VM, incarnation int64, r []canary.Report)
+	// Demand counts the calls of all VMs. Nil: the exchange sends no sums of this VM's calls, and
+	// ignores those of others, which it forwards over the tree.
+	Demand *demand.Tracker
 	// Streams is the directory of where streams began. Nil: the exchange ignores messages about it.
 	Streams *streams.Directory
 	// Meter counts the bytes sent. Nil: they are not counted.
@@ -209,10 +215,12 @@
 	contacts      map[ids.VM]contact
 	tree          tree
 	conn          *net.UDPConn
+	transmit      func(data []byte, p Peer) error // sends a datagram, which it must not keep; nil: transmitUDP
 	incarnation   int64
 	seq           atomic.Uint64
 	lastLoads     int // number of loads in the last round
 	skippedRounds int // rounds since this VM last sent a message
+	demandRounds  demandRounds
 
 	// Sent counts the datagrams of this VM, Forwarded those that it forwarded for others, Received
 	// the messages received, Rejected the failures to read, decode, encode or send a message, and
@@ -392,6 +400,7 @@
 	if !x.usesTree() { // otherwise the tree's totals include them
 		x.Allowances.RecordUse(m.VM, m.Incarnation, m.Seq, m.Uses)
 	}
+	x.recordDemand(&m)
 	x.OnUnresponsive(m.VM, m.Unresponsive)
 	for _, w := range m.RecentWeights {
 		x.OnRecentWeights(w)
@@ -475,6 +484,7 @@
 		x.skippedRounds++
 		return
 	}
+	m.Demand = x.ownDemand(clock.Now()) // also if it is empty, since peers scale up for VMs that report nothing
 	x.sendRound(m)
 }
 
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -48,11 +48,11 @@
 }
 
 func (x *Exchange) write(data []byte, p Peer, sent *atomic.Int64) {
-	addr, err := net.ResolveUDPAddr("udp4", p.Addr)
-	if err == nil {
-		_, err = x.conn.WriteToUDP(data, addr)
+	transmit := x.transmit
+	if transmit == nil {
+		transmit = x.transmitUDP
 	}
-	if err != nil {
+	if err := transmit(data, p); err != nil {
 		x.Rejected.Add(1)
 		return
 	}
@@ -60,6 +60,16 @@
 	x.Meter.Add(traffic.PeerUpdates, p.FailureDomain != x.FailureDomain, len(data))
 }
 
+// transmitUDP sends a datagram over the exchange's socket.
+func (x *Exchange) transmitUDP(data []byte, p Peer) error {
+	addr, err := net.ResolveUDPAddr("udp4", p.Addr)
+	if err != nil {
+		return err
+	}
+	_, err = x.conn.WriteToUDP(data, addr)
+	return err
+}
+
 // forward forwards a datagram from another domain to the VMs of this domain.
 func (x *Exchange) forward(data []byte) {
 	data[0] = actionDeliver
--- a/internal/news/tree.go
+++ b/internal/news/tree.go
@@ -87,6 +87,8 @@
 	lastNumber            uint64                       // of this VM's last numbered event
 	rootUnknownSince      map[ids.FailureDomain]uint64 // round since which the root of a domain is unknown
 	unresponsiveReporters map[ids.VM]bool              // VMs whose last report listed unresponsive targets
+	demandUp, demandDown  demandRounds                 // rounds whose reports and totals carry demand
+	domainDemand          *lenient[demandSums]         // of this VM and its children, as in the last such report
 	dropped               int64                        // cache changes dropped since the last takeDropped
 	wake                  chan struct{}                // receives a value if the next round must start early
 }
@@ -210,6 +212,15 @@
 	defer t.mu.Unlock()
 	h := receivedDigest{d, now}
 	h.Events, h.EventNumbers, h.Acks = nil, nil, nil
+	previous := t.total
+	switch {
+	case isTotal:
+	case sameDomain:
+		previous = t.children[from.VM]
+	default:
+		previous = t.roots[from.VM]
+	}
+	h.keepDemand(&previous)
 	t.up.acknowledge(from.VM, d.Acks)
 	t.down.acknowledge(from.VM, d.Acks)
 	switch {
@@ -295,6 +306,7 @@
 	t.fullRounds++
 	out := t.newRound(self, own, loads, isRoot, now)
 	out.full = true
+	t.addDemand(&out, own, isRoot, now)
 	out.announce = isRoot && t.fullRounds%announceRounds == 1
 	out.send(above, t.up.next(above, now), below, t.down.next(below, now))
 	return out
@@ -321,6 +333,28 @@
 	return out
 }
 
+// addDemand adds the sums of calls to a round if they are due. The caller holds the lock.
+func (t *tree) addDemand(out *roundOutput, own digest, isRoot bool, now time.Time) {
+	up := time.Duration(0)
+	if isRoot {
+		up = rootDemandOffset
+	}
+	if t.demandUp.due(now, up) {
+		t.domainDemand = sumDemand(append([]receivedDigest{{own, now}}, unexpired(t.children, now)...), now)
+		out.report.Demand = t.domainDemand
+	}
+	if out.total == nil || !t.demandDown.due(now, totalDemandOffset) {
+		return
+	}
+	parts := []receivedDigest{t.total}
+	if isRoot {
+		// The sums of this domain are those that the other roots have received, so that all roots add
+		// the same reports up and leave out the same workspaces.
+		parts = append(unexpired(t.roots, now), receivedDigest{digest{Demand: t.domainDemand}, now})
+	}
+	out.total.Demand = sumDemand(parts, now)
+}
+
 // send sets the receivers and the events of a round.
 func (o *roundOutput) send(above []Peer, up []event, below []Peer, down []event) {
 	o.reportTo, o.totalTo = above, below
@@ -345,6 +379,7 @@
 		return nil
 	}
 	total := t.total.digest
+	total.Demand = nil // addDemand sets it
 	total.Limits = addAge(total.Limits, now.Sub(t.total.receivedAt))
 	return &total
 }
--- a/internal/news/tree_exchange.go
+++ b/internal/news/tree_exchange.go
@@ -84,6 +84,9 @@
 		d.Unresponsive = append(d.Unresponsive, w)
 	}
 	d.RecentWeights, d.Uses, d.Limits = x.RecentWeights(), x.Allowances.OwnUse(), wireLimits(x.VM, x.Limits())
+	if x.Demand != nil {
+		d.Demand = lenientOf(&demandSums{Report: packedReport(x.Demand.OwnReport()), VMs: 1})
+	}
 	if l := x.LeaseLapse(); l != nil {
 		d.LeaseLapses = append(d.LeaseLapses, *l)
 	}
@@ -181,6 +184,7 @@
 	loads := map[ids.Target]loadview.TargetWork{}
 	total, uses := x.tree.subtractOwn(x.VM, total, d.Uses, members)
 	x.Allowances.RecordFleetUse(uses)
+	x.recordFleetDemand(d, members)
 	for _, l := range total {
 		loads[l.Target] = loadview.TargetWork{InFlight: l.InFlight, Pending: float64(l.Pending), NotResumable: l.NotResumable}
 	}
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -9,6 +9,7 @@
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/cacheview"
 	"github.com/threadwall/threadwall/internal/canary"
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/quarantine"
@@ -53,6 +54,8 @@
 
 	Lacking []shortID         `cbor:"20,keyasint,omitempty"`
 	Grants  []ratelimit.Grant `cbor:"21,keyasint,omitempty"`
+
+	Demand *lenient[packedReport] `cbor:"22,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -85,6 +88,7 @@
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
 		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts, Grants: m.Grants,
+		Demand: lenientOf((*packedReport)(m.Demand)),
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, NotResumable: l.NotResumable})
@@ -112,6 +116,7 @@
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
 		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts, Grants: w.Grants,
+		Demand: (*demand.Report)(w.Demand.get()),
 	}
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
