Routing: requests in transit to one target are bounded by their prefill time

Cause: up to 10 requests in transit may choose the same target, whatever they cost: 10 long prompts take 350 to 800 ms there, and the strictest objectives are 400 ms.

Change: while calls wait, the bound is 100 ms of prefill, at least 1 request and at most 10 (Request.MaxHerd). The usual prefill time is the work per admitted call of the service's prompt routes in the fleet's picture (package demand). Requests without a prompt, and decisions without a picture, are as before. With such a bound a sample without an eligible target is extended; before, 5% of decisions with the smallest samples considered all targets, so that they all chose the same one.

Ruled out: a fixed smaller number of requests, which scatters short prompts for no gain, and the bound also at rest, where samples would cost near targets.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -283,6 +283,7 @@
 	d.Forward.Streams = d.streams
 	d.demand = demand.New(nil)
 	d.Forward.Demand = d.demand
+	d.Fleet.UsualPrefill = d.usualPrefill
 	d.allowances = allowance.New(s.VM, nil)
 	d.Forward.Allowances = d.allowances
 	d.Forward.KeyTTL.Store(maxProofAge(edge.KeyTTL.D()))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,6 +79,10 @@
 	// Nil means that it knows all. Decisions call it concurrently. It must be set before the
 	// first decision, like MaxSnapshotAge.
 	KnownFraction func(service string) float64
+	// UsualPrefill returns the usual prefill time of a service's prompts, in seconds. Zero means that
+	// it is not known. Nil is like zero for all services. Decisions call it concurrently. It must be
+	// set before the first decision.
+	UsualPrefill func(service string) float64
 	// MaxSnapshotAge bounds the age of the snapshot used for a decision. Zero means that
 	// decisions use the last snapshot, however old.
 	MaxSnapshotAge time.Duration
@@ -264,10 +268,11 @@
 
 // Decide gathers the inputs and picks a target that is not in tried. It counts the request
 // against the target's rate limit; GiveBack undoes that. The decision's Index refers to the
-// View of the returned snapshot. Decide sets r.InTransit, and leaves the inputs in sc.
+// View of the returned snapshot. Decide sets r.InTransit and r.MaxHerd, and leaves the inputs in sc.
 func (f *Fleet) Decide(r *routing.Request, tried []ids.Target, sc *Scratch) (*Snapshot, routing.Decision) {
 	snap := f.Snapshot()
 	r.InTransit = f.transit.countSent(r.Service, f.Load, f.now()) * float32(f.knownFraction(r.Service))
+	r.MaxHerd = f.maxHerd(r, f.now())
 	for {
 		f.gather(snap, r, tried, sc)
 		d := f.policy.Decide(r, &snap.View, sc.Inputs, &sc.Routing)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -117,6 +117,8 @@
 	// InTransit is the estimated number of requests to the service that other VMs have sent but
 	// this VM has not received a report of.
 	InTransit float32
+	// MaxHerd lowers Sampling.MaxHerd for this decision. Zero does not.
+	MaxHerd float32
 }
 
 // WeightsBound limits the use of all weights versions older than OlderThan: a request must
--- a/internal/routing/sampling.go
+++ b/internal/routing/sampling.go
@@ -16,6 +16,20 @@
 	MaxHerd    float32 // requests in transit that may choose the same target
 }
 
+// maxHerdSeconds is the prefill time, in seconds, of the requests in transit that may choose the same
+// target: a quarter of the strictest objectives, 400 ms, so that such a herd alone makes no request
+// late. A fixed number of requests does not bound the wait: 10 long prompts take 350 to 800 ms.
+const maxHerdSeconds = 0.1
+
+// HerdOf returns the Request.MaxHerd for requests that take prefillSeconds on average; zero: the time
+// is not known.
+func HerdOf(prefillSeconds float64) float32 {
+	if prefillSeconds <= 0 {
+		return 0
+	}
+	return float32(max(maxHerdSeconds/prefillSeconds, 1))
+}
+
 // minInTransit is the lower bound assumed for the requests in transit.
 const minInTransit = 1
 
@@ -23,9 +37,13 @@
 const sampleScale = 1 << 16
 
 // apply marks the targets outside the sample as ineligible in costs. If the sample has no
-// eligible target, it leaves costs unchanged.
+// eligible target, it leaves costs unchanged or, if the request bounds the herd, extends the sample.
 func (s Sampling) apply(r *Request, v *View, in []Input, e *Eligible, costs []float32) {
-	size := max(float32(s.MinTargets), s.MaxHerd*float32(e.Count)/max(r.InTransit, minInTransit))
+	herd := s.MaxHerd
+	if r.MaxHerd > 0 {
+		herd = min(herd, r.MaxHerd)
+	}
+	size := max(float32(s.MinTargets), herd*float32(e.Count)/max(r.InTransit, minInTransit))
 	if s.MinTargets == 0 || float32(e.Count) <= size {
 		return
 	}
@@ -37,9 +55,15 @@
 	for i := range costs {
 		found = found || costs[i] != infinite && sampled(i)
 	}
-	if !found {
+	if !found && r.MaxHerd == 0 {
 		return
 	}
+	for !found && chance < sampleScale { // otherwise all such requests would choose the same target
+		chance = 2*chance + 1
+		for i := range costs {
+			found = found || costs[i] != infinite && sampled(i)
+		}
+	}
 	for i := range costs {
 		if costs[i] != infinite && !sampled(i) {
 			costs[i] = infinite
--- a/internal/routing/sampling_test.go
+++ b/internal/routing/sampling_test.go
@@ -70,3 +70,44 @@
 		}
 	}
 }
+
+// TestHerdIsBoundedByTime guards against herds of ten long prompts, which queue for up to 800 ms: the
+// fraction of decisions that pick a target that looks idle must fall with Request.MaxHerd, and a value
+// above Sampling.MaxHerd must change nothing.
+func TestHerdIsBoundedByTime(t *testing.T) {
+	v, in := manyTargets(90)
+	for i := range in {
+		in[i].QueueTokens = 2000
+	}
+	in[7].QueueTokens = 0
+	p, s := NewFetching(), &Scratch{}
+	picked := func(maxHerd float32) int {
+		n := 0
+		for seed := range uint64(1000) {
+			if d := p.Decide(&Request{Service: "s", Tokens: 800, Seed: seed, InTransit: 60, MaxHerd: maxHerd}, v, in, s); d.Index == 7 {
+				n++
+			}
+		}
+		return n
+	}
+	usual, two := picked(0), picked(2)
+	if usual < 120 || usual > 220 || two < 15 || two > 55 {
+		t.Errorf("of 1000 decisions with 60 requests in transit %d picked the idle target, %d with a herd of 2; want about 167 and 33", usual, two)
+	}
+	if n := picked(50); n != usual {
+		t.Errorf("%d decisions picked the idle target with a herd above the usual one, want %d", n, usual)
+	}
+}
+
+// TestHerdOf guards against a herd of less than one request, with which no target would be sampled, and
+// against a bound where the time is not known.
+func TestHerdOf(t *testing.T) {
+	for _, c := range []struct {
+		seconds float64
+		want    float32
+	}{{0, 0}, {0.05, 2}, {0.5, 1}, {0.001, 100}} {
+		if got := HerdOf(c.seconds); got != c.want {
+			t.Errorf("herd of %v for %v s, want %v", got, c.seconds, c.want)
+		}
+	}
+}
