--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -123,6 +123,8 @@
 	// of the other pool, in seconds.
 	Pool           Pool
 	OffPoolSeconds float32
+	// MaxHerd lowers Sampling.MaxHerd for this decision. Zero does not.
+	MaxHerd float32
 }
 
 // WeightsBound limits the use of all weights versions older than OlderThan: a request must
