Engine pools: a replay of the load, spare engines go to the prefill pool

Cause: in the replay of the load on rosters, a decode pool of the decode-heavy routes' fraction of the engine time (8/16 to 9/16) leaves streams idle slots while long prompts wait for each other in the other pool. The moving average of 5 s followed the swing of demand of 13 s, and moved engines with it.

Change: the decode pool gets no more than its engine time over 0.75, and the average covers 15 s, a mean until then.

Ruled out: a shorter average (sizes 4 to 9 within 40 s), 0.65 and 0.9 instead of 0.75 (more pauses of long prompts; streams that wait for slots).

--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -13,7 +13,7 @@
 //
 // A Machine derives a Plan from the fleet's picture of demand (package demand): the kind of each
 // route, and the fraction of the engines that decode-heavy routes get, which is their fraction of the
-// engine time. A Division assigns engines to the pools by rank of their hashes within each failure
+// engine time, but no more than they can use. A Division assigns engines to the pools by rank of their hashes within each failure
 // domain, so that each domain has both pools, VMs agree without messages, and a change of the size moves
 // only the engines between the old and the new boundary.
 //
@@ -54,12 +54,17 @@
 	// stopAfter is the time for which the conditions must fail before pools end. It is longer than
 	// the swings of demand, of 13 s, and than bursts of 6 to 8 s.
 	stopAfter = 30 * time.Second
+	// maxUse is the fraction of its engine time that the decode pool may use while the service has
+	// engines to spare; the others go to the prefill pool. Streams do not delay each other as long as
+	// there are slots, whereas prompts do. In the replay of the load above, sizes by the fraction alone (8/16
+	// instead of 6/16) gave 1.7 times as many long prompts a pause.
+	maxUse = 0.75
 	// kindMargin is the factor by which the balance of a route must exceed 1, or fall below 1, to
 	// change its kind. In a burst the prefill rises several seconds before the streaming.
 	kindMargin = 1.5
-	// shareTime is the time constant of the moving average of the decode-heavy routes' share. Sums
-	// of demand decay within 2 s; a size that followed them would move engines with each burst.
-	shareTime = 5 * time.Second
+	// shareTime is the time constant of the moving average of the decode-heavy routes' share. A size
+	// that followed swings of demand, of 13 s, or bursts of 6 to 8 s would move engines with each.
+	shareTime = 15 * time.Second
 	// settleAfter is the time after which a size that is not the nearest step is corrected even if
 	// it differs by no more than a step. Otherwise VMs that started at different times would keep
 	// different sizes.
@@ -102,8 +107,9 @@
 // Machine keeps the plan of one service. It reads no clock. Not safe for concurrent use.
 type Machine struct {
 	routes   map[uint32]*route
-	share    float64 // moving average
-	at       time.Time
+	share    float64   // moving average
+	first    time.Time // first value of it
+	at       time.Time // last value of it
 	size     int
 	failing  time.Time // since when the conditions for pools have failed; zero: they hold
 	unsettle time.Time // since when the size is not the nearest step; zero: it is
@@ -183,7 +189,8 @@
 		in.Paused = float64(paused / calls)
 	}
 	if total > 0 && in.DecodeRoutes > 0 && in.PrefillRoutes > 0 {
-		m.average(decode/total, now)
+		need := demand.Rate(float32(decode)) / float64(max(in.Engines, 1))
+		m.average(min(decode/total, need/maxUse), now)
 	}
 	return paused
 }
@@ -223,13 +230,17 @@
 	return r.pool
 }
 
-// average adds a value to the moving average of the share.
+// average adds a value to the moving average of the share. Until shareTime has passed, it is the mean:
+// the first values are low because streams count when they end.
 func (m *Machine) average(share float64, now time.Time) {
-	keep := 0.0
-	if !m.at.IsZero() && now.Sub(m.at) < stopAfter {
-		keep = math.Exp(-max(now.Sub(m.at), 0).Seconds() / shareTime.Seconds())
+	if m.at.IsZero() || now.Sub(m.at) >= stopAfter {
+		m.share, m.first = share, now
+	} else {
+		since, step := now.Sub(m.first), max(now.Sub(m.at), 0)
+		weight := max(1-math.Exp(-step.Seconds()/shareTime.Seconds()), step.Seconds()/max(since, step, 1).Seconds())
+		m.share += weight * (share - m.share)
 	}
-	m.share, m.at = keep*m.share+(1-keep)*share, now
+	m.at = now
 }
 
 // resize changes the size if it differs from the share by more than a step, or from the nearest step
