--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -164,7 +164,7 @@
 		Float32("cost_s", d.Cost).Int32("cached", d.Cached).Int32("best_cached", d.BestCached).
 		Int64("predicted_ms", c.wait.Milliseconds()).Float32("rate", c.rate).Float32("queue_tokens", in.QueueTokens).Int32("in_flight", in.InFlight).Float32("fail_rate", in.FailRate).
 		Int64("view_age_ms", snap.Age(clock.Now()).Milliseconds()).Int("eligible", sc.Routing.Filtered[routing.Passed]).
-		Str("levels", levelText(c.levels)).Str("home", c.rendezvous).Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
+		Bool("off_pool", in.OffPool).Str("levels", levelText(c.levels)).Str("home", c.rendezvous).Str("fetch", c.fetch).Str("save", c.save).Uint64("catalog", r.catalog.Version).Send()
 }
 
 // levelText formats the shared levels of a prompt for logs, as id:tokens, where tokens is the
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -12,8 +12,8 @@
 // # Algorithm
 //
 // A Machine derives a Plan from the fleet's picture of demand (package demand): the kind of each
-// route, and the fraction of the engines that decode-heavy routes get, which is their fraction of the
-// engine time, but no more than they can use. A Division assigns engines to the pools by rank of their hashes within each failure
+// route, and the fraction of the engines that decode-heavy routes get: as many as their engine time
+// needs, less if the other routes need more. A Division assigns engines to the pools by rank of their hashes within each failure
 // domain, so that each domain has both pools, VMs agree without messages, and a change of the size moves
 // only the engines between the old and the new boundary.
 //
@@ -54,11 +54,15 @@
 	// stopAfter is the time for which the conditions must fail before pools end. It is longer than
 	// the swings of demand, of 13 s, and than bursts of 6 to 8 s.
 	stopAfter = 30 * time.Second
-	// maxUse is the fraction of its engine time that the decode pool may use while the service has
-	// engines to spare; the others go to the prefill pool. Streams do not delay each other as long as
-	// there are slots, whereas prompts do. In the replay of the load above, sizes by the fraction alone (8/16
-	// instead of 6/16) gave 1.7 times as many long prompts a pause.
-	maxUse = 0.75
+	// maxDecodeUse and maxPrefillUse are the fractions of its engines' time that a pool may use while
+	// the service has engines to spare. Streams do not delay each other as long as there are slots,
+	// whereas prompts wait for each other, and late prompts can't use the idle slots of the other pool.
+	// With sizes by the fraction of the engine time alone, 1.7 times as many long prompts had a pause in
+	// the replay of the load above, and at 1.8 times that load 0.72 of them were in time instead of 0.86.
+	maxDecodeUse, maxPrefillUse = 0.75, 0.6
+	// minFraction is the part of their fraction of the engine time that decode-heavy routes get even
+	// if that leaves the prefill pool overloaded.
+	minFraction = 0.5
 	// kindMargin is the factor by which the balance of a route must exceed 1, or fall below 1, to
 	// change its kind. In a burst the prefill rises several seconds before the streaming.
 	kindMargin = 1.5
@@ -97,7 +101,7 @@
 // Inputs are the figures from which a Plan was derived, for logs.
 type Inputs struct {
 	DecodeRoutes, PrefillRoutes int     // routes of each kind
-	Share                       float64 // decode-heavy routes' fraction of the engine time, a moving average
+	Share                       float64 // decode-heavy routes' fraction of the engines before rounding, a moving average
 	Paused                      float64 // fraction of the decode-heavy calls with a pause above their gap limit
 	Engines, Slots              int
 	VMs, Listed                 int           // VMs that the picture includes, and VMs in the fleet
@@ -189,8 +193,9 @@
 		in.Paused = float64(paused / calls)
 	}
 	if total > 0 && in.DecodeRoutes > 0 && in.PrefillRoutes > 0 {
-		need := demand.Rate(float32(decode)) / float64(max(in.Engines, 1))
-		m.average(min(decode/total, need/maxUse), now)
+		perEngine := demand.Rate(1) / float64(max(in.Engines, 1))
+		share := max(1-(total-decode)*perEngine/maxPrefillUse, minFraction*decode/total)
+		m.average(min(decode*perEngine/maxDecodeUse, share), now)
 	}
 	return paused
 }
