--- a/internal/loadview/waits.go
+++ b/internal/loadview/waits.go
@@ -17,8 +17,8 @@
 	// waitsFrom and waitsUntil are the mean waits at which calls begin and cease to wait. An idle
 	// fleet's calls vary by some 20 ms around their prediction. The strictest objectives are 400 ms; at
 	// 50 ms the slowest of the calls, which wait several times the mean, come close to them.
-	waitsFrom  = 50 * time.Millisecond
-	waitsUntil = 25 * time.Millisecond
+	waitsFrom  = 25 * time.Millisecond
+	waitsUntil = 12 * time.Millisecond
 	// maxWait bounds each measured wait: one call that a fault has delayed by seconds does not show
 	// that others wait.
 	maxWait = 200 * time.Millisecond
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -38,7 +38,7 @@
 	Steps = 16
 	// minSize and maxSize leave each pool an eighth of the engines, so that a pool of the smallest
 	// service has two engines and one may fail.
-	minSize, maxSize = Steps / 8, Steps * 7 / 8
+	minSize, maxSize = Steps / 8, Steps / 2
 	// minEngines is the number of engines in service below which pools of an eighth would be
 	// single engines.
 	minEngines = 16
@@ -59,10 +59,8 @@
 	// whereas prompts wait for each other, and late prompts can't use the idle slots of the other pool.
 	// With sizes by the fraction of the engine time alone, 1.7 times as many long prompts had a pause in
 	// the replay of the load above, and at 1.8 times that load 0.72 of them were in time instead of 0.86.
-	maxDecodeUse, maxPrefillUse = 0.75, 0.6
 	// minFraction is the part of their fraction of the engine time that decode-heavy routes get even
 	// if that leaves the prefill pool overloaded.
-	minFraction = 0.5
 	// kindMargin is the factor by which the balance of a route must exceed 1, or fall below 1, to
 	// change its kind. In a burst the prefill rises several seconds before the streaming.
 	kindMargin = 1.5
@@ -193,9 +191,7 @@
 		in.Paused = float64(paused / calls)
 	}
 	if total > 0 && in.DecodeRoutes > 0 && in.PrefillRoutes > 0 {
-		perEngine := demand.Rate(1) / float64(max(in.Engines, 1))
-		share := max(1-(total-decode)*perEngine/maxPrefillUse, minFraction*decode/total)
-		m.average(min(decode*perEngine/maxDecodeUse, share), now)
+		m.average(decode/total, now)
 	}
 	return paused
 }
