--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -8,7 +8,8 @@
 // and no order, and a partitioned VM blocks no other VM.
 //
 // The cost is bounded: the interval between two rounds grows with the number of peers, so
-// that a VM receives at most messagesPerSecond messages with loads. Beyond Exchange.TreeFrom
+// that a VM receives at most messagesPerSecond messages with loads, or earlyMessagesPerSecond while
+// calls wait (early.go). Beyond Exchange.TreeFrom
 // peers a tree of VMs aggregates the messages (tree.go).
 //
 // Traffic between failure domains is expensive, so a message crosses the boundary once for
