Forward: a test that measured waits leave out a prompt's own work

Cause: nothing checked what the request path counts as a wait; with the computation of the prompt in it, rounds of loads would be early at rest.

Change: a test with a stand-in replica: no wait without a prompt or within the assumed prefill time, and a wait beyond it.

Ruled out: a test by the counter of early rounds; it needs a second VM and sockets.

--- a/internal/forward/prediction_test.go
+++ b/internal/forward/prediction_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/loadview"
 )
 
@@ -111,3 +112,34 @@
 		}
 	}
 }
+
+// TestMeasuredWaitsLeaveOutOwnWork guards against early load reports at rest: the time in which an idle
+// engine computes a prompt is no wait, and a call without a prompt has none.
+func TestMeasuredWaitsLeaveOutOwnWork(t *testing.T) {
+	respond := ok("fine")
+	s := newFakeReplica(t, "a", func(c net.Conn, r *http.Request) bool {
+		time.Sleep(4 * loadview.MinTTFT)
+		return respond(c, r)
+	})
+	r := route(catalog.Idempotent, 2)
+	r.Prompts, r.Objective = true, 10*time.Second
+	tf := newFleet(t, r, s)
+	ask := func(headers ...string) time.Duration {
+		t.Helper()
+		if _, _, err := tf.ask(t, headers...); err != nil {
+			t.Fatal(err)
+		}
+		return tf.f.Fleet.Load.MeanWait(clock.Now())
+	}
+	if w := ask(); w != 0 {
+		t.Errorf("a call without a prompt waited %v on average", w)
+	}
+	tf.f.Fleet.SetDefaultPrefillRate(1) // a prompt takes longer than the replica does
+	if w := ask("Model", "m"); w != 0 {
+		t.Errorf("a prompt whose computation takes longer than its answer waited %v on average", w)
+	}
+	tf.f.Fleet.SetDefaultPrefillRate(1e9)
+	if w := ask("Model", "m"); w < loadview.MinTTFT/2 {
+		t.Errorf("a prompt that waited for three times MinTTFT counts as %v on average", w)
+	}
+}
