Slow replicas: VMs judge a target by the answers of all VMs

Cause: each VM judges a target by its own answers. With 66 VMs and 140 engines a VM sends to an engine about once in ten seconds, so a slow engine stays unknown to most VMs, and predictions scaled by the slowdown hide it again.

Change: loadview keeps decaying sums of measured and predicted time by target, relative to the other targets of the service. Exchanges carry the targets that stand out (Message.Paces, CBOR key 23; digest key 12), at most 16 a VM and 128 in a digest, none while no target stands out. A target reported by one VM is reported by all that have answers of it. The pace is a factor on the predicted time; for calls without a prompt it adds a delay. Log line pace, status "slow".

Ruled out: adding up reports of only the VMs at which a target stands out: one answer is often twice the mean (10% of answers at sigma 0.8), so sums of those alone make every target look slow.

Before: no VM has other VMs' answers.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -10,6 +10,7 @@
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/ratelimit"
@@ -32,6 +33,7 @@
 	Limits        []ratelimit.Status        `json:"limits,omitempty"` // rate limits that targets announced
 	Canaries      []canary.Record           `json:"canaries,omitempty"`
 	LostLinks     []ids.Target              `json:"lost_links,omitempty"` // targets that this VM reaches through peers only
+	Slow          []loadview.SlowTarget     `json:"slow,omitempty"`       // targets that count as slow here
 }
 
 // Status returns this VM's current state.
@@ -41,7 +43,7 @@
 	s := Status{
 		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(), StoreEra: d.vms.era(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
-		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(), LostLinks: d.links.LostLinks(),
+		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(), LostLinks: d.links.LostLinks(), Slow: d.Fleet.Load.SlowTargets(now),
 	}
 	if c := d.Catalog.Get(); c != nil {
 		s.Catalog = c.Version
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -230,6 +230,7 @@
 		n.NotifyEra(func(era objectapi.Era) { d.Log.State("store-era").Uint64("era", uint64(era)).Send() })
 	}
 	d.Fleet.SetDefaultPrefillRate(prefillRate)
+	d.Fleet.Load.SetFailureDomain(s.FailureDomain)
 	d.Fleet.SetFirstSeed(xxh3.HashString(string(s.VM)))
 	d.build()
 	return d, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -259,6 +259,13 @@
 // Acquire returns scratch buffers. The caller returns them with Release.
 func (f *Fleet) Acquire() *Scratch { return f.scratch.Get().(*Scratch) }
 
+// Unscaled returns what the prediction of the last decision for the target at index i would be if the target
+// were not slow.
+func (s *Scratch) Unscaled(i int, predicted float32) float32 {
+	slot := min(s.Inputs[i].SlotWait, predicted)
+	return slot + (predicted-slot)/float32(max(s.loads[i].Slowdown, 1))
+}
+
 // Release returns scratch buffers to the pool.
 func (f *Fleet) Release(s *Scratch) { f.scratch.Put(s) }
 
@@ -306,6 +313,9 @@
 		in.Cached = sc.overlaps[snap.nums[i]]
 		in.QueueTokens = float32(sc.loads[i].QueueTokens)
 		in.SlotWait = snap.batches[i].wait(sc.loads[i].InFlight)
+		if r.Tokens == 0 {
+			in.SlotWait += float32(sc.loads[i].Delay)
+		}
 		in.InFlight = int32(sc.loads[i].InFlight)
 		in.Silence = float32(sc.loads[i].Silence.Seconds())
 		in.PrefillRate /= float32(sc.loads[i].Slowdown)
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -29,6 +29,7 @@
 type choice struct {
 	target         routing.Target
 	wait           time.Duration  // predicted time until the first event
+	unscaled       time.Duration  // wait if the replica were not slow
 	queue          time.Duration  // part of wait before the replica starts on the call
 	rate           float32        // estimated speed of the replica, in tokens/s
 	age            time.Duration  // of the load report that the prediction used
@@ -85,7 +86,7 @@
 		return choice{}, outcome.New(outcome.NotRun, outcome.CodeNoTarget, "decide", "", "no replica can take the call now").After(f.Fleet.RetryAfter(&req, snap, sc, noTargetRetryAfter))
 	}
 	c := choice{
-		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), queue: seconds(d.QueueWait), rate: d.Rate,
+		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), unscaled: seconds(sc.Unscaled(d.Index, d.PredictedTTFT)), queue: seconds(d.QueueWait), rate: d.Rate,
 		age: f.Fleet.LoadAge(snap, d.Index), admission: admission, representative: isRepresentative(snap, d.Index, &sc.Inputs[d.Index]), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
 	}
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -247,7 +247,10 @@
 	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.wait, now.Sub(t.sent))
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.ObserveTTFT(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
+		t.r.f.Fleet.Load.ObservePace(t.c.target.ID, t.r.service, t.c.unscaled, now.Sub(t.sent), now)
 		t.r.f.Prediction.Observe(t.r.route.Name, t.c.age, t.c.wait, now.Sub(t.sent))
+	} else {
+		t.r.f.Fleet.Load.ObservePlain(t.c.target.ID, t.r.service, t.r.route.Name, now.Sub(t.sent), now)
 	}
 }
 
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -20,6 +20,7 @@
 	overall   slowdown // over all targets
 
 	peers map[ids.VM]*peerReport
+	paces paces
 }
 
 // targetLoad is the work of this VM and its peers at one target.
@@ -31,6 +32,7 @@
 	unanswered   []*Work    // requests sent since the target's last output and not ended, oldest first
 	peers        TargetWork // sum over all peers
 	slowdown     slowdown
+	pace         targetPace
 }
 
 type sent struct {
@@ -176,6 +178,8 @@
 	OwnInFlight int
 	InFlight    int     // own and, as far as they have reported, all peers'
 	Slowdown    float64 // measured over predicted time to first token; at least 1
+	// Delay is how much longer than the others a slow target takes for a call without a prompt, in seconds.
+	Delay float64
 	// Silence is the time for which the target has sent nothing while a request of this VM was
 	// waiting there; zero without such a request.
 	Silence time.Duration
@@ -208,12 +212,18 @@
 func (t *Tracker) Estimate(handles []Handle, reports []Report, since time.Duration, now time.Time, out []Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refreshPaces(now)
 	miss := t.missRatio()
+	overall := t.overall.decayed(now)
 	for i, h := range handles {
 		r := reports[i]
 		r.Age += since
 		out[i] = h.o.estimate(r, miss, now)
-		out[i].Slowdown = max(out[i].Slowdown, t.overall.decayed(now))
+		pace := h.o.pace.value()
+		out[i].Slowdown = max(out[i].Slowdown, overall*pace)
+		if s := t.paces.services[h.o.pace.service]; s != nil {
+			out[i].Delay = (pace - 1) * s.plain
+		}
 	}
 }
 
--- a/internal/loadview/peers.go
+++ b/internal/loadview/peers.go
@@ -133,6 +133,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.targets, id)
+	t.forgetPace(id)
 	for _, p := range t.peers {
 		delete(p.loads, id)
 	}
--- a/internal/news/digest.go
+++ b/internal/news/digest.go
@@ -32,6 +32,8 @@
 	EventNumbers []uint64 `cbor:"9,keyasint,omitempty"`
 	// Acks are the numbered events that the sender of the digest has received lately.
 	Acks []ack `cbor:"10,keyasint,omitempty"`
+	// Paces are sums by target and failure domain.
+	Paces []wirePace `cbor:"12,keyasint,omitempty"`
 }
 
 // setEvents sets Events and EventNumbers. Numbered events must come first.
@@ -184,6 +186,7 @@
 		out.Uses = append(out.Uses, u)
 	}
 	slices.SortFunc(out.Uses, func(a, b allowance.Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	out.Paces = sumPaces(parts)
 	out.truncate()
 	slices.SortFunc(out.Loads, func(a, b wireLoad) int { return cmp.Compare(a.Target, b.Target) })
 	return out
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -75,6 +75,8 @@
 	Uses []allowance.Use
 	// Limits are rate limits that targets reported, and ends of such limits.
 	Limits []ratelimit.Report
+	// Paces are the targets that may be slow. They belong to the round Seq.
+	Paces []loadview.Pace
 	// Lacking are targets for whose limits this VM asks its peers for credit.
 	Lacking []ids.Target
 	// Grants answer Lacking. Such a message carries nothing else.
@@ -391,6 +393,7 @@
 	x.Load.SetPeerLoads(m.VM, m.Incarnation, m.Seq, loads, clock.Now())
 	if !x.usesTree() { // otherwise the tree's totals include them
 		x.Allowances.RecordUse(m.VM, m.Incarnation, m.Seq, m.Uses)
+		x.Load.SetPeerPaces(m.VM, m.Incarnation, m.Seq, m.Paces, clock.Now())
 	}
 	x.OnUnresponsive(m.VM, m.Unresponsive)
 	for _, w := range m.RecentWeights {
@@ -470,8 +473,8 @@
 	x.Load.Own(func(t ids.Target, l loadview.TargetWork) {
 		loads = append(loads, Load{Target: t, InFlight: l.InFlight, Pending: int(l.Pending), NotResumable: l.NotResumable})
 	})
-	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking()}
-	if len(loads) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && x.skippedRounds < maxSkippedRounds {
+	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking(), Paces: x.Load.OwnPaces(clock.Now())}
+	if len(loads) == 0 && len(m.Paces) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && x.skippedRounds < maxSkippedRounds {
 		x.skippedRounds++
 		return
 	}
--- a/internal/news/tree_exchange.go
+++ b/internal/news/tree_exchange.go
@@ -84,6 +84,7 @@
 		d.Unresponsive = append(d.Unresponsive, w)
 	}
 	d.RecentWeights, d.Uses, d.Limits = x.RecentWeights(), x.Allowances.OwnUse(), wireLimits(x.VM, x.Limits())
+	d.Paces = toWirePaces(x.Load.OwnPaces(clock.Now()))
 	if l := x.LeaseLapse(); l != nil {
 		d.LeaseLapses = append(d.LeaseLapses, *l)
 	}
@@ -185,6 +186,7 @@
 		loads[l.Target] = loadview.TargetWork{InFlight: l.InFlight, Pending: float64(l.Pending), NotResumable: l.NotResumable}
 	}
 	x.Load.SetPeerLoads(fleetVM, x.incarnation, x.seq.Add(1), loads, now)
+	x.Load.SetFleetPaces(fromWirePaces(d.Paces, x.Resolve), includes(members, x.VM), now)
 	x.applyUnresponsive(d.Unresponsive)
 	for _, w := range d.RecentWeights {
 		x.OnRecentWeights(w)
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -53,6 +53,8 @@
 
 	Lacking []shortID         `cbor:"20,keyasint,omitempty"`
 	Grants  []ratelimit.Grant `cbor:"21,keyasint,omitempty"`
+
+	Paces []wirePace `cbor:"23,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -95,6 +97,7 @@
 	for _, t := range m.Lacking {
 		w.Lacking = append(w.Lacking, shorten(t))
 	}
+	w.Paces = toWirePaces(m.Paces)
 	data, err := cbor.Marshal(w)
 	return append([]byte{actionDeliver}, data...), eris.Wrap(err, "encode peer message")
 }
@@ -113,6 +116,7 @@
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
 		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts, Grants: w.Grants,
 	}
+	m.Paces = fromWirePaces(w.Paces, resolve)
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
 	for _, l := range w.Loads {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -58,7 +58,8 @@
 	// QueueTokens is the estimated prefill work queued before this request, in tokens: that
 	// of the last report, reduced by the work done since, plus the work sent since.
 	QueueTokens float32 `json:"queue_tokens"`
-	// SlotWait is the expected wait for a slot in the batch, in seconds.
+	// SlotWait is the expected wait for a slot in the batch, in seconds. For calls without a prompt it
+	// includes how much longer than the others a slow target takes.
 	SlotWait float32 `json:"slot_wait"`
 	// PrefillRate is the target's prefill rate, in tokens/s.
 	PrefillRate float32 `json:"prefill_rate"`
