--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -248,7 +248,10 @@
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.ObserveTTFT(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
 		t.r.f.Fleet.Load.ObserveWait(now.Sub(t.sent)-seconds(float32(t.r.workOf(t.c)))-loadview.MinTTFT, now)
+		t.r.f.Fleet.Load.ObservePace(t.c.target.ID, t.r.service, t.c.unscaled, now.Sub(t.sent), now)
 		t.r.f.Prediction.Observe(t.r.route.Name, t.c.age, t.c.wait, now.Sub(t.sent))
+	} else {
+		t.r.f.Fleet.Load.ObservePlain(t.c.target.ID, t.r.service, t.r.route.Name, now.Sub(t.sent), now)
 	}
 }
 
--- a/internal/news/digest.go
+++ b/internal/news/digest.go
@@ -34,6 +34,8 @@
 	Acks []ack `cbor:"10,keyasint,omitempty"`
 	// Demand holds the sums of the calls of the members. Nil: as in the sender's previous digest.
 	Demand *lenient[demandSums] `cbor:"11,keyasint,omitempty"`
+	// Paces are sums by target and failure domain.
+	Paces []wirePace `cbor:"12,keyasint,omitempty"`
 }
 
 // setEvents sets Events and EventNumbers. Numbered events must come first.
@@ -186,6 +188,7 @@
 		out.Uses = append(out.Uses, u)
 	}
 	slices.SortFunc(out.Uses, func(a, b allowance.Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	out.Paces = sumPaces(parts)
 	out.truncate()
 	slices.SortFunc(out.Loads, func(a, b wireLoad) int { return cmp.Compare(a.Target, b.Target) })
 	return out
--- a/internal/news/tree_exchange.go
+++ b/internal/news/tree_exchange.go
@@ -87,6 +87,7 @@
 	if x.Demand != nil {
 		d.Demand = lenientOf(&demandSums{Report: packedReport(x.Demand.OwnReport()), VMs: 1})
 	}
+	d.Paces = toWirePaces(x.Load.OwnPaces(clock.Now()))
 	if l := x.LeaseLapse(); l != nil {
 		d.LeaseLapses = append(d.LeaseLapses, *l)
 	}
@@ -189,6 +190,7 @@
 		loads[l.Target] = loadview.TargetWork{InFlight: l.InFlight, Pending: float64(l.Pending), NotResumable: l.NotResumable}
 	}
 	x.Load.SetPeerLoads(fleetVM, x.incarnation, x.seq.Add(1), loads, now)
+	x.Load.SetFleetPaces(fromWirePaces(d.Paces, x.Resolve), includes(members, x.VM), now)
 	x.applyUnresponsive(d.Unresponsive)
 	for _, w := range d.RecentWeights {
 		x.OnRecentWeights(w)
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -57,6 +57,7 @@
 
 	EarlySeq uint64                 `cbor:"24,keyasint,omitempty"`
 	Demand   *lenient[packedReport] `cbor:"22,keyasint,omitempty"`
+	Paces    []wirePace             `cbor:"23,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -101,6 +102,7 @@
 	for _, t := range m.Lacking {
 		w.Lacking = append(w.Lacking, shorten(t))
 	}
+	w.Paces = toWirePaces(m.Paces)
 	data, err := cbor.Marshal(w)
 	return append([]byte{actionDeliver}, data...), eris.Wrap(err, "encode peer message")
 }
@@ -121,6 +123,7 @@
 		EarlySeq: w.EarlySeq,
 		Demand:   (*demand.Report)(w.Demand.get()),
 	}
+	m.Paces = fromWirePaces(w.Paces, resolve)
 	m.Report.restoreNumbers()
 	m.Total.restoreNumbers()
 	for _, l := range w.Loads {
--- a/internal/routing/pools.go
+++ b/internal/routing/pools.go
@@ -31,11 +31,3 @@
 	}
 	return r.OffPoolSeconds
 }
-
-// ownSample returns the probability, in units of 1/sampleScale, with which a target of the request's
-// own pool belongs to a sample of size targets. Sampling all targets alike would leave less than one
-// target of a pool of 1/8 of the engines in the smallest sample.
-func (s Sampling) ownSample(size float32, e *Eligible) uint64 {
-	own := float32(e.Count - e.OffPool)
-	return uint64(min(max(float32(s.MinTargets), size*own/float32(e.Count))/max(own, 1), 1) * sampleScale)
-}
--- a/internal/routing/sampling.go
+++ b/internal/routing/sampling.go
@@ -47,30 +47,21 @@
 	if s.MinTargets == 0 || float32(e.Count) <= size {
 		return
 	}
-	chance := uint64(size / float32(e.Count) * sampleScale)
-	chances := [2]uint64{chance, chance}
-	if e.OffPool > 0 && e.OffPool < e.Count {
-		chances[0] = s.ownSample(size, e)
-	}
+	own, other := s.chances(size, e)
 	sampled := func(i int) bool {
-		chance := chances[0]
+		chance := own
 		if in[i].OffPool {
-			chance = chances[1]
+			chance = other
 		}
 		return i == e.Rendezvous || in[i].Reserved || e.Best > 0 && in[i].Cached == e.Best || Affinity(r.Seed, &v.Targets[i])%sampleScale < chance
 	}
-	found := false
-	for i := range costs {
-		found = found || costs[i] != infinite && sampled(i)
-	}
+	found := anyEligible(costs, sampled)
 	if !found && r.MaxHerd == 0 {
 		return
 	}
-	for !found && chance < sampleScale { // otherwise all such requests would choose the same target
-		chance = 2*chance + 1
-		for i := range costs {
-			found = found || costs[i] != infinite && sampled(i)
-		}
+	for !found && min(own, other) < sampleScale { // otherwise all such requests would choose the same target
+		own, other = 2*own+1, 2*other+1
+		found = anyEligible(costs, sampled)
 	}
 	for i := range costs {
 		if costs[i] != infinite && !sampled(i) {
@@ -78,3 +69,26 @@
 		}
 	}
 }
+
+// anyEligible reports whether any eligible target belongs to the sample.
+func anyEligible(costs []float32, sampled func(i int) bool) bool {
+	for i := range costs {
+		if costs[i] != infinite && sampled(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// chances returns the probabilities, in units of 1/sampleScale, with which targets of the request's own
+// pool and of the other one belong to a sample of size targets. Sampling all targets alike would leave
+// less than one target of a pool of 1/8 of the engines in the smallest sample.
+func (s Sampling) chances(size float32, e *Eligible) (own, other uint64) {
+	other = uint64(size / float32(e.Count) * sampleScale)
+	count := float32(e.Count - e.OffPool)
+	if e.OffPool == 0 || count == 0 {
+		return other, other
+	}
+	least := max(float32(s.MinTargets), size*count/float32(e.Count))
+	return uint64(min(least/count, 1) * sampleScale), other
+}
