--- a/internal/loadview/pace.go
+++ b/internal/loadview/pace.go
@@ -29,7 +29,7 @@
 	normalPace = 1.5
 	// minSlowAnswers is the decayed number of answers of at least slowPace that a target needs to count
 	// as slow, so that two unlucky answers are not enough.
-	minSlowAnswers = 2.5
+	minSlowAnswers = 2.2
 	// minSlowFraction is the fraction of slow answers that a target needs to count as slow; at half of it
 	// it no longer does. Once a target that was 7 times slower has recovered, its mean falls below
 	// normalPace after two paceTime, this fraction below the bound after one.
@@ -40,6 +40,8 @@
 	// minPaceAnswers is the decayed number of answers below which a target no longer counts as slow.
 	// Calls then find out.
 	minPaceAnswers = 0.5
+	// minOwnAnswers is the decayed number of answers below which a VM's own sums of a target are dropped.
+	minOwnAnswers = 0.05
 	// minReferenceAnswers is the decayed number of answers of the other targets that a VM needs to
 	// compare a target with them.
 	minReferenceAnswers = 3
@@ -51,10 +53,10 @@
 	// sums to report the target, of the sums of all VMs, and of those of one failure domain, which are
 	// compared with the sums of all VMs.
 	seedPrior   = 1
-	fleetPrior  = 1.5
+	fleetPrior  = 1
 	domainPrior = 2
 	// paceEvery is the interval at which paces are computed.
-	paceEvery = 100 * time.Millisecond
+	paceEvery = 150 * time.Millisecond
 	// MaxPaces is the number of targets in a VM's report.
 	MaxPaces = 16
 	// maxPlainRoutes bounds the routes whose mean times are kept.
@@ -140,7 +142,12 @@
 // current returns the own sums at the time now.
 func (p *targetPace) current(now time.Time) PaceSums { return p.own.times(paceDecay(now.Sub(p.at))) }
 
-func paceDecay(d time.Duration) float64 { return math.Exp(-max(d, 0).Seconds() / paceTime.Seconds()) }
+func paceDecay(d time.Duration) float64 {
+	if d <= 0 {
+		return 1
+	}
+	return math.Exp(-d.Seconds() / paceTime.Seconds())
+}
 
 // value is the factor on the predicted time; 1 unless the target counts as slow.
 func (p *targetPace) value() float64 {
@@ -272,12 +279,12 @@
 // none, or there is no reference.
 func (t *Tracker) relative(p *targetPace, now time.Time) (PaceSums, bool) {
 	s := t.paces.services[p.service]
-	if s == nil || p.own.Answers <= 0 {
+	if s == nil || p.own.Answers == 0 {
 		return PaceSums{}, false
 	}
 	ref, ok := s.reference(p, now)
 	out := p.current(now)
-	if !ok || out.Answers < minPaceAnswers/10 {
+	if !ok || out.Answers < minOwnAnswers {
 		return PaceSums{}, false
 	}
 	out.Measured = min(out.Measured/ref, maxAnswerPace*out.Predicted)
@@ -405,12 +412,19 @@
 		s.PaceSums, s.at = PaceSums{}, now
 	}
 	for _, o := range t.targets {
-		if s := t.paces.services[o.pace.service]; s != nil && !o.pace.slow {
-			s.PaceSums = s.plus(o.pace.current(now))
+		p := &o.pace
+		if p.own.Answers == 0 {
+			continue
+		}
+		p.own, p.at = p.current(now), now
+		if p.own.Answers < minOwnAnswers {
+			p.own = PaceSums{}
+		} else if s := t.paces.services[p.service]; s != nil && !p.slow {
+			s.PaceSums = s.plus(p.own)
 		}
 	}
 	for name, s := range t.paces.services {
-		if s.Answers < minPaceAnswers/1000 {
+		if s.Answers == 0 {
 			delete(t.paces.services, name) // also of services that are no longer configured
 		}
 	}
--- a/internal/news/paces_test.go
+++ b/internal/news/paces_test.go
@@ -271,7 +271,7 @@
 				still += n
 			}
 			t.Logf("known at %d of %d, %d answers of slow engines in 20 s, slow at %d after recovery", known, asked, answers, still)
-			if still > asked/50 {
+			if still > 0 {
 				t.Errorf("10 s after recovery engines count as slow at %d of %d VMs", still, asked)
 			}
 		})
@@ -330,6 +330,43 @@
 	}
 }
 
+// TestSlowForOneDomain guards against callers of a failure domain for which engines are slow that don't
+// notice because the engines are fast for the others, and against the others avoiding these engines. Such
+// an engine gets about one answer a second in its domain, so that its sums fade while it is avoided and it is
+// tried again: at each moment only a part of the domain's VMs take it for slow.
+func TestSlowForOneDomain(t *testing.T) {
+	for _, vms := range []int{6, 66, 195} {
+		for _, factor := range []float64{3.5, 7} {
+			f := newPaceFleet(t, vms, 0.5, 0.1, 4)
+			f.domain = "z1"
+			f.run(4 * time.Second)
+			for e := range f.engines / 10 {
+				f.slow[e] = factor
+			}
+			f.run(5 * time.Second)
+			known, all, other, allOther := 0, 0, 0, 0
+			for range 24 {
+				f.run(500 * time.Millisecond)
+				for e := range f.slow {
+					for _, z := range []ids.FailureDomain{"z0", "z1", "z2"} {
+						n, asked := f.slowAt(e, 1.0001, z)
+						if z == "z1" {
+							known, all = known+n, all+asked
+						} else {
+							other, allOther = other+n, allOther+asked
+						}
+					}
+				}
+			}
+			t.Logf("%d VMs, %v times slower: known at %.3f of the domain's VMs, at %.3f of the others", vms, factor, float64(known)/float64(all), float64(other)/float64(allOther))
+			if float64(known) < 0.4*float64(all) || float64(other) > 0.05*float64(allOther) {
+				t.Errorf("%d VMs, %v times slower: known at %.3f of the domain's VMs, want 0.4 on average; at %.3f of the others, want at most 0.05",
+					vms, factor, float64(known)/float64(all), float64(other)/float64(allOther))
+			}
+		}
+	}
+}
+
 // TestNothingIsSentWithoutSlowEngines guards against reports that cost bandwidth while no target stands out.
 func TestNothingIsSentWithoutSlowEngines(t *testing.T) {
 	f := newPaceFleet(t, 66, 0.2, 0, 5)
