--- a/internal/loadview/waits.go
+++ b/internal/loadview/waits.go
@@ -21,7 +21,7 @@
 	waitsUntil = 12 * time.Millisecond
 	// maxWait bounds each measured wait: one call that a fault has delayed by seconds does not show
 	// that others wait.
-	maxWait = 100 * time.Millisecond
+	maxWait = 150 * time.Millisecond
 	// unwaitedCalls is the number of calls without a wait that are added to the mean. A VM that
 	// receives one call a second then needs a wait of more than waitsFrom in several of them.
 	unwaitedCalls = 1
