--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -8,6 +8,7 @@
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/forward"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
@@ -34,6 +35,7 @@
 	Canaries      []canary.Record           `json:"canaries,omitempty"`
 	LostLinks     []ids.Target              `json:"lost_links,omitempty"` // targets that this VM reaches through peers only
 	Slow          []loadview.SlowTarget     `json:"slow,omitempty"`       // targets that count as slow here
+	Demand        []demand.Status           `json:"demand,omitempty"`     // load of each service on all VMs
 }
 
 // Status returns this VM's current state.
@@ -44,6 +46,7 @@
 		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(), StoreEra: d.vms.era(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
 		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(), LostLinks: d.links.LostLinks(), Slow: d.Fleet.Load.SlowTargets(now),
+		Demand: d.demandStatus(),
 	}
 	if c := d.Catalog.Get(); c != nil {
 		s.Catalog = c.Version
@@ -84,6 +87,7 @@
 	Refusals      *forward.RefusalCounts    `json:"refusals"` // refusals and failures, by code and step
 	Crashes       CrashMetrics              `json:"crashes"`
 	Allowances    []allowance.Status        `json:"allowances"`
+	Demand        []demand.Status           `json:"demand"`      // load of each service on all VMs
 	Bytes         *traffic.Meter            `json:"bytes"`       // bytes exchanged, by purpose
 	StoreCalls    *objectapi.CountingStore  `json:"store_calls"` // by method and kind
 	News          NewsMetrics               `json:"news"`
@@ -178,7 +182,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Demand: d.demandStatus(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -72,6 +72,7 @@
 		"log":           every(logEvery, d.Log.ReportDropped),
 		"usage":         every(usageEvery, d.logUsage),
 		"paces":         every(paceLogEvery, d.paceLog()),
+		"demand":        d.watchDemand,
 		"feeds":         d.feeds.Run,
 		"retell":        d.resendCaches,
 		"watch":         every(checkReadersEvery, d.checkReaders),
