--- a/internal/lab/platformlab/brittle.go
+++ b/internal/lab/platformlab/brittle.go
@@ -18,6 +18,9 @@
 	// OnFall is called, in a goroutine of its own, when the replica has fallen over. The replica's server
 	// is closed by then.
 	OnFall func(*Replica)
+	// Reported is the number of slots that the replica's entry names; zero: Slots. An engine that names more than it has
+	// looks able to do more than it can.
+	Reported int
 
 	mu      sync.Mutex
 	running int
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -1,6 +1,7 @@
 package platformlab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -208,7 +209,7 @@
 		e.Models = []modelState{{r.Model, r.version}}
 	}
 	if r.Room != nil {
-		e.Slots = r.Room.Slots
+		e.Slots = cmp.Or(r.Room.Reported, r.Room.Slots)
 	}
 	store := r.store
 	r.mu.Unlock()
