--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -256,6 +256,10 @@
 	loads    []loadview.Load
 }
 
+// Slowdown returns the factor by which the last decision took a target, given by its index, to be slower
+// than its assumed rate.
+func (s *Scratch) Slowdown(i int) float64 { return s.loads[i].Slowdown }
+
 // Acquire returns scratch buffers. The caller returns them with Release.
 func (f *Fleet) Acquire() *Scratch { return f.scratch.Get().(*Scratch) }
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -31,6 +31,7 @@
 	wait           time.Duration  // predicted time until the first event
 	queue          time.Duration  // part of wait before the replica starts on the call
 	rate           float32        // estimated speed of the replica, in tokens/s
+	assumed        assumed        // the prediction without the measured slowdown
 	age            time.Duration  // of the load report that the prediction used
 	levels         []prefix.Level // shared parts of the prompt
 	work           int32          // tokens that the replica is expected to compute
@@ -42,6 +43,21 @@
 	representative bool              // the response's latency shows the speed of the target
 }
 
+// assumed is the prediction of a choice at the assumed rate of its replica. Its errors are those that the
+// fleet's ratio of measured to predicted times corrects, so it contains no correction itself.
+type assumed struct {
+	wait, queue time.Duration // as in choice
+	rate        float64       // tokens/s
+}
+
+// assumedOf returns the prediction for a choice without the slowdown that the decision used.
+func assumedOf(c *choice, in *routing.Input, slowdown float64) assumed {
+	slowdown = max(slowdown, 1)
+	slot := min(seconds(in.SlotWait), c.queue)
+	queue := slot + time.Duration(float64(c.queue-slot)/slowdown)
+	return assumed{queue: queue, wait: queue + time.Duration(float64(c.wait-c.queue)/slowdown), rate: float64(c.rate) * slowdown}
+}
+
 // noTargetRetryAfter is the Retry-After when no replica can serve: about the time in which
 // this VM notices that a replica is back.
 const noTargetRetryAfter = 200 * time.Millisecond
@@ -88,6 +104,7 @@
 		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), queue: seconds(d.QueueWait), rate: d.Rate,
 		age: f.Fleet.LoadAge(snap, d.Index), admission: admission, representative: isRepresentative(snap, d.Index, &sc.Inputs[d.Index]), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
 	}
+	c.assumed = assumedOf(&c, &sc.Inputs[d.Index], sc.Slowdown(d.Index))
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		isolationKey := r.catalog.IsolationKey(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, isolationKey)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -170,6 +170,7 @@
 	Draining atomic.Bool
 
 	usual     usualWork
+	draws     draws
 	calls     activeCalls
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -244,7 +244,7 @@
 		return
 	}
 	t.r.f.Fleet.Members.MarkSeen(t.c.target.ID, now)
-	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.wait, now.Sub(t.sent))
+	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.assumed.wait, now.Sub(t.sent))
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.ObserveTTFT(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
 		t.r.f.Prediction.Observe(t.r.route.Name, t.c.age, t.c.wait, now.Sub(t.sent))
