verdict: admission that stays stable with delayed pictures, and Retry-After from the backlog

Now the mean queue counts. - The measured wait lags by seconds, so after a step to 10 times the capacity engines stayed at 0.74 to 0.89 of it. Shares now follow the predicted mean queue, which also tells of short capacity before the measured wait does. - 0.25 s for each call beyond the slots kept engines with one slot at 64 of 100 calls/s (platform test); the time is now measured, and never longer. - A VM that hears of few VMs took its own part of what engines begin for the capacity, and refused ever more. With half of the VMs or fewer heard it decides as before. - Spare capacity taken from the demand without the refused calls brought callers back during the burst.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -260,6 +260,27 @@
 // than its assumed rate.
 func (s *Scratch) Slowdown(i int) float64 { return s.loads[i].Slowdown }
 
+// MeanQueue returns the mean time, at the assumed rates, until the targets of a service have computed the prompts that
+// wait there, the mean number of calls beyond their slots, and the number of targets. They are from the last
+// decision, which was on the given snapshot.
+func (s *Scratch) MeanQueue(snap *Snapshot, service string) (queue time.Duration, over float64, targets int) {
+	sum := 0.0
+	for i := range s.Inputs {
+		in := &s.Inputs[i]
+		if snap.View.Targets[i].Service != service || in.State <= routing.Suspect || in.BreakerOpen {
+			continue
+		}
+		sum += float64(in.QueueTokens) / max(float64(in.PrefillRate)*s.loads[i].Slowdown, 1)
+		over += float64(in.SlotWait) / slotSeconds
+		targets++
+	}
+	n := float64(max(targets, 1))
+	return time.Duration(sum / n * float64(time.Second)), over / n, targets
+}
+
+// OverSlots returns the calls beyond its slots that a wait for a slot, as in routing.Input, stands for.
+func OverSlots(wait float32) float64 { return float64(wait) / slotSeconds }
+
 // Acquire returns scratch buffers. The caller returns them with Release.
 func (f *Fleet) Acquire() *Scratch { return f.scratch.Get().(*Scratch) }
 
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -13,6 +13,7 @@
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/verdict"
 )
 
 // WantedWeights reports which weights of a model operators want.
@@ -46,16 +47,20 @@
 // assumed is the prediction of a choice at the assumed rate of its replica. Its errors are those that the
 // fleet's ratio of measured to predicted times corrects, so it contains no correction itself.
 type assumed struct {
-	wait, queue time.Duration // as in choice
-	rate        float64       // tokens/s
+	wait time.Duration // as in choice
+	best verdict.Best
+	mean verdict.Queues // over all replicas of the service
 }
 
 // assumedOf returns the prediction for a choice without the slowdown that the decision used.
 func assumedOf(c *choice, in *routing.Input, slowdown float64) assumed {
 	slowdown = max(slowdown, 1)
 	slot := min(seconds(in.SlotWait), c.queue)
-	queue := slot + time.Duration(float64(c.queue-slot)/slowdown)
-	return assumed{queue: queue, wait: queue + time.Duration(float64(c.wait-c.queue)/slowdown), rate: float64(c.rate) * slowdown}
+	queue := time.Duration(float64(c.queue-slot) / slowdown)
+	return assumed{
+		wait: slot + queue + time.Duration(float64(c.wait-c.queue)/slowdown),
+		best: verdict.Best{Queue: queue, Over: fleet.OverSlots(in.SlotWait), Rate: float64(c.rate) * slowdown},
+	}
 }
 
 // noTargetRetryAfter is the Retry-After when no replica can serve: about the time in which
@@ -105,6 +110,7 @@
 		age: f.Fleet.LoadAge(snap, d.Index), admission: admission, representative: isRepresentative(snap, d.Index, &sc.Inputs[d.Index]), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
 	}
 	c.assumed = assumedOf(&c, &sc.Inputs[d.Index], sc.Slowdown(d.Index))
+	c.assumed.mean.Wait, c.assumed.mean.Over, c.assumed.mean.Targets = sc.MeanQueue(snap, r.service)
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		isolationKey := r.catalog.IsolationKey(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, isolationKey)
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -48,7 +48,7 @@
 		Usual: r.f.usual.observe(r.route.Name, (c.wait-c.queue).Seconds()*float64(c.rate)),
 	}
 	if r.f.Demand != nil {
-		if load := verdict.Measure(r.f.Demand.Picture(r.service)); load.Short(a.Objective) {
+		if load := verdict.Measure(r.f.Demand.Picture(r.service)); load.Short(a.Objective, c.assumed.mean) {
 			return r.rule(c, a, &load)
 		}
 	}
@@ -62,18 +62,18 @@
 // rule decides on a call while capacity is short.
 func (r *run) rule(c *choice, a verdict.Arrival, load *verdict.Contention) *outcome.Error {
 	class := r.class()
-	call := verdict.Call{Arrival: a, Sample: r.f.draws.next(class), Left: clock.Until(r.ends)}
+	call := verdict.Call{Arrival: a, Sample: r.f.draws.next(class), Mean: c.assumed.mean, Left: clock.Until(r.ends)}
 	if class.Workspace != "" {
 		call.Workspace = demand.HashOf(string(class.Workspace))
 	}
-	ruling := verdict.Rule(call, verdict.Best{Queue: c.assumed.queue, Rate: c.assumed.rate}, load)
+	ruling := verdict.Rule(call, c.assumed.best, load)
 	if ruling.Cause == verdict.Admitted {
 		return nil
 	}
 	r.f.Log.Request("shed", string(r.call.ID)).Str("cause", string(ruling.Cause)).Str("service", r.service).Str("workspace", string(class.Workspace)).
 		Str("target", string(c.target.ID)).Int64("assumed_ms", c.assumed.wait.Milliseconds()).Float64("ratio", load.Ratio).
 		Int64("queue_ms", ruling.Queue.Milliseconds()).Int64("predicted_ms", ruling.Predicted.Milliseconds()).Int64("bound_ms", ruling.Bound.Milliseconds()).
-		Int64("fleet_wait_ms", load.Wait.Milliseconds()).Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
+		Int64("mean_queue_ms", ruling.Mean.Milliseconds()).Int64("fleet_wait_ms", load.Wait.Milliseconds()).Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
 		Float64("offered", ruling.Offered).Float64("share", ruling.Share).Float64("probability", ruling.Probability).Float64("sample", call.Sample).
 		Int64("age_ms", load.Age.Milliseconds()).Int("vms", load.VMs).Int64("come_back_ms", ruling.RetryAfter.Milliseconds()).Send()
 	if ruling.Cause == verdict.OverShare {
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -20,26 +20,41 @@
 //   - The local bound on the predicted queue follows within the age of load reports, some 100 ms. It
 //     is lower for workspaces above their share, so the queue that they cause stays short
 //     enough for all others.
-//   - A target without a queue is given any call: no share keeps capacity idle.
+//   - If targets have no queue on average, any call is admitted: no share keeps capacity idle.
 
 const (
 	// contentionFactor is the mean wait of the fleet's calls, as a fraction of the objective, above
 	// which capacity counts as short. Callers notice nothing of a wait below it, and engines that
 	// are slower than assumed but have no queue stay below it.
 	contentionFactor = 0.2
-	// idleFactor is the predicted queue at the best target, as a fraction of the objective, up to
-	// which every call is admitted.
+	// idleFactor is the predicted mean queue over all targets, as a fraction of the objective, up to
+	// which every call is admitted. With the queue of the best target instead, 66 VMs all sent their calls
+	// to the few engines that had none at their last reports.
 	idleFactor = 0.1
 	// softFactor is the bound on the predicted queue for workspaces at twice their share. With half of
 	// the objective engines have enough queued to stay busy between two load reports, and
 	// calls of others that wait behind it are in time.
-	softFactor = 0.5
-	// headroom is the factor on the measured capacity that shares add up to. It lets the measured
-	// capacity grow when more engines come; what it admits in excess is refused at the local bound.
-	headroom = 1.05
+	softFactor = 0.75
+	// aimFactor is the predicted mean queue, as a fraction of the objective, at which shares add up to the
+	// measured capacity. Engines then have enough queued to stay busy between two load reports, and the
+	// local bound seldom decides, whose refusals differ between VMs.
+	aimFactor = 0.45
+	// urgentAim is the factor on aimFactor for calls of the most urgent priority, which are admitted in full while
+	// the shares of others are already cut.
+	urgentAim = 1.2
+	// gain is the fraction of the capacity by which shares add up to more for each aim that the mean queue is
+	// below it, or to less above it; maxGrowth and maxCut bound it. The queue is used, not the measured
+	// wait, which lags by seconds: after a sudden start at ten times the capacity it kept engines at
+	// 0.74 of their capacity.
+	gain      = 0.9
+	maxGrowth = 1
+	maxCut    = 0.5
 	// minBegun is the number of first events in the picture below which it says too little about
 	// capacity.
 	minBegun = 8
+	// maxSlotTime is the time, in seconds, in which a target is assumed to end one call, unless the fleet measures a
+	// shorter one. It is the same as in package fleet.
+	maxSlotTime = 0.25
 	// maxRatio bounds the correction of predictions. Engines of a plain test stand computed 30 times
 	// slower than the assumed rate.
 	maxRatio = 100
@@ -60,6 +75,7 @@
 	Refused float64
 	VMs     int
 	Age     time.Duration
+	heard   bool // of most VMs
 	picture *demand.Picture
 	begun   float64 // first events
 }
@@ -70,7 +86,7 @@
 	if p == nil {
 		return c
 	}
-	c.VMs, c.Age = p.VMs, p.Age
+	c.VMs, c.Age, c.heard = p.VMs, p.Age, 2*p.VMs > p.Listed
 	t := p.Total()
 	if t.Predicted > 0 {
 		c.Ratio = min(max(float64(t.Measured)/float64(t.Predicted), 1), maxRatio)
@@ -89,15 +105,26 @@
 	return c
 }
 
-// Short reports whether capacity is short for calls with this objective.
-func (c *Contention) Short(objective time.Duration) bool {
-	return objective > 0 && c.begun >= minBegun && float64(c.Wait) > contentionFactor*float64(objective)
+// Short reports whether capacity is short for calls with this objective, given the queues that this VM knows of:
+// they follow a sudden burst within the age of load reports, the mean wait only after seconds. A VM that hears of half of the VMs or fewer
+// does not know: if it took its own part of what engines begin for the capacity, a VM that has refused more than
+// others would go on to refuse even more.
+func (c *Contention) Short(objective time.Duration, q Queues) bool {
+	if objective <= 0 || !c.heard || c.begun < minBegun {
+		return false
+	}
+	return float64(c.Wait) > contentionFactor*float64(objective) || c.mean(q) > aimFactor*float64(objective)
+}
+
+// mean returns the mean time until targets start a call, corrected, in nanoseconds.
+func (c *Contention) mean(q Queues) float64 {
+	return float64(q.Wait)*c.Ratio + q.Over*c.slotTime(q.Targets)*float64(time.Second)
 }
 
-// Claim returns what a workspace, given by its hash, asks for, and its share of the capacity.
-// Workspaces of low demand are known only as a sum under the hash 0. Its members are all below the
+// Claim returns what a workspace, given by its hash, asks for, and its share of
+// the measured capacity times a factor. Workspaces of low demand are known only as a sum under the hash 0. Its members are all below the
 // smallest of the others, so they count as the least number of equal workspaces of that size.
-func (c *Contention) Claim(workspace uint32) (claim Claim, share float64) {
+func (c *Contention) Claim(workspace uint32, factor float64) (claim Claim, share float64) {
 	if c.picture == nil {
 		return Claim{}, math.Inf(1)
 	}
@@ -126,8 +153,26 @@
 			claim = r
 		}
 	}
-	level := Level(c.Capacity*headroom, claims)
-	return claim, Share(level, claim)
+	return claim, Share(Level(c.Capacity*factor, claims), claim)
+}
+
+// adjustment returns the factor on the measured capacity that shares add up to, given the mean queue and
+// its aim in the same unit.
+func adjustment(queue, aim float64) float64 {
+	return 1 - min(max(gain*(queue/aim-1), -maxGrowth), maxCut)
+}
+
+// Queues are the mean queues at the targets of a service.
+type Queues struct {
+	Wait    time.Duration // until the prompts that wait are computed, at the assumed rate
+	Over    float64       // calls beyond the target's slots, a further one included
+	Targets int
+}
+
+// slotTime returns the time in which a target ends one call. While calls wait, that is what the fleet measures;
+// with 0.25 s, engines with one slot that take 60 ms stayed at 0.64 of their capacity.
+func (c *Contention) slotTime(targets int) float64 {
+	return min(float64(targets)/max(demand.Rate(float32(c.begun)), 1), maxSlotTime)
 }
 
 // Call is a call that awaits admission while capacity is short.
@@ -137,6 +182,7 @@
 	Workspace uint32
 	// Sample is a number in [0, 1) from a sequence that is even over the calls of a workspace.
 	Sample float64
+	Mean   Queues
 	// Left is the time until the call's deadline.
 	Left time.Duration
 }
@@ -155,6 +201,7 @@
 type Ruling struct {
 	Cause       Cause
 	Queue       time.Duration // predicted at the best target, corrected
+	Mean        time.Duration // the same over all targets
 	Predicted   time.Duration // time until the first event, corrected
 	Bound       time.Duration // for Predicted
 	Offered     float64       // work per second of the workspace
@@ -166,8 +213,15 @@
 // Rule decides on a call while capacity is short. b is the prediction at the assumed rate,
 // without any correction.
 func Rule(a Call, b Best, c *Contention) Ruling {
-	claim, share := c.Claim(a.Workspace)
-	r := Ruling{Offered: claim.Offered, Share: share, Probability: 1}
+	objective, slotTime := float64(a.Objective), c.slotTime(a.Mean.Targets)
+	mean := c.mean(a.Mean)
+	aim := aimFactor * objective
+	if a.Urgent {
+		aim *= urgentAim
+	}
+	factor := adjustment(mean, aim)
+	claim, share := c.Claim(a.Workspace, factor)
+	r := Ruling{Offered: claim.Offered, Share: share, Probability: 1, Mean: time.Duration(mean)}
 	over := 1.0
 	if claim.Offered > 0 {
 		r.Probability = min(share/claim.Offered, 1)
@@ -177,12 +231,11 @@
 	if a.Urgent {
 		hard = lateUrgentFactor
 	}
-	objective := float64(a.Objective)
 	r.Bound = Waits{Soft: time.Duration(softFactor * objective), Hard: time.Duration(hard * objective), Step: 1}.Longest(0, over)
-	r.Queue = time.Duration(float64(b.Queue) * c.Ratio)
+	r.Queue = time.Duration(float64(b.Queue)*c.Ratio) + seconds(b.Over*slotTime)
 	r.Predicted = r.Queue + time.Duration(float64(seconds(a.Usual/max(b.Rate, 1)))*c.Ratio)
 	switch {
-	case float64(r.Queue) <= idleFactor*objective && r.Predicted < time.Duration(hard*objective):
+	case mean <= idleFactor*objective && r.Predicted < time.Duration(hard*objective):
 		return r
 	case r.Predicted >= r.Bound:
 		r.Cause = TooLate
@@ -191,7 +244,7 @@
 	default:
 		return r
 	}
-	r.RetryAfter = RetryAfter(Return{Excess: r.Predicted - r.Bound, Refused: c.Refused, Spare: c.Capacity - c.Offered, Left: a.Left, Jitter: a.Jitter})
+	r.RetryAfter = RetryAfter(Return{Excess: r.Predicted - r.Bound, Refused: c.Refused, Spare: c.Capacity*factor - c.Offered, Left: a.Left, Jitter: a.Jitter})
 	return r
 }
 
--- a/internal/verdict/late.go
+++ b/internal/verdict/late.go
@@ -39,6 +39,9 @@
 type Best struct {
 	Queue time.Duration // wait before the target starts the call
 	Rate  float64       // tokens/s
+	// Over is the number of calls beyond the target's slots, this one included. Only Rule uses it; its
+	// Queue does not include the wait for a slot.
+	Over float64
 }
 
 // Refusal holds the prediction that a call is refused for, and when to retry it.
--- a/internal/verdict/retryafter.go
+++ b/internal/verdict/retryafter.go
@@ -14,7 +14,7 @@
 	leftFraction = 1.0 / 3
 	// capSpread is the part of the longest time over which callers are spread who are told the
 	// longest one. A larger part would bring back callers while the overload lasts.
-	capSpread = 0.1
+	capSpread = 0.05
 )
 
 // Return is the input for the time after which a refused caller may come back.
