forward: a test that a workspace above its share is refused by the VM's own path

Guards the wiring of verdict.Rule: not run, Retry-After within a third of the caller's time, calls below the share admitted, and decisions as before on a VM that hears of no others.

--- a/internal/forward/shed_test.go
+++ b/internal/forward/shed_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/demand"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/verdict"
 )
 
 // TestLongPromptsAreNotRefusedMoreOften checks that refusals depend on the engines' queues and the
@@ -65,3 +69,54 @@
 		})
 	}
 }
+
+// TestWorkspaceAboveItsShareIsRefused checks that a call of a workspace above its share is refused at once while calls
+// wait, with a Retry-After within a third of the caller's time, that one below its share is admitted, and that a VM
+// that hears of no others decides as before.
+func TestWorkspaceAboveItsShareIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		workspace ids.Workspace
+		listed    int // VMs; this one hears of none
+		refused   bool
+	}{
+		{"above its share", "large", 1, true},
+		{"below its share", "small", 1, false},
+		{"others not heard", "large", 4, false},
+	} {
+		d := demand.New(nil)
+		d.SetListed(c.listed)
+		class := func(w ids.Workspace) demand.Class { return demand.Class{Service: "s", Route: "r", Workspace: w} }
+		for range 100 { // the large workspace asks for ten times what is begun
+			d.Decided(class("large"), 1, false)
+		}
+		for range 10 {
+			d.Decided(class("large"), 0.1, true)
+			d.FirstEvent(class("large"), 0.1, 100*time.Millisecond, 500*time.Millisecond)
+		}
+		d.Decided(class("small"), 0.1, true)
+		f := &Forwarder{Demand: d}
+		refused := 0
+		for range 100 {
+			r := &run{
+				f: f, service: "s", call: Call{Prompt: &Prompt{}}, ends: time.Now().Add(3 * time.Second), workspace: &catalog.Workspace{Name: c.workspace},
+				route: &catalog.Route{Name: "r", Prompts: true, Objective: time.Second, Priority: 1},
+			}
+			wait := 60 * time.Millisecond
+			e := r.shed(&choice{
+				rate: 1000, queue: wait, wait: wait,
+				assumed: assumed{wait: wait, best: verdict.Best{Queue: wait, Rate: 1000}, mean: verdict.Queues{Wait: wait, Targets: 1}},
+			})
+			if e == nil {
+				continue
+			}
+			refused++
+			if e.Outcome != outcome.NotRun || e.RetryAfter <= 0 || e.RetryAfter > time.Second {
+				t.Fatalf("%s: got %v with a Retry-After of %v", c.name, e, e.RetryAfter)
+			}
+		}
+		if c.refused != (refused > 80) || !c.refused && refused > 0 {
+			t.Errorf("%s: %d of 100 calls were refused", c.name, refused)
+		}
+	}
+}
