--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -13,6 +13,7 @@
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/verdict"
 )
 
 // WantedWeights reports which weights of a model operators want.
@@ -32,6 +33,7 @@
 	unscaled       time.Duration  // wait if the replica were not slow
 	queue          time.Duration  // part of wait before the replica starts on the call
 	rate           float32        // estimated speed of the replica, in tokens/s
+	assumed        assumed        // the prediction without the measured slowdown
 	age            time.Duration  // of the load report that the prediction used
 	levels         []prefix.Level // shared parts of the prompt
 	work           int32          // tokens that the replica is expected to compute
@@ -43,6 +45,25 @@
 	representative bool              // the response's latency shows the speed of the target
 }
 
+// assumed is the prediction of a choice at the assumed rate of its replica. Its errors are those that the
+// fleet's ratio of measured to predicted times corrects, so it contains no correction itself.
+type assumed struct {
+	wait time.Duration // as in choice
+	best verdict.Best
+	mean verdict.Queues // over all replicas of the service
+}
+
+// assumedOf returns the prediction for a choice without the slowdown that the decision used.
+func assumedOf(c *choice, in *routing.Input, slowdown float64) assumed {
+	slowdown = max(slowdown, 1)
+	slot := min(seconds(in.SlotWait), c.queue)
+	queue := time.Duration(float64(c.queue-slot) / slowdown)
+	return assumed{
+		wait: slot + queue + time.Duration(float64(c.wait-c.queue)/slowdown),
+		best: verdict.Best{Queue: queue, Over: fleet.OverSlots(in.SlotWait), Rate: float64(c.rate) * slowdown},
+	}
+}
+
 // noTargetRetryAfter is the Retry-After when no replica can serve: about the time in which
 // this VM notices that a replica is back.
 const noTargetRetryAfter = 200 * time.Millisecond
@@ -96,6 +117,8 @@
 		target: snap.View.Targets[d.Index], wait: seconds(d.PredictedTTFT), unscaled: seconds(sc.Unscaled(d.Index, d.PredictedTTFT)), queue: seconds(d.QueueWait), rate: d.Rate,
 		age: f.Fleet.LoadAge(snap, d.Index), admission: admission, representative: isRepresentative(snap, d.Index, &sc.Inputs[d.Index]), levels: req.Levels, work: max(req.Tokens-d.Cached, 0),
 	}
+	c.assumed = assumedOf(&c, &sc.Inputs[d.Index], sc.Slowdown(d.Index))
+	c.assumed.mean.Wait, c.assumed.mean.Over, c.assumed.mean.Targets = sc.MeanQueue(snap, r.service)
 	if len(req.Levels) > 0 || p != nil && r.route.Prompts {
 		isolationKey := r.catalog.IsolationKey(r.workspace)
 		c.salt = kvcache.Salt(c.target.Weights, isolationKey)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -244,7 +244,7 @@
 		return
 	}
 	t.r.f.Fleet.Members.MarkSeen(t.c.target.ID, now)
-	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.wait, now.Sub(t.sent))
+	t.r.f.Demand.FirstEvent(t.r.class(), t.r.workOf(t.c), t.c.assumed.wait, now.Sub(t.sent))
 	if t.r.call.Prompt != nil && t.r.route.Prompts {
 		t.r.f.Fleet.Load.ObserveTTFT(t.c.target.ID, t.c.wait, now.Sub(t.sent), now)
 		t.r.f.Fleet.Load.ObserveWait(now.Sub(t.sent)-seconds(float32(t.r.workOf(t.c)))-loadview.MinTTFT, now)
