--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -36,14 +36,14 @@
 	// Steps is the number of steps of a pool size. A finer size would move engines, and their
 	// caches, for differences that callers do not notice.
 	Steps = 16
-	// minSize leaves the decode pool two engines in the smallest service, so that one may fail.
+	// minSize leaves the decode pool four engines in the smallest service, so that one may fail.
 	// maxSize is half of the engines: streams do not delay each other while there are slots, whereas
 	// prompts wait for each other and can't use the idle slots of the other pool. In one trial at
 	// 1.8 times the load above, 0.72 of the long prompts were in time with 9/16, 0.86 with less.
 	minSize, maxSize = Steps / 8, Steps / 2
-	// minEngines is the number of engines in service below which pools of an eighth would be
-	// single engines.
-	minEngines = 16
+	// minEngines is the number of engines in service below which a pool of an eighth would have fewer
+	// than four engines, and prompts would wait for each other there while others are idle.
+	minEngines = 32
 	// startPaused is the fraction of decode-heavy calls with a pause above their gap limit from
 	// which pools are used. Callers count such a stream as late, and expect 99% on time.
 	startPaused = 0.01
--- a/internal/routing/pools_test.go
+++ b/internal/routing/pools_test.go
@@ -185,3 +185,17 @@
 		}
 	}
 }
+
+// TestNewWeightsGoBeforeTheOwnPool guards against requests that stay with old weights in their own pool
+// during a rollout: responses on old weights are worth less, whichever pool gives them.
+func TestNewWeightsGoBeforeTheOwnPool(t *testing.T) {
+	r := &Request{Tokens: 800, Weights: "2", Pool: DecodePool, OffPoolSeconds: 0.4}
+	cost := func(weights ids.WeightsVersion, offPool bool) float32 {
+		target, in := &Target{Weights: weights}, &Input{OffPool: offPool}
+		return OffPoolScorer{}.Cost(r, target, in, nil) + OldWeightsScorer{Seconds: defaultOldWeightsSeconds}.Cost(r, target, in, nil)
+	}
+	own, other, old := cost("2", false), cost("2", true), cost("1", false)
+	if own != 0 || other <= own || old <= other {
+		t.Errorf("costs %v in the own pool, %v in the other, %v with old weights in the own, want them in this order", own, other, old)
+	}
+}
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/demand"
+	"github.com/threadwall/threadwall/internal/loadview"
 )
 
 // Workload: two workspaces send 20 and 150 calls/s to engines that compute 100 calls/s. When each VM
@@ -26,7 +27,7 @@
 	// contentionFactor is the mean wait of the fleet's calls, as a fraction of the objective, above
 	// which capacity counts as short. Callers notice nothing of a wait below it, and engines that
 	// are slower than assumed but have no queue stay below it.
-	contentionFactor = 0.2
+	contentionFactor = 0.4
 	// idleFactor is the predicted mean queue over all targets, as a fraction of the objective, up to
 	// which every call is admitted. With the queue of the best target instead, 66 VMs all sent their calls
 	// to the few engines that had none at their last reports.
@@ -62,8 +63,8 @@
 
 // Contention is the state of a service on all VMs, from the picture of their load.
 type Contention struct {
-	// Wait is the mean time that calls waited at targets: measured time until the first event
-	// minus the work at the assumed rate.
+	// Wait is the mean time that calls waited at targets: the measured time until the first event
+	// minus the work at the assumed rate and loadview.MinTTFT, which an idle target takes too.
 	Wait time.Duration
 	// Ratio is the factor by which times until the first event exceed the predicted ones; at least 1.
 	Ratio float64
@@ -88,14 +89,15 @@
 	}
 	c.VMs, c.Age, c.heard = p.VMs, p.Age, 2*p.VMs > p.Listed
 	t := p.Total()
-	if t.Predicted > 0 {
-		c.Ratio = min(max(float64(t.Measured)/float64(t.Predicted), 1), maxRatio)
-	}
 	if t.Work > 0 {
 		c.begun = float64(t.Admitted) * float64(t.Begun) / float64(t.Work)
 	}
+	measured := max(float64(t.Measured)-c.begun*loadview.MinTTFT.Seconds(), 0)
+	if t.Predicted > 0 {
+		c.Ratio = min(max(measured/float64(t.Predicted), 1), maxRatio)
+	}
 	if c.begun > 0 {
-		c.Wait = seconds(max(float64(t.Measured-t.Begun), 0) / c.begun)
+		c.Wait = seconds(max(measured-float64(t.Begun), 0) / c.begun)
 	}
 	c.Capacity = demand.Rate(t.Begun)
 	for _, w := range p.Workspaces {
