--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -172,6 +172,7 @@
 	Draining atomic.Bool
 
 	usual     usualWork
+	shortages shortages
 	draws     draws
 	calls     activeCalls
 	inFlight  atomic.Int64
