--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -172,7 +172,6 @@
 	Draining atomic.Bool
 
 	usual     usualWork
-	shortages shortages
 	draws     draws
 	calls     activeCalls
 	inFlight  atomic.Int64
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -48,7 +48,7 @@
 		Usual: r.f.usual.observe(r.route.Name, (c.wait-c.queue).Seconds()*float64(c.rate)),
 	}
 	if r.f.Demand != nil {
-		if load := verdict.Measure(r.f.Demand.Picture(r.service)); r.f.shortages.update(&load, r, c.assumed.mean) {
+		if load := verdict.Measure(r.f.Demand.Picture(r.service)); load.Short(a.Objective, c.assumed.mean) {
 			return r.rule(c, a, &load)
 		}
 	}
@@ -91,26 +91,6 @@
 		"no engine can answer in time: predicted "+predicted.String()+" until the first event at the best one").After(retryAfter)
 }
 
-// shortages remembers for which routes capacity is short. Safe for concurrent use.
-type shortages struct {
-	mu    sync.Mutex
-	known map[demand.Class]*verdict.Shortage
-}
-
-// update reports whether capacity is short for a call.
-func (s *shortages) update(load *verdict.Contention, r *run, q verdict.Queues) bool {
-	key := demand.Class{Service: r.service, Route: r.route.Name}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.known == nil || len(s.known) >= maxUsualRoutes {
-		s.known = map[demand.Class]*verdict.Shortage{}
-	}
-	if s.known[key] == nil {
-		s.known[key] = &verdict.Shortage{}
-	}
-	return s.known[key].Update(load, r.route.Name, r.route.Objective, q, clock.Now())
-}
-
 // draws gives each class of calls numbers in [0, 1) that are evenly spread over any few consecutive
 // calls, so that VMs with about one call a second admit the same part of them. Safe for concurrent use.
 type draws struct {
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -24,25 +24,10 @@
 //   - If targets have no queue on average, any call is admitted: no share keeps capacity idle.
 
 const (
-	// collapseFactor is the mean wait of a route's calls on all VMs, as a fraction of their objective,
-	// from which capacity counts as short: most of these calls are then late. While some engines are
-	// lost, the calls that were there raise the mean, but the others serve the rest in time.
-	// risingFactor replaces it if the engines' queues are longer than collapseFactor on average, which
-	// load reports show earlier than waits.
-	collapseFactor = 0.8
-	risingFactor   = 0.4
-	// surgeFactor is the ratio of the work asked for to the work begun from which capacity counts as
-	// short as soon as queues exceed aimFactor. The loss of a quarter of the engines stays below it.
-	surgeFactor = 2
-	// refusingFraction is the fraction of a route's calls that the fleet refuses from which a VM takes part:
-	// a shortage that only some VMs have noticed would be borne by their callers alone.
-	refusingFraction = 0.05
-	// contentionFactor is the mean wait below which a shortage ends, with queues below aimFactor. Callers
-	// notice nothing of a wait below it. Admission keeps waits far below collapseFactor, so with one
-	// threshold it would begin and end in turns.
-	contentionFactor = 0.2
-	// shortageHold is the time for which a shortage lasts at least: the decay time of the picture.
-	shortageHold = 2 * time.Second
+	// contentionFactor is the mean wait of the fleet's calls, as a fraction of the objective, above
+	// which capacity counts as short. Callers notice nothing of a wait below it, and engines that
+	// are slower than assumed but have no queue stay below it.
+	contentionFactor = 0.4
 	// idleFactor is the predicted mean queue over all targets, as a fraction of the objective, up to
 	// which every call is admitted. With the queue of the best target instead, 66 VMs all sent their calls
 	// to the few engines that had none at their last reports.
@@ -104,12 +89,16 @@
 	}
 	c.VMs, c.Age, c.heard = p.VMs, p.Age, 2*p.VMs > p.Listed
 	t := p.Total()
-	c.begun = begun(&t)
+	if t.Work > 0 {
+		c.begun = float64(t.Admitted) * float64(t.Begun) / float64(t.Work)
+	}
 	measured := max(float64(t.Measured)-c.begun*loadview.MinTTFT.Seconds(), 0)
 	if t.Predicted > 0 {
 		c.Ratio = min(max(measured/float64(t.Predicted), 1), maxRatio)
 	}
-	c.Wait = meanWait(&t)
+	if c.begun > 0 {
+		c.Wait = seconds(max(measured-float64(t.Begun), 0) / c.begun)
+	}
 	c.Capacity = demand.Rate(t.Begun)
 	for _, w := range p.Workspaces {
 		c.Offered += demand.Rate(w.Offered)
@@ -118,45 +107,15 @@
 	return c
 }
 
-// begun returns the number of first events in sums, which count their work only.
-func begun(s *demand.RouteSums) float64 {
-	if s.Work <= 0 {
-		return 0
-	}
-	return float64(s.Admitted) * float64(s.Begun) / float64(s.Work)
-}
-
-// meanWait returns the mean time that the calls of sums waited at targets.
-func meanWait(s *demand.RouteSums) time.Duration {
-	n := begun(s)
-	if n <= 0 {
-		return 0
-	}
-	return seconds(max(float64(s.Measured-s.Begun)-n*loadview.MinTTFT.Seconds(), 0) / n)
-}
-
-// Shortage remembers whether capacity is short for the calls of a route. It reads no clock. Not safe for
-// concurrent use.
-type Shortage struct {
-	until time.Time
-}
-
-// Update reports whether capacity is short for calls with this objective, given the queues that this VM knows of.
-// A VM that hears of half of the VMs or fewer does not know: if it took its own part of what engines
-// begin for the capacity, a VM that has refused more than others would go on to refuse even more.
-func (s *Shortage) Update(c *Contention, route string, objective time.Duration, q Queues, now time.Time) bool {
+// Short reports whether capacity is short for calls with this objective, given the queues that this VM knows of:
+// they follow a sudden burst within the age of load reports, the mean wait only after seconds. A VM that hears of half of the VMs or fewer
+// does not know: if it took its own part of what engines begin for the capacity, a VM that has refused more than
+// others would go on to refuse even more.
+func (c *Contention) Short(objective time.Duration, q Queues) bool {
 	if objective <= 0 || !c.heard || c.begun < minBegun {
 		return false
 	}
-	sums := c.picture.Route(route)
-	wait, queue := float64(meanWait(&sums))/float64(objective), c.mean(q)/float64(objective)
-	begins := wait > collapseFactor || wait > risingFactor && queue > collapseFactor || queue > aimFactor && c.Offered > surgeFactor*c.Capacity
-	refusing := now.Before(s.until) || sums.Refused > refusingFraction*sums.Calls
-	lasts := refusing && (wait > contentionFactor || queue > aimFactor)
-	if begins || lasts {
-		s.until = now.Add(shortageHold)
-	}
-	return now.Before(s.until)
+	return float64(c.Wait) > contentionFactor*float64(objective) || c.mean(q) > aimFactor*float64(objective)
 }
 
 // mean returns the mean time until targets start a call, corrected, in nanoseconds.
--- a/internal/verdict/fleet_test.go
+++ b/internal/verdict/fleet_test.go
@@ -92,8 +92,6 @@
 	sum     []float64   // of peers
 	seq     uint64
 	draws   map[string]float64
-
-	shortage verdict.Shortage
 }
 
 type playEngine struct {
@@ -284,7 +282,7 @@
 			mean += (v.pending[e] + max(v.sum[e], 0)) / float64(p.engines)
 		}
 		queues := verdict.Queues{Wait: time.Duration(mean * float64(time.Second)), Targets: p.engines}
-		if c := verdict.Measure(v.demand.Picture(playService)); v.shortage.Update(&c, "r", playObjective, queues, time.Unix(1000, 0).Add(p.now)) {
+		if c := verdict.Measure(v.demand.Picture(playService)); c.Short(playObjective, queues) {
 			v.draws[l.name] += 0.6180339887498949
 			v.draws[l.name] -= float64(int(v.draws[l.name]))
 			r := verdict.Rule(verdict.Call{Arrival: a, Mean: queues, Workspace: demand.HashOf(l.name), Sample: v.draws[l.name], Left: left}, b, &c)
