Admission by fair shares is a setting, off by default

The picture's waits and its work begun mix the lost engines with the others.

Change: setting fair_shares of section edge; without it calls are refused as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -283,7 +283,7 @@
 	d.Replicas.OnNewSoftware = d.streams.VersionsChanged
 	d.Forward.Streams = d.streams
 	d.demand = demand.New(nil)
-	d.Forward.Demand = d.demand
+	d.Forward.Demand, d.Forward.FairShares = d.demand, edge.FairShares
 	d.Fleet.UsePools(d.demand, d.logPools)
 	d.Fleet.UsualPrefill = d.usualPrefill
 	d.allowances = allowance.New(s.VM, nil)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -147,6 +147,9 @@
 	Software *canary.Gate
 	// Demand counts calls and knows those of all VMs. Nil: they are not counted.
 	Demand *demand.Tracker
+	// FairShares admits calls by fair shares of their workspaces while capacity is short, which Demand
+	// tells.
+	FairShares bool
 	// Streams knows where streams began on all VMs. Nil: calls that take up a stream are served only if Versions shows that
 	// its version can't be another.
 	Streams *streams.Directory
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -47,7 +47,7 @@
 		Objective: r.route.Objective, Urgent: priority(r.route, r.workspace) == 0, Jitter: rand.Float64(),
 		Usual: r.f.usual.observe(r.route.Name, (c.wait-c.queue).Seconds()*float64(c.rate)),
 	}
-	if r.f.Demand != nil {
+	if r.f.FairShares && r.f.Demand != nil {
 		if load := verdict.Measure(r.f.Demand.Picture(r.service)); load.Short(a.Objective, c.assumed.mean) {
 			return r.rule(c, a, &load)
 		}
--- a/internal/forward/shed_test.go
+++ b/internal/forward/shed_test.go
@@ -95,7 +95,7 @@
 			d.FirstEvent(class("large"), 0.1, 100*time.Millisecond, 500*time.Millisecond)
 		}
 		d.Decided(class("small"), 0.1, true)
-		f := &Forwarder{Demand: d}
+		f := &Forwarder{Demand: d, FairShares: true}
 		refused := 0
 		for range 100 {
 			r := &run{
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -61,6 +61,10 @@
 	CanaryShare float64 `json:"canary_share,omitempty" validate:"min=0,max=1"`
 	// CanarySlack is how many calls such a version may receive in addition. Default 50.
 	CanarySlack float64 `json:"canary_slack,omitempty" validate:"min=0"`
+	// FairShares admits calls with a prompt by max-min fair shares of their workspaces while the capacity
+	// of a service is short. Default false: a call is refused only if it would be late at the best
+	// replica.
+	FairShares bool `json:"fair_shares,omitempty"`
 	// DirectFleet is the largest number of entry VMs with which each VM reads the
 	// platform's store by itself. In larger fleets one VM reads it for all that can
 	// reach it: that takes fewer calls, but when that VM fails, the others may receive a
