Admission: calls of public routes have one share

Cause: demand counted calls of public routes under the hash 0, which stands for several workspaces of low demand, and admission took that sum for as many workspaces as it contains the smallest one. With 150 public calls/s and a workspace of 20 calls/s at a capacity of 100, the workspace's share was 11 calls/s instead of 20.

Change: public calls are counted under the hash of the empty name, as one workspace; the status names them (public).

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -80,7 +80,7 @@
 type WorkspaceSums struct {
 	_         struct{} `cbor:",toarray"`
 	Service   uint32
-	Workspace uint32 // HashOf its name; 0: several workspaces, or none
+	Workspace uint32 // HashOf its name, which is empty for calls of public routes; 0: several workspaces
 	// Offered is the work that callers asked for, and Admitted the part that was sent to targets.
 	Offered, Admitted float32
 }
--- a/internal/demand/status.go
+++ b/internal/demand/status.go
@@ -54,6 +54,9 @@
 	if hash == 0 {
 		return "(other)"
 	}
+	if hash == HashOf("") {
+		return "(public)"
+	}
 	if name, ok := n[hash]; ok {
 		return name
 	}
--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -151,10 +151,7 @@
 
 // addWorkspace adds to the sums of a call's workspace. The caller holds the lock.
 func (t *Tracker) addWorkspace(c Class, s WorkspaceSums, now time.Time) {
-	key := workspaceKey{HashOf(c.Service), 0}
-	if c.Workspace != "" {
-		key.workspace = HashOf(string(c.Workspace))
-	}
+	key := workspaceKey{HashOf(c.Service), HashOf(string(c.Workspace))}
 	e := t.workspaces[key]
 	if e == nil {
 		e = &counted[WorkspaceSums]{sums: WorkspaceSums{Service: key.service, Workspace: key.workspace}, at: now}
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -62,9 +62,9 @@
 // rule decides on a call while capacity is short.
 func (r *run) rule(c *choice, a verdict.Arrival, load *verdict.Contention) *outcome.Error {
 	class := r.class()
-	call := verdict.Call{Arrival: a, Sample: r.f.draws.next(class), Mean: c.assumed.mean, Left: clock.Until(r.ends)}
-	if class.Workspace != "" {
-		call.Workspace = demand.HashOf(string(class.Workspace))
+	call := verdict.Call{
+		Arrival: a, Workspace: demand.HashOf(string(class.Workspace)), Sample: r.f.draws.next(class),
+		Mean: c.assumed.mean, Left: clock.Until(r.ends),
 	}
 	ruling := verdict.Rule(call, c.assumed.best, load)
 	if ruling.Cause == verdict.Admitted {
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -180,7 +180,7 @@
 // Call is a call that awaits admission while capacity is short.
 type Call struct {
 	Arrival
-	// Workspace is the hash of the call's workspace (demand.HashOf); zero: none.
+	// Workspace is demand.HashOf the name of the call's workspace, which is empty on a public route.
 	Workspace uint32
 	// Sample is a number in [0, 1) from a sequence that is even over the calls of a workspace.
 	Sample float64
--- /dev/null
+++ b/internal/verdict/contention_test.go
@@ -0,0 +1,41 @@
+package verdict
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/demand"
+	"github.com/threadwall/threadwall/internal/ids"
+)
+
+// busyPicture returns the picture of a VM whose service begins 100 calls/s of 10 ms of work each, after 500 ms, while
+// the given workspaces ask for more. offered is in calls/s.
+func busyPicture(listed int, offered map[ids.Workspace]float64) *demand.Picture {
+	d := demand.New(func() time.Time { return time.Unix(1000, 0) })
+	d.SetListed(listed)
+	class := func(w ids.Workspace) demand.Class { return demand.Class{Service: "s", Route: "r", Workspace: w} }
+	const begun = 200 // within the decay time of 2 s
+	left := begun
+	for w, rate := range offered {
+		for range int(2 * rate) {
+			d.Decided(class(w), 0.01, left > 0)
+			left--
+		}
+	}
+	for range begun {
+		d.FirstEvent(class("any"), 0.01, 100*time.Millisecond, 500*time.Millisecond)
+	}
+	return d.Picture("s")
+}
+
+// TestPublicCallsHaveOneShare guards against shares that count the calls of public routes as several workspaces of the
+// size of the smallest one: a workspace with 0.2 of the capacity was then refused about half of its calls.
+func TestPublicCallsHaveOneShare(t *testing.T) {
+	c := Measure(busyPicture(1, map[ids.Workspace]float64{"": 150, "small": 20}))
+	for name, want := range map[string]float64{"small": 0.2, "": 0.8} {
+		if _, share := c.Claim(demand.HashOf(name), 1); math.Abs(share-want) > 0.01 {
+			t.Errorf("workspace %q has the share %.3f, want %v", name, share, want)
+		}
+	}
+}
