Admission: a VM that does not know the fleet yet decides as before

Cause: until the list of VMs arrived, the picture of demand gave as many listed VMs as it included, so a VM that had just started took its own calls for those of the whole fleet, and its own part of what engines begin for their capacity.

Change: the picture gives zero listed VMs while they are not known, and capacity does not count as short then. Scaling and pools are unchanged.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -161,7 +161,7 @@
 	Routes     []RouteSums
 	Workspaces []WorkspaceSums
 	// VMs is the number of VMs whose sums are included, this one among them, and Listed the number
-	// of VMs in the fleet, to which the sums are scaled up.
+	// of VMs in the fleet, to which the sums are scaled up; zero: not known yet.
 	VMs, Listed int
 	// Age is the age of the oldest report that is included.
 	Age time.Duration
--- a/internal/demand/status.go
+++ b/internal/demand/status.go
@@ -11,7 +11,7 @@
 type Status struct {
 	Service string `json:"service"`
 	// VMs is the number of VMs whose calls are included, and Listed the number in the fleet, to which
-	// the rates are scaled up.
+	// the rates are scaled up; zero: not known yet.
 	VMs    int `json:"vms"`
 	Listed int `json:"listed"`
 	// AgeMs is the time since the oldest report that is included arrived.
--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -336,7 +336,10 @@
 	if t.listed > vms {
 		scale = float32(t.listed) / float32(vms)
 	}
-	p := &Picture{VMs: vms, Listed: max(t.listed, vms), Age: oldest}
+	p := &Picture{VMs: vms, Age: oldest}
+	if t.listed > 0 {
+		p.Listed = max(t.listed, vms)
+	}
 	for _, s := range total.Routes {
 		if s.Service == service {
 			p.Routes = append(p.Routes, s.times(scale))
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -87,7 +87,7 @@
 	if p == nil {
 		return c
 	}
-	c.VMs, c.Age, c.heard = p.VMs, p.Age, 2*p.VMs > p.Listed
+	c.VMs, c.Age, c.heard = p.VMs, p.Age, p.Listed > 0 && 2*p.VMs > p.Listed
 	t := p.Total()
 	if t.Work > 0 {
 		c.begun = float64(t.Admitted) * float64(t.Begun) / float64(t.Work)
--- a/internal/verdict/contention_test.go
+++ b/internal/verdict/contention_test.go
@@ -39,3 +39,14 @@
 		}
 	}
 }
+
+// TestShortOnlyIfMostVMsAreHeard guards against a VM that takes its own part of what engines begin for their capacity:
+// one that hears of half of the VMs or fewer, or that has just started and does not know how many there are.
+func TestShortOnlyIfMostVMsAreHeard(t *testing.T) {
+	for listed, want := range map[int]bool{0: false, 1: true, 2: false, 4: false} {
+		c := Measure(busyPicture(listed, map[ids.Workspace]float64{"w": 150}))
+		if got := c.Short(500*time.Millisecond, Queues{Targets: 1}); got != want {
+			t.Errorf("1 VM of %d: short is %v, want %v", listed, got, want)
+		}
+	}
+}
