Admission: the cause of a refusal below the bound for all is the share

Cause: a call refused by the lower bound for workspaces above their share was told and logged as late, "no engine can answer in time", although another workspace's call would have been admitted (up to 3 objectives at priority 0).

Change: the cause is late only from the bound for all workspaces on. Decisions and Retry-After are unchanged.

--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -70,16 +70,21 @@
 	if ruling.Cause == verdict.Admitted {
 		return nil
 	}
-	r.f.Log.Request("shed", string(r.call.ID)).Str("cause", string(ruling.Cause)).Str("service", r.service).Str("workspace", string(class.Workspace)).
-		Str("target", string(c.target.ID)).Int64("assumed_ms", c.assumed.wait.Milliseconds()).Float64("ratio", load.Ratio).
-		Int64("queue_ms", ruling.Queue.Milliseconds()).Int64("predicted_ms", ruling.Predicted.Milliseconds()).Int64("bound_ms", ruling.Bound.Milliseconds()).
-		Int64("mean_queue_ms", ruling.Mean.Milliseconds()).Int64("fleet_wait_ms", load.Wait.Milliseconds()).Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
-		Float64("offered", ruling.Offered).Float64("share", ruling.Share).Float64("probability", ruling.Probability).Float64("sample", call.Sample).
-		Int64("age_ms", load.Age.Milliseconds()).Int("vms", load.VMs).Int64("come_back_ms", ruling.RetryAfter.Milliseconds()).Send()
+	r.f.Log.Request("shed", string(r.call.ID)).Str("cause", string(ruling.Cause)).
+		Str("service", r.service).Str("workspace", string(class.Workspace)).Str("target", string(c.target.ID)).
+		Int64("assumed_ms", c.assumed.wait.Milliseconds()).Float64("ratio", load.Ratio).
+		Int64("queue_ms", ruling.Queue.Milliseconds()).Int64("predicted_ms", ruling.Predicted.Milliseconds()).
+		Int64("bound_ms", ruling.Bound.Milliseconds()).Int64("mean_queue_ms", ruling.Mean.Milliseconds()).
+		Int64("fleet_wait_ms", load.Wait.Milliseconds()).
+		Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
+		Float64("offered", ruling.Offered).Float64("share", ruling.Share).
+		Float64("probability", ruling.Probability).Float64("sample", call.Sample).
+		Int64("age_ms", load.Age.Milliseconds()).Int("vms", load.VMs).
+		Int64("come_back_ms", ruling.RetryAfter.Milliseconds()).Send()
 	if ruling.Cause == verdict.OverShare {
 		r.f.Stats.Shed.Add(1)
 		return outcome.New(outcome.NotRun, outcome.CodeOverloaded, stepShed, string(c.target.ID),
-			"the engines are busy and the workspace has had its share").After(ruling.RetryAfter)
+			"the engines are busy and the workspace is above its share").After(ruling.RetryAfter)
 	}
 	return r.refuseLate(c, ruling.Predicted, ruling.RetryAfter)
 }
--- a/internal/verdict/contention.go
+++ b/internal/verdict/contention.go
@@ -32,9 +32,9 @@
 	// which every call is admitted. With the queue of the best target instead, 66 VMs all sent their calls
 	// to the few engines that had none at their last reports.
 	idleFactor = 0.1
-	// softFactor is the bound on the predicted queue for workspaces at twice their share. With half of
-	// the objective engines have enough queued to stay busy between two load reports, and
-	// calls of others that wait behind it are in time.
+	// softFactor is the bound on the predicted time, as a fraction of the objective, for workspaces at
+	// twice their share. It exceeds aimFactor, so that engines have enough queued to stay busy between
+	// two load reports.
 	softFactor = 0.75
 	// aimFactor is the predicted mean queue, as a fraction of the objective, at which shares add up to the
 	// measured capacity. Engines then have enough queued to stay busy between two load reports, and the
@@ -50,11 +50,11 @@
 	gain      = 0.9
 	maxGrowth = 1
 	maxCut    = 0.5
-	// minBegun is the number of first events in the picture below which it says too little about
-	// capacity.
+	// minBegun is the decaying number of first events of all VMs below which the picture says too little
+	// about capacity.
 	minBegun = 8
-	// maxSlotTime is the time, in seconds, in which a target is assumed to end one call, unless the fleet measures a
-	// shorter one. It is the same as in package fleet.
+	// maxSlotTime is the time, in seconds, in which a target is assumed to end one call, unless the fleet
+	// measures a shorter one. It equals slotSeconds in package fleet.
 	maxSlotTime = 0.25
 	// maxRatio bounds the correction of predictions. Engines of a plain test stand computed 30 times
 	// slower than the assumed rate.
@@ -108,9 +108,9 @@
 }
 
 // Short reports whether capacity is short for calls with this objective, given the queues that this VM knows of:
-// they follow a sudden burst within the age of load reports, the mean wait only after seconds. A VM that hears of half of the VMs or fewer
-// does not know: if it took its own part of what engines begin for the capacity, a VM that has refused more than
-// others would go on to refuse even more.
+// they follow a sudden burst within the age of load reports, the mean wait only after seconds. It is never short for
+// a VM that hears of half of the VMs or fewer: if it took its own part of what engines begin for the capacity, a VM
+// that has refused more than others would go on to refuse even more.
 func (c *Contention) Short(objective time.Duration, q Queues) bool {
 	if objective <= 0 || !c.heard || c.begun < minBegun {
 		return false
@@ -123,9 +123,9 @@
 	return float64(q.Wait)*c.Ratio + q.Over*c.slotTime(q.Targets)*float64(time.Second)
 }
 
-// Claim returns what a workspace, given by its hash, asks for, and its share of
-// the measured capacity times a factor. Workspaces of low demand are known only as a sum under the hash 0. Its members are all below the
-// smallest of the others, so they count as the least number of equal workspaces of that size.
+// Claim returns what a workspace, given by its hash, asks for, and its share of the measured capacity times a factor.
+// Workspaces of low demand are known only as a sum under the hash 0. Its members are taken to be below the smallest of
+// the others, so they count as the least number of equal workspaces of that size.
 func (c *Contention) Claim(workspace uint32, factor float64) (claim Claim, share float64) {
 	if c.picture == nil {
 		return Claim{}, math.Inf(1)
@@ -195,8 +195,8 @@
 // The causes.
 const (
 	Admitted  Cause = ""
-	TooLate   Cause = "late"  // the predicted time exceeds the bound
-	OverShare Cause = "share" // the workspace has had its share
+	TooLate   Cause = "late"  // the predicted time exceeds the bound for all workspaces
+	OverShare Cause = "share" // the workspace is above its share
 )
 
 // Ruling is the decision on a call, with its inputs.
@@ -233,20 +233,26 @@
 	if a.Urgent {
 		hard = lateUrgentFactor
 	}
-	r.Bound = Waits{Soft: time.Duration(softFactor * objective), Hard: time.Duration(hard * objective), Step: 1}.Longest(0, over)
+	waits := Waits{Soft: time.Duration(softFactor * objective), Hard: time.Duration(hard * objective), Step: 1}
+	r.Bound = waits.Longest(0, over)
 	r.Queue = time.Duration(float64(b.Queue)*c.Ratio) + seconds(b.Over*slotTime)
 	r.Predicted = r.Queue + time.Duration(float64(seconds(a.Usual/max(b.Rate, 1)))*c.Ratio)
 	switch {
 	case mean <= idleFactor*objective && r.Predicted < time.Duration(hard*objective):
 		return r
-	case r.Predicted >= r.Bound:
+	case r.Predicted >= time.Duration(hard*objective):
 		r.Cause = TooLate
+	case r.Predicted >= r.Bound: // others would be admitted
+		r.Cause = OverShare
 	case a.Sample >= r.Probability:
 		r.Cause = OverShare
 	default:
 		return r
 	}
-	r.RetryAfter = RetryAfter(Return{Excess: r.Predicted - r.Bound, Refused: c.Refused, Spare: c.Capacity*factor - c.Offered, Left: a.Left, Jitter: a.Jitter})
+	r.RetryAfter = RetryAfter(Return{
+		Excess: r.Predicted - r.Bound, Refused: c.Refused, Spare: c.Capacity*factor - c.Offered,
+		Left: a.Left, Jitter: a.Jitter,
+	})
 	return r
 }
 
--- a/internal/verdict/contention_test.go
+++ b/internal/verdict/contention_test.go
@@ -50,3 +50,32 @@
 		}
 	}
 }
+
+// TestCauseOfLowerBound guards against refusals that claim that no engine can answer in time, although only the lower
+// bound for workspaces above their share was exceeded and a call of another workspace would be admitted.
+func TestCauseOfLowerBound(t *testing.T) {
+	const objective = 500 * time.Millisecond
+	c := Measure(busyPicture(1, map[ids.Workspace]float64{"large": 250, "small": 20}))
+	for _, k := range []struct {
+		workspace string
+		predicted float64 // as a fraction of the objective
+		want      Cause
+	}{
+		{"large", 0.77, OverShare},
+		{"small", 0.77, Admitted},
+		{"large", 0.81, TooLate},
+		{"small", 0.81, TooLate},
+	} {
+		queue := time.Duration(k.predicted * float64(objective) / c.Ratio)
+		r := Rule(Call{
+			Arrival: Arrival{Objective: objective}, Workspace: demand.HashOf(k.workspace),
+			Mean: Queues{Wait: queue, Targets: 1}, Left: 3 * time.Second,
+		}, Best{Queue: queue, Rate: 1}, &c)
+		if r.Cause != k.want {
+			t.Errorf("%s, predicted %v: cause %q, want %q", k.workspace, r.Predicted, r.Cause, k.want)
+		}
+		if r.Cause != Admitted && (r.RetryAfter < minReturn || r.RetryAfter > time.Second) {
+			t.Errorf("%s: Retry-After %v, want one from %v to a third of 3 s", k.workspace, r.RetryAfter, minReturn)
+		}
+	}
+}
