Admission: a call without a described prompt counts as a usual one

Cause: on a route with prompts, a call that does not describe its prompt counted as work of 1, which is a call on plain routes but a second of prefill here. The sums of capacity and of its workspace were too large by the factor between them (20 at 50 ms).

Change: such a call counts as the moving average of its route.

--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -23,10 +23,15 @@
 	return c
 }
 
-// workOf returns the work of a call that is sent to a choice, as for demand.RouteSums.
+// workOf returns the work of a call that is sent to a choice, as for demand.RouteSums. A call that does not describe
+// its prompt counts as a usual one of its route: as one second of prefill, 10 such calls/s would count as the work
+// that ten engines begin.
 func (r *run) workOf(c *choice) float64 {
-	if r.call.Prompt == nil || !r.route.Prompts {
+	switch {
+	case !r.route.Prompts:
 		return 1
+	case r.call.Prompt == nil:
+		return r.f.Fleet.PrefillSeconds(int32(r.f.usual.of(r.route.Name)))
 	}
 	return r.f.Fleet.PrefillSeconds(c.work)
 }
@@ -141,6 +146,13 @@
 	maxUsualRoutes = 4096
 )
 
+// of returns the average of a route; zero: none of its calls described its prompt.
+func (u *usualWork) of(route string) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.tokens[route]
+}
+
 // observe records the tokens of one call and returns the average of its route.
 func (u *usualWork) observe(route string, own float64) float64 {
 	u.mu.Lock()
--- a/internal/forward/shed_test.go
+++ b/internal/forward/shed_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -120,3 +121,28 @@
 		}
 	}
 }
+
+// TestCallWithoutPromptCountsAsUsualOne guards against sums in mixed units: a call that does not describe its prompt
+// counted as one second of prefill, so that the measured capacity was many times the true one.
+func TestCallWithoutPromptCountsAsUsualOne(t *testing.T) {
+	rt := route(catalog.Idempotent, 1)
+	rt.Prompts = true
+	tf := newFleet(t, rt)
+	tf.f.Fleet.SetDefaultPrefillRate(10_000)
+	tf.f.usual.observe(rt.Name, 500)
+	for _, c := range []struct {
+		name    string
+		prompts bool // the route's calls describe prompts
+		prompt  *Prompt
+		want    float64
+	}{
+		{"described", true, &Prompt{}, 0.02},
+		{"not described", true, nil, 0.05},
+		{"plain route", false, nil, 1},
+	} {
+		r := &run{f: tf.f, call: Call{Prompt: c.prompt}, route: &catalog.Route{Name: rt.Name, Prompts: c.prompts}}
+		if got := r.workOf(&choice{work: 200}); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%s: work %v, want %v", c.name, got, c.want)
+		}
+	}
+}
