--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -80,7 +80,7 @@
 type WorkspaceSums struct {
 	_         struct{} `cbor:",toarray"`
 	Service   uint32
-	Workspace uint32 // HashOf its name; 0: several workspaces, or none
+	Workspace uint32 // HashOf its name, which is empty for calls of public routes; 0: several workspaces
 	// Offered is the work that callers asked for, and Admitted the part that was sent to targets.
 	Offered, Admitted float32
 }
@@ -161,7 +161,7 @@
 	Routes     []RouteSums
 	Workspaces []WorkspaceSums
 	// VMs is the number of VMs whose sums are included, this one among them, and Listed the number
-	// of VMs in the fleet, to which the sums are scaled up.
+	// of VMs in the fleet, to which the sums are scaled up; zero: not known yet.
 	VMs, Listed int
 	// Age is the age of the oldest report that is included.
 	Age time.Duration
--- a/internal/demand/status.go
+++ b/internal/demand/status.go
@@ -11,7 +11,7 @@
 type Status struct {
 	Service string `json:"service"`
 	// VMs is the number of VMs whose calls are included, and Listed the number in the fleet, to which
-	// the rates are scaled up.
+	// the rates are scaled up; zero: not known yet.
 	VMs    int `json:"vms"`
 	Listed int `json:"listed"`
 	// AgeMs is the time since the oldest report that is included arrived.
@@ -54,6 +54,9 @@
 	if hash == 0 {
 		return "(other)"
 	}
+	if hash == HashOf("") {
+		return "(public)"
+	}
 	if name, ok := n[hash]; ok {
 		return name
 	}
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -23,10 +23,15 @@
 	return c
 }
 
-// workOf returns the work of a call that is sent to a choice, as for demand.RouteSums.
+// workOf returns the work of a call that is sent to a choice, as for demand.RouteSums. A call that does not describe
+// its prompt counts as a usual one of its route: as one second of prefill, 10 such calls/s would count as the work
+// that ten engines begin.
 func (r *run) workOf(c *choice) float64 {
-	if r.call.Prompt == nil || !r.route.Prompts {
+	switch {
+	case !r.route.Prompts:
 		return 1
+	case r.call.Prompt == nil:
+		return r.f.Fleet.PrefillSeconds(int32(r.f.usual.of(r.route.Name)))
 	}
 	return r.f.Fleet.PrefillSeconds(c.work)
 }
@@ -62,24 +67,29 @@
 // rule decides on a call while capacity is short.
 func (r *run) rule(c *choice, a verdict.Arrival, load *verdict.Contention) *outcome.Error {
 	class := r.class()
-	call := verdict.Call{Arrival: a, Sample: r.f.draws.next(class), Mean: c.assumed.mean, Left: clock.Until(r.ends)}
-	if class.Workspace != "" {
-		call.Workspace = demand.HashOf(string(class.Workspace))
+	call := verdict.Call{
+		Arrival: a, Workspace: demand.HashOf(string(class.Workspace)), Sample: r.f.draws.next(class),
+		Mean: c.assumed.mean, Left: clock.Until(r.ends),
 	}
 	ruling := verdict.Rule(call, c.assumed.best, load)
 	if ruling.Cause == verdict.Admitted {
 		return nil
 	}
-	r.f.Log.Request("shed", string(r.call.ID)).Str("cause", string(ruling.Cause)).Str("service", r.service).Str("workspace", string(class.Workspace)).
-		Str("target", string(c.target.ID)).Int64("assumed_ms", c.assumed.wait.Milliseconds()).Float64("ratio", load.Ratio).
-		Int64("queue_ms", ruling.Queue.Milliseconds()).Int64("predicted_ms", ruling.Predicted.Milliseconds()).Int64("bound_ms", ruling.Bound.Milliseconds()).
-		Int64("mean_queue_ms", ruling.Mean.Milliseconds()).Int64("fleet_wait_ms", load.Wait.Milliseconds()).Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
-		Float64("offered", ruling.Offered).Float64("share", ruling.Share).Float64("probability", ruling.Probability).Float64("sample", call.Sample).
-		Int64("age_ms", load.Age.Milliseconds()).Int("vms", load.VMs).Int64("come_back_ms", ruling.RetryAfter.Milliseconds()).Send()
+	r.f.Log.Request("shed", string(r.call.ID)).Str("cause", string(ruling.Cause)).
+		Str("service", r.service).Str("workspace", string(class.Workspace)).Str("target", string(c.target.ID)).
+		Int64("assumed_ms", c.assumed.wait.Milliseconds()).Float64("ratio", load.Ratio).
+		Int64("queue_ms", ruling.Queue.Milliseconds()).Int64("predicted_ms", ruling.Predicted.Milliseconds()).
+		Int64("bound_ms", ruling.Bound.Milliseconds()).Int64("mean_queue_ms", ruling.Mean.Milliseconds()).
+		Int64("fleet_wait_ms", load.Wait.Milliseconds()).
+		Float64("capacity", load.Capacity).Float64("fleet_offered", load.Offered).
+		Float64("offered", ruling.Offered).Float64("share", ruling.Share).
+		Float64("probability", ruling.Probability).Float64("sample", call.Sample).
+		Int64("age_ms", load.Age.Milliseconds()).Int("vms", load.VMs).
+		Int64("come_back_ms", ruling.RetryAfter.Milliseconds()).Send()
 	if ruling.Cause == verdict.OverShare {
 		r.f.Stats.Shed.Add(1)
 		return outcome.New(outcome.NotRun, outcome.CodeOverloaded, stepShed, string(c.target.ID),
-			"the engines are busy and the workspace has had its share").After(ruling.RetryAfter)
+			"the engines are busy and the workspace is above its share").After(ruling.RetryAfter)
 	}
 	return r.refuseLate(c, ruling.Predicted, ruling.RetryAfter)
 }
@@ -136,6 +146,13 @@
 	maxUsualRoutes = 4096
 )
 
+// of returns the average of a route; zero: none of its calls described its prompt.
+func (u *usualWork) of(route string) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.tokens[route]
+}
+
 // observe records the tokens of one call and returns the average of its route.
 func (u *usualWork) observe(route string, own float64) float64 {
 	u.mu.Lock()
