News: a full round follows an early round without loads

An early round that reported no work let the next full round be skipped. Peers of earlier releases ignore early rounds and kept the sender's loads for one more round, and a VM whose every full round followed such an early round sent none at all, so that its demand expired.

--- a/internal/news/early.go
+++ b/internal/news/early.go
@@ -34,8 +34,8 @@
 	earlyMessageBytes = 72
 	earlyLoadBytes    = 12
 	// earlyChange is the change of work, in seconds, beyond which a round starts early. If each of 32
-	// VMs withholds that much, each of 60 engines has 11 ms of unreported work on average, a fifth
-	// of the wait from which rounds are early.
+	// VMs withholds that much, each of 60 engines has 11 ms of unreported work on average, less
+	// than half of the mean wait from which rounds are early.
 	earlyChange = 0.02
 	// inFlightChange is the change of work, in seconds, for which a request counts besides its prompt
 	// tokens. It lies between a request's cost to the next one at an engine with 48 slots, 2.5 ms, and
@@ -174,7 +174,9 @@
 // sendEarlyRound sends this VM's loads to all peers, without the state that full rounds repeat.
 func (x *Exchange) sendEarlyRound() {
 	loads := x.ownLoads()
-	x.lastLoads, x.skippedRounds = len(loads), 0
+	// Peers may miss an early round without loads, or ignore it as a release without early rounds does.
+	// So the next full round repeats it, and early rounds do not count as messages for skippedRounds.
+	x.lastLoads = max(x.lastLoads, len(loads))
 	x.EarlyRounds.Add(1)
 	x.send(Message{VM: x.VM, Incarnation: x.incarnation, EarlySeq: x.seq.Add(1), Loads: loads}, 0)
 }
--- a/internal/news/early_test.go
+++ b/internal/news/early_test.go
@@ -346,6 +346,37 @@
 	}
 }
 
+// TestFullRoundFollowsEarlyRoundWithoutLoads guards against a full round that is skipped because an early
+// round has reported that there is no work: peers of earlier releases ignore early rounds and would keep
+// the loads of the last full round, and full rounds would stop if every one followed such an early round.
+func TestFullRoundFollowsEarlyRoundWithoutLoads(t *testing.T) {
+	x := newExchange()
+	x.Unresponsive, x.RecentWeights = func() []ids.Target { return nil }, func() []RecentWeights { return nil }
+	var sent []Message
+	x.transmit = func(data []byte, _ Peer) error {
+		m, err := decode(data, x.Resolve)
+		sent = append(sent, m)
+		return err
+	}
+	x.SetPeers([]Peer{{VM: "vm1", Addr: "127.0.0.1:1"}})
+	for range 3 {
+		sent = nil
+		w := x.Load.Sent("e1", 2890, time.Unix(1000, 0))
+		x.sendEarlyRound()
+		w.End()
+		x.sendEarlyRound()
+		x.sendOwnLoads()
+		if len(sent) != 3 || sent[2].Seq == 0 || len(sent[2].Loads) != 0 {
+			t.Fatalf("sent %+v, want two early messages and a full one without loads", sent)
+		}
+	}
+	sent = nil
+	x.sendOwnLoads()
+	if len(sent) != 0 {
+		t.Errorf("sent %+v at rest, want the first round skipped", sent)
+	}
+}
+
 // TestEarlyMessageSize guards against constants that understate the size of early messages, and logs
 // the cost of rounds for docs/CAPACITY.md.
 func TestEarlyMessageSize(t *testing.T) {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -227,8 +227,8 @@
 	incarnation   int64
 	seq           atomic.Uint64
 	rounds        loadRounds
-	lastLoads     int // number of loads in the last round
-	skippedRounds int // rounds since this VM last sent a message
+	lastLoads     int // largest number of loads in the last full round and the early rounds since
+	skippedRounds int // full rounds skipped since the last one that was sent
 	demandRounds  demandRounds
 
 	// Sent counts the datagrams of this VM, Forwarded those that it forwarded for others, Received
