--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// pictureTTL is the time for which a picture is reused. Reports arrive no more often than that.
+	// pictureTTL is the time for which a picture is reused. It adds little to the age of reports, of
+	// which a VM sends at most two a second.
 	pictureTTL = 50 * time.Millisecond
 	// minSum is the sum below which a route or workspace counts as idle and is dropped.
 	minSum = 1e-3
--- a/internal/loadview/waits.go
+++ b/internal/loadview/waits.go
@@ -16,14 +16,15 @@
 	waitTimeConstant = time.Second
 	// waitsFrom and waitsUntil are the mean waits at which calls begin and cease to wait. An idle
 	// fleet's calls vary by some 20 ms around their prediction. The strictest objectives are 400 ms; at
-	// 50 ms the slowest of the calls, which wait several times the mean, come close to them.
+	// a mean of 50 ms the slowest of the calls, which wait several times that, come close to them. So
+	// reports become early at half of it.
 	waitsFrom  = 25 * time.Millisecond
 	waitsUntil = 12 * time.Millisecond
 	// maxWait bounds each measured wait: one call that a fault has delayed by seconds does not show
 	// that others wait.
 	maxWait = 150 * time.Millisecond
-	// unwaitedCalls is the number of calls without a wait that are added to the mean. A VM that
-	// receives one call a second then needs a wait of more than waitsFrom in several of them.
+	// unwaitedCalls is the number of calls without a wait that are added to the mean. A VM whose mean
+	// contains a single call then needs a wait of more than twice waitsFrom in it.
 	unwaitedCalls = 1
 )
 
