News: the largest total with paces fits in a datagram

TestTotalFitsInDatagram left out paces: with 128 of them the total of 2,000 VMs took 49,260 of 49,152 bytes and would not have been sent.

--- a/internal/news/bound_test.go
+++ b/internal/news/bound_test.go
@@ -11,7 +11,7 @@
 
 // TestTotalFitsInDatagram checks that the total of 986 and of 2,000 VMs fits in a datagram if each
 // VM lists 128 unresponsive targets, all of 9,756 and 20,000 targets have work, and there are as
-// many events as one round carries, and the largest report of demand.
+// many events as one round carries, the largest report of demand, and the most paces.
 //
 // If 986 VMs start at the same time, each lists the targets whose cache feeds have not answered it
 // yet. The total of these lists was larger than a datagram, so it was not sent, no VM got the state
@@ -48,6 +48,9 @@
 			report.Workspaces = append(report.Workspaces, demand.WorkspaceSums{Service: i, Workspace: i, Offered: 1})
 		}
 		total.Demand = lenientOf(&demandSums{Report: packedReport(report), VMs: size.vms})
+		for i := range maxDigestPaces { // with integers of the greatest length that valid sums have
+			total.Paces = append(total.Paces, wirePace{Target: shorten(ids.Target(fmt.Sprint("i-", i))), Domain: 60_000, Seed: true, Answers: 1e8, Slow: 1e8, Measured: 1e9, Predicted: 1e9})
+		}
 		data, err := Encode(&Message{VM: "front-zone-1", Incarnation: 1, Total: &total})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/news/paces.go
+++ b/internal/news/paces.go
@@ -24,9 +24,10 @@
 const (
 	paceAnswerUnit = 100
 	paceTimeUnit   = 1000
-	// maxDigestPaces bounds the paces in a digest, one for each target and failure domain, to about
-	// 2 KB: 42 targets in 3 failure domains. Beyond it a digest has only the slowest targets.
-	maxDigestPaces = 128
+	// maxDigestPaces bounds the paces in a digest, one for each target and failure domain, to 3.6 KB:
+	// 40 targets in 3 failure domains. Beyond it a digest has only the slowest targets. With 128 the
+	// largest total of 2,000 VMs exceeded maxDatagram and was not sent (TestTotalFitsInDatagram).
+	maxDigestPaces = 120
 )
 
 func toWirePaces(all []loadview.Pace) []wirePace {
