--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/demand"
 	"github.com/threadwall/threadwall/internal/timing"
@@ -26,6 +27,24 @@
 	if c == nil {
 		return nil
 	}
+	var names demand.Names // of 580 workspaces, so they are not built at rest
+	var out []demand.Status
+	for i := range c.Services {
+		service := c.Services[i].Name
+		p := d.demand.Picture(service)
+		if demand.Rate(p.Total().Calls) < minLoggedRate {
+			continue
+		}
+		if names == nil {
+			names = namesIn(c)
+		}
+		out = append(out, p.Status(service, names))
+	}
+	return out
+}
+
+// namesIn returns the names of the routes and workspaces of a catalog.
+func namesIn(c *catalog.Catalog) demand.Names {
 	names := demand.Names{}
 	for i := range c.Routes {
 		names.Add(c.Routes[i].Name)
@@ -33,13 +52,7 @@
 	for i := range c.Workspaces {
 		names.Add(string(c.Workspaces[i].Name))
 	}
-	var out []demand.Status
-	for i := range c.Services {
-		if s := d.demand.Picture(c.Services[i].Name).Status(c.Services[i].Name, names); s.Total.Calls >= minLoggedRate {
-			out = append(out, s)
-		}
-	}
-	return out
+	return names
 }
 
 // watchDemand logs the load of the services until ctx ends: every demandLogEvery while there is load,
