--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -199,28 +199,34 @@
 
 // Sum adds reports up.
 func Sum(reports ...Report) Report {
-	routes, workspaces := map[routeKey]RouteSums{}, map[workspaceKey]WorkspaceSums{}
+	var out Report
+	routes, workspaces := map[routeKey]int{}, map[workspaceKey]int{} // indexes in out
 	for _, r := range reports {
 		for _, s := range r.Routes {
-			if s.valid() {
-				key := routeKey{s.Service, s.Route}
-				routes[key] = s.plus(routes[key])
+			if !s.valid() {
+				continue
+			}
+			key := routeKey{s.Service, s.Route}
+			if i, ok := routes[key]; ok {
+				out.Routes[i] = out.Routes[i].plus(s)
+				continue
 			}
+			routes[key] = len(out.Routes)
+			out.Routes = append(out.Routes, s)
 		}
 		for _, s := range r.Workspaces {
-			if s.valid() {
-				key := workspaceKey{s.Service, s.Workspace}
-				workspaces[key] = s.plus(workspaces[key])
+			if !s.valid() {
+				continue
 			}
+			key := workspaceKey{s.Service, s.Workspace}
+			if i, ok := workspaces[key]; ok {
+				out.Workspaces[i] = out.Workspaces[i].plus(s)
+				continue
+			}
+			workspaces[key] = len(out.Workspaces)
+			out.Workspaces = append(out.Workspaces, s)
 		}
 	}
-	var out Report
-	for _, s := range routes {
-		out.Routes = append(out.Routes, s)
-	}
-	for _, s := range workspaces {
-		out.Workspaces = append(out.Workspaces, s)
-	}
 	out.normalize()
 	return out
 }
