--- a/internal/news/early_test.go
+++ b/internal/news/early_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
 )
@@ -346,6 +348,23 @@
 	}
 }
 
+// TestEarlierReleaseIgnoresEarlyMessages guards against early messages that a VM of an earlier release
+// rejects, or takes for a full round, which would withdraw all other state.
+func TestEarlierReleaseIgnoresEarlyMessages(t *testing.T) {
+	data, err := Encode(&Message{VM: "vm1", Incarnation: 1, EarlySeq: 3, Loads: []Load{{Target: "e1", InFlight: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier struct {
+		VM    ids.VM     `cbor:"1,keyasint"`
+		Seq   uint64     `cbor:"2,keyasint,omitempty"`
+		Loads []wireLoad `cbor:"5,keyasint,omitempty"`
+	}
+	if err := cbor.Unmarshal(data[1:], &earlier); err != nil || earlier.VM != "vm1" || earlier.Seq != 0 {
+		t.Errorf("got %+v, %v; want a message of vm1 without the number of a round", earlier, err)
+	}
+}
+
 // TestFullRoundFollowsEarlyRoundWithoutLoads guards against a full round that is skipped because an early
 // round has reported that there is no work: peers of earlier releases ignore early rounds and would keep
 // the loads of the last full round, and full rounds would stop if every one followed such an early round.
