Slow replicas: subtract a target's own sums only where they are included

A target that had just begun to count as slow was compared with a mean that still included its own answers, since these were no longer subtracted: at 7 times slower its report said 1.5. The reverse held for a target that ceased to be slow. The target now records whether the sums of its service include its own. A target that changes its service starts afresh, for the same reason.

--- a/internal/loadview/pace.go
+++ b/internal/loadview/pace.go
@@ -136,6 +136,7 @@
 	reported  bool      // by other VMs
 	seeded    bool      // another VM reports it with Seed
 	slow      bool      // it counts as slow
+	counted   bool      // the sums of its service include its own sums
 	standsOut time.Time // since when; zero: it doesn't
 }
 
@@ -246,7 +247,13 @@
 		s = &servicePace{at: now}
 		t.paces.services[service] = s
 	}
-	p.service, p.own, p.at = service, p.current(now), now
+	if p.service != service {
+		p.own, p.service = PaceSums{}, service
+	}
+	p.own, p.at = p.current(now), now
+	if p.own.Answers == 0 {
+		p.counted = !p.slow
+	}
 	answer := PaceSums{Answers: 1, Measured: max(measured, 0), Predicted: predicted}
 	if ref, ok := s.reference(p, now); ok {
 		answer.Measured = min(answer.Measured, maxAnswerPace*ref*predicted)
@@ -257,7 +264,7 @@
 		answer.Measured = min(answer.Measured, maxAnswerPace*predicted)
 	}
 	p.own = p.own.plus(answer)
-	if !p.slow {
+	if p.counted {
 		s.PaceSums, s.at = s.times(paceDecay(now.Sub(s.at))).plus(answer), now
 	}
 }
@@ -266,7 +273,7 @@
 // are too few answers.
 func (s *servicePace) reference(p *targetPace, now time.Time) (float64, bool) {
 	sums := s.times(paceDecay(now.Sub(s.at)))
-	if !p.slow {
+	if p.counted {
 		sums = sums.minus(p.current(now))
 	}
 	if sums.Answers < minReferenceAnswers || sums.Predicted <= 0 || sums.Measured <= 0 {
@@ -417,10 +424,12 @@
 			continue
 		}
 		p.own, p.at = p.current(now), now
+		s := t.paces.services[p.service]
+		p.counted = false
 		if p.own.Answers < minOwnAnswers {
 			p.own = PaceSums{}
-		} else if s := t.paces.services[p.service]; s != nil && !p.slow {
-			s.PaceSums = s.plus(p.own)
+		} else if s != nil && !p.slow {
+			s.PaceSums, p.counted = s.plus(p.own), true
 		}
 	}
 	for name, s := range t.paces.services {
--- a/internal/loadview/pace_test.go
+++ b/internal/loadview/pace_test.go
@@ -134,3 +134,33 @@
 		t.Errorf("got a slowdown of %v and a delay of %v s at the replica with the long calls", l.Slowdown, l.Delay)
 	}
 }
+
+// TestReferenceWhileTargetChanges guards against reports that are too high or too low right after a target has
+// begun or ceased to count as slow. Until the sums of its service are computed again, they include its own
+// answers as before.
+func TestReferenceWhileTargetChanges(t *testing.T) {
+	p := newPaceTracker()
+	p.run(3*time.Second, nil)
+	measured := 1400 * time.Millisecond
+	changes, was := 0, false
+	for range 120 {
+		p.run(100*time.Millisecond, func() {
+			for range 20 { // as many as four other targets get
+				p.ObservePace("slow", "model", 140*time.Millisecond, measured, p.now)
+			}
+		})
+		slow := len(p.SlowTargets(p.now)) > 0
+		if slow != was {
+			changes++
+			was, measured = slow, 240*time.Millisecond
+		}
+		pace := &p.targets["slow"].pace
+		got, ok := p.relative(pace, p.now)
+		if want := pace.current(p.now); ok && math.Abs(got.Measured-want.Measured) > 0.02*want.Measured {
+			t.Errorf("counts as slow: %t; got a ratio of %.3f, want %.3f as the others answer as predicted", slow, got.Measured/got.Predicted, want.Measured/want.Predicted)
+		}
+	}
+	if changes != 2 {
+		t.Errorf("the target began or ceased to count as slow %d times, want 2", changes)
+	}
+}
