--- a/internal/news/paces_test.go
+++ b/internal/news/paces_test.go
@@ -36,7 +36,7 @@
 	answers  []int             // by engine, since the last reset
 	calls    []int             // by engine, since the last reset
 	reports  int               // paces sent
-	onAnswer func(engine int)
+	onAnswer func(vm, engine int)
 	resolve  func(uint32) (ids.Target, bool)
 }
 
@@ -124,7 +124,7 @@
 	f.loads[vm].ObservePace(engine(e), "model", predicted, measured, f.now)
 	f.answers[e]++
 	if f.onAnswer != nil {
-		f.onAnswer(e)
+		f.onAnswer(vm, e)
 	}
 }
 
@@ -244,7 +244,7 @@
 				n, all := f.slowAt(e, 2, "")
 				known, asked = known+n, asked+all
 			}
-			f.onAnswer = func(e int) {
+			f.onAnswer = func(_, e int) {
 				if f.slow[e] > 0 && f.answers[e] == 40 {
 					check(e)
 				}
@@ -367,6 +367,49 @@
 	}
 }
 
+// TestEnginesSlowForOneDomainAreKnownToItsVMs guards against VMs of a failure domain that go on sending calls
+// to engines that are slow for this domain only. After 40 answers of such an engine to the domain's VMs, or
+// after 20 s if it gets fewer because it is avoided, it must count as slow at 0.9 of the domain's VMs.
+func TestEnginesSlowForOneDomainAreKnownToItsVMs(t *testing.T) {
+	for _, vms := range []int{6, 66, 195} {
+		for _, factor := range []float64{3.5, 7} {
+			f := newPaceFleet(t, vms, 0.5, 0.1, 4)
+			f.domain = "z1"
+			f.run(4 * time.Second)
+			for e := range f.engines / 10 {
+				f.slow[e] = factor
+			}
+			answers := make([]int, f.engines) // to the domain's VMs
+			known, asked := 0, 0
+			check := func(e int) {
+				n, all := f.slowAt(e, 2, f.domain)
+				known, asked = known+n, asked+all
+			}
+			f.onAnswer = func(vm, e int) {
+				if f.slow[e] == 0 || f.all[vm].FailureDomain != f.domain {
+					return
+				}
+				if answers[e]++; answers[e] == 40 {
+					check(e)
+				}
+			}
+			f.run(20 * time.Second)
+			total, early := 0, 0
+			for e := range f.slow {
+				total += answers[e]
+				if answers[e] < 40 {
+					early++
+					check(e)
+				}
+			}
+			t.Logf("%d VMs, %v times slower: known at %d of %d VMs of the domain, %d answers of slow engines in 20 s, %d of %d engines had fewer than 40", vms, factor, known, asked, total, early, len(f.slow))
+			if float64(known) < 0.9*float64(asked) {
+				t.Errorf("%d VMs, %v times slower: known at %d of %d VMs of the domain, want 0.9", vms, factor, known, asked)
+			}
+		}
+	}
+}
+
 // TestNothingIsSentWithoutSlowEngines guards against reports that cost bandwidth while no target stands out.
 func TestNothingIsSentWithoutSlowEngines(t *testing.T) {
 	f := newPaceFleet(t, 66, 0.2, 0, 5)
