Slow replicas: a report looks only at the targets that stand out

OwnPaces computed the ratio of every target under the tracker's lock, after refreshPaces had done the same: together 4.8 to 7.3 ms at 9,756 targets with recent answers on this machine. It now looks at those that stood out when the paces were last computed, at most 150 ms before. BenchmarkPaces: at 140 targets the computation takes 112 us and the report 12 us (before: 222 to 321 and 32 to 48 us), at 9,756 2.8 ms and 9 us (before: 3.1 to 4.2 and 1.7 to 3.1 ms), beside other processes.

--- a/internal/loadview/pace.go
+++ b/internal/loadview/pace.go
@@ -175,7 +175,8 @@
 	fleet     peerPaces // over the tree
 	ownIn     bool      // fleet includes this VM's own sums
 	forgotten map[ids.Target]time.Time
-	at        time.Time // when the paces were last computed
+	at        time.Time                  // when the paces were last computed
+	toReport  map[ids.Target]*targetPace // those that stood out then
 }
 
 // servicePace are the sums over the targets of a service that do not count as slow.
@@ -285,8 +286,11 @@
 // relative returns the own sums of a target with Measured divided by the reference; false: there are
 // none, or there is no reference.
 func (t *Tracker) relative(p *targetPace, now time.Time) (PaceSums, bool) {
+	if p.own.Answers == 0 {
+		return PaceSums{}, false
+	}
 	s := t.paces.services[p.service]
-	if s == nil || p.own.Answers == 0 {
+	if s == nil {
 		return PaceSums{}, false
 	}
 	ref, ok := s.reference(p, now)
@@ -389,6 +393,7 @@
 		}
 	}
 	t.refreshServices(now)
+	t.paces.toReport = map[ids.Target]*targetPace{}
 	sums, ownIn := t.mergePaces(now)
 	for id := range sums {
 		t.loadOf(id) // a target that this VM has sent nothing to
@@ -409,6 +414,9 @@
 			m.all, m.domain = m.all.plus(own), m.domain.plus(own)
 		}
 		p.judge(own, m, now)
+		if ok && p.reportable(own) {
+			t.paces.toReport[id] = p
+		}
 	}
 }
 
@@ -461,6 +469,14 @@
 	}
 }
 
+// seeds reports whether a target stands out by these sums of one VM alone.
+func (s PaceSums) seeds() bool { return s.pace(1, seedPrior) >= slowPace }
+
+// reportable reports whether this VM reports a target of which it has the given sums.
+func (p *targetPace) reportable(own PaceSums) bool {
+	return own.seeds() || p.slow || p.seeded || p.reported && p.factor >= normalPace
+}
+
 // OwnPaces returns this VM's report: at most MaxPaces targets, worst first. It is empty while no target
 // stands out.
 func (t *Tracker) OwnPaces(now time.Time) []Pace {
@@ -472,15 +488,9 @@
 		score float64
 	}
 	var all []scored
-	for id, o := range t.targets {
-		p := &o.pace
-		own, ok := t.relative(p, now)
-		if !ok {
-			continue
-		}
-		seed := own.pace(1, seedPrior) >= slowPace
-		if seed || p.slow || p.seeded || p.reported && p.factor >= normalPace {
-			all = append(all, scored{Pace{Target: id, Domain: t.paces.domain, Seed: seed, PaceSums: own}, p.factor})
+	for id, p := range t.paces.toReport {
+		if own, ok := t.relative(p, now); ok && p.reportable(own) {
+			all = append(all, scored{Pace{Target: id, Domain: t.paces.domain, Seed: own.seeds(), PaceSums: own}, p.factor})
 		}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Target, b.Target)) })
@@ -520,4 +530,5 @@
 		t.paces.forgotten = map[ids.Target]time.Time{}
 	}
 	t.paces.forgotten[id] = t.paces.at
+	delete(t.paces.toReport, id)
 }
