Slow replicas: bound a plain response's weight, replace routes without calls

One response of ten minutes raised the mean time of its route 200-fold, so that slow replicas no longer counted as slow for hundreds of calls. Once there were 1,024 routes, also ones that no longer exist, replicas were not judged by the calls of later ones; routes without calls for ten minutes are now dropped. Comments on sizes state the measured 22 bytes and 2.8 KB.

--- a/internal/loadview/pace.go
+++ b/internal/loadview/pace.go
@@ -61,6 +61,9 @@
 	MaxPaces = 16
 	// maxPlainRoutes bounds the routes whose mean times are kept.
 	maxPlainRoutes = 1024
+	// plainRouteTTL is how long a route without calls is kept once there are maxPlainRoutes. Without it,
+	// replicas of later routes would never be judged.
+	plainRouteTTL = 10 * time.Minute
 )
 
 // PaceSums are decaying sums over the answers of one target.
@@ -190,6 +193,7 @@
 type plainMean struct {
 	seconds float64
 	n       int
+	at      time.Time // of the last response
 }
 
 // plainGain is the least weight of one response in the mean time of its route.
@@ -228,8 +232,13 @@
 		m = &plainMean{}
 		t.paces.routes[route] = m
 	}
+	seconds := max(measured, 0).Seconds()
+	if m.n > 0 && m.seconds > 0 { // one response that takes minutes must not dominate the mean
+		seconds = min(seconds, maxAnswerPace*m.seconds)
+	}
 	m.n++
-	m.seconds += max(plainGain, 1/float64(m.n)) * (max(measured, 0).Seconds() - m.seconds)
+	m.at = now
+	m.seconds += max(plainGain, 1/float64(m.n)) * (seconds - m.seconds)
 	if m.seconds <= 0 {
 		return
 	}
@@ -392,6 +401,13 @@
 			delete(t.paces.forgotten, id)
 		}
 	}
+	if len(t.paces.routes) >= maxPlainRoutes {
+		for name, m := range t.paces.routes {
+			if now.Sub(m.at) > plainRouteTTL {
+				delete(t.paces.routes, name)
+			}
+		}
+	}
 	t.refreshServices(now)
 	t.paces.toReport = map[ids.Target]*targetPace{}
 	sums, ownIn := t.mergePaces(now)
--- a/internal/loadview/pace_test.go
+++ b/internal/loadview/pace_test.go
@@ -1,6 +1,7 @@
 package loadview
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -164,3 +165,43 @@
 		t.Errorf("the target began or ceased to count as slow %d times, want 2", changes)
 	}
 }
+
+// TestOneLongResponseOfPlainService guards against one response that takes minutes, after which the mean of its
+// route would be far too long for hundreds of calls, and with it the delay of a slow replica.
+func TestOneLongResponseOfPlainService(t *testing.T) {
+	p := newPaceTracker()
+	answers := func() {
+		for _, id := range []ids.Target{"p1", "p2", "p3", "p4"} {
+			p.ObservePlain(id, "plain", "short", 60*time.Millisecond, p.now)
+		}
+		p.ObservePlain("p5", "plain", "short", 210*time.Millisecond, p.now)
+	}
+	p.run(5*time.Second, answers)
+	p.ObservePlain("p1", "plain", "short", 10*time.Minute, p.now)
+	p.run(time.Second, answers)
+	if l := p.load("p5"); l.Slowdown < 2 || l.Delay < 0.06 || l.Delay > 2 {
+		t.Errorf("got a slowdown of %v and a delay of %v s at a replica 3.5 times slower", l.Slowdown, l.Delay)
+	}
+}
+
+// TestPlainRoutesAreReplaced guards against slow replicas that are not noticed because the bound on the routes
+// is reached by routes that no longer exist.
+func TestPlainRoutesAreReplaced(t *testing.T) {
+	p := newPaceTracker()
+	for i := range maxPlainRoutes {
+		p.ObservePlain("p1", "plain", fmt.Sprint("old-", i), 60*time.Millisecond, p.now)
+	}
+	p.now = p.now.Add(plainRouteTTL + time.Second)
+	p.run(5*time.Second, func() {
+		for _, id := range []ids.Target{"p1", "p2", "p3", "p4"} {
+			p.ObservePlain(id, "plain", "new", 60*time.Millisecond, p.now)
+		}
+		p.ObservePlain("p5", "plain", "new", 210*time.Millisecond, p.now)
+	})
+	if l := p.load("p5"); l.Slowdown < 2 {
+		t.Errorf("got a slowdown of %v at a replica 3.5 times slower", l.Slowdown)
+	}
+	if n := len(p.paces.routes); n > maxPlainRoutes {
+		t.Errorf("%d routes are kept, want at most %d", n, maxPlainRoutes)
+	}
+}
--- a/internal/news/paces.go
+++ b/internal/news/paces.go
@@ -8,7 +8,7 @@
 	"github.com/threadwall/threadwall/internal/loadview"
 )
 
-// wirePace is a loadview.Pace, in about 17 bytes. Answers and Slow are in hundredths of an answer, Measured
+// wirePace is a loadview.Pace, in about 22 bytes. Answers and Slow are in hundredths of an answer, Measured
 // and Predicted in milliseconds: integers can't carry NaN or infinity.
 type wirePace struct {
 	_         struct{} `cbor:",toarray"`
@@ -25,7 +25,7 @@
 	paceAnswerUnit = 100
 	paceTimeUnit   = 1000
 	// maxDigestPaces bounds the paces in a digest, one for each target and failure domain, to about
-	// 2 KB: 42 targets in 3 failure domains. Beyond it a digest has only the slowest targets.
+	// 2.8 KB: 42 targets in 3 failure domains. Beyond it a digest has only the slowest targets.
 	maxDigestPaces = 128
 )
 
