--- a/internal/loadview/pace.go
+++ b/internal/loadview/pace.go
@@ -61,6 +61,9 @@
 	MaxPaces = 16
 	// maxPlainRoutes bounds the routes whose mean times are kept.
 	maxPlainRoutes = 1024
+	// plainRouteTTL is how long a route without calls is kept once there are maxPlainRoutes. Without it,
+	// replicas of later routes would never be judged.
+	plainRouteTTL = 10 * time.Minute
 )
 
 // PaceSums are decaying sums over the answers of one target.
@@ -136,6 +139,7 @@
 	reported  bool      // by other VMs
 	seeded    bool      // another VM reports it with Seed
 	slow      bool      // it counts as slow
+	counted   bool      // the sums of its service include its own sums
 	standsOut time.Time // since when; zero: it doesn't
 }
 
@@ -174,7 +178,8 @@
 	fleet     peerPaces // over the tree
 	ownIn     bool      // fleet includes this VM's own sums
 	forgotten map[ids.Target]time.Time
-	at        time.Time // when the paces were last computed
+	at        time.Time                  // when the paces were last computed
+	toReport  map[ids.Target]*targetPace // those that stood out then
 }
 
 // servicePace are the sums over the targets of a service that do not count as slow.
@@ -188,6 +193,7 @@
 type plainMean struct {
 	seconds float64
 	n       int
+	at      time.Time // of the last response
 }
 
 // plainGain is the least weight of one response in the mean time of its route.
@@ -226,8 +232,13 @@
 		m = &plainMean{}
 		t.paces.routes[route] = m
 	}
+	seconds := max(measured, 0).Seconds()
+	if m.n > 0 && m.seconds > 0 { // one response that takes minutes must not dominate the mean
+		seconds = min(seconds, maxAnswerPace*m.seconds)
+	}
 	m.n++
-	m.seconds += max(plainGain, 1/float64(m.n)) * (max(measured, 0).Seconds() - m.seconds)
+	m.at = now
+	m.seconds += max(plainGain, 1/float64(m.n)) * (seconds - m.seconds)
 	if m.seconds <= 0 {
 		return
 	}
@@ -246,7 +257,13 @@
 		s = &servicePace{at: now}
 		t.paces.services[service] = s
 	}
-	p.service, p.own, p.at = service, p.current(now), now
+	if p.service != service {
+		p.own, p.service = PaceSums{}, service
+	}
+	p.own, p.at = p.current(now), now
+	if p.own.Answers == 0 {
+		p.counted = !p.slow
+	}
 	answer := PaceSums{Answers: 1, Measured: max(measured, 0), Predicted: predicted}
 	if ref, ok := s.reference(p, now); ok {
 		answer.Measured = min(answer.Measured, maxAnswerPace*ref*predicted)
@@ -257,7 +274,7 @@
 		answer.Measured = min(answer.Measured, maxAnswerPace*predicted)
 	}
 	p.own = p.own.plus(answer)
-	if !p.slow {
+	if p.counted {
 		s.PaceSums, s.at = s.times(paceDecay(now.Sub(s.at))).plus(answer), now
 	}
 }
@@ -266,7 +283,7 @@
 // are too few answers.
 func (s *servicePace) reference(p *targetPace, now time.Time) (float64, bool) {
 	sums := s.times(paceDecay(now.Sub(s.at)))
-	if !p.slow {
+	if p.counted {
 		sums = sums.minus(p.current(now))
 	}
 	if sums.Answers < minReferenceAnswers || sums.Predicted <= 0 || sums.Measured <= 0 {
@@ -278,8 +295,11 @@
 // relative returns the own sums of a target with Measured divided by the reference; false: there are
 // none, or there is no reference.
 func (t *Tracker) relative(p *targetPace, now time.Time) (PaceSums, bool) {
+	if p.own.Answers == 0 {
+		return PaceSums{}, false
+	}
 	s := t.paces.services[p.service]
-	if s == nil || p.own.Answers == 0 {
+	if s == nil {
 		return PaceSums{}, false
 	}
 	ref, ok := s.reference(p, now)
@@ -381,7 +401,15 @@
 			delete(t.paces.forgotten, id)
 		}
 	}
+	if len(t.paces.routes) >= maxPlainRoutes {
+		for name, m := range t.paces.routes {
+			if now.Sub(m.at) > plainRouteTTL {
+				delete(t.paces.routes, name)
+			}
+		}
+	}
 	t.refreshServices(now)
+	t.paces.toReport = map[ids.Target]*targetPace{}
 	sums, ownIn := t.mergePaces(now)
 	for id := range sums {
 		t.loadOf(id) // a target that this VM has sent nothing to
@@ -402,6 +430,9 @@
 			m.all, m.domain = m.all.plus(own), m.domain.plus(own)
 		}
 		p.judge(own, m, now)
+		if ok && p.reportable(own) {
+			t.paces.toReport[id] = p
+		}
 	}
 }
 
@@ -417,10 +448,12 @@
 			continue
 		}
 		p.own, p.at = p.current(now), now
+		s := t.paces.services[p.service]
+		p.counted = false
 		if p.own.Answers < minOwnAnswers {
 			p.own = PaceSums{}
-		} else if s := t.paces.services[p.service]; s != nil && !p.slow {
-			s.PaceSums = s.plus(p.own)
+		} else if s != nil && !p.slow {
+			s.PaceSums, p.counted = s.plus(p.own), true
 		}
 	}
 	for name, s := range t.paces.services {
@@ -452,6 +485,14 @@
 	}
 }
 
+// seeds reports whether a target stands out by these sums of one VM alone.
+func (s PaceSums) seeds() bool { return s.pace(1, seedPrior) >= slowPace }
+
+// reportable reports whether this VM reports a target of which it has the given sums.
+func (p *targetPace) reportable(own PaceSums) bool {
+	return own.seeds() || p.slow || p.seeded || p.reported && p.factor >= normalPace
+}
+
 // OwnPaces returns this VM's report: at most MaxPaces targets, worst first. It is empty while no target
 // stands out.
 func (t *Tracker) OwnPaces(now time.Time) []Pace {
@@ -463,15 +504,9 @@
 		score float64
 	}
 	var all []scored
-	for id, o := range t.targets {
-		p := &o.pace
-		own, ok := t.relative(p, now)
-		if !ok {
-			continue
-		}
-		seed := own.pace(1, seedPrior) >= slowPace
-		if seed || p.slow || p.seeded || p.reported && p.factor >= normalPace {
-			all = append(all, scored{Pace{Target: id, Domain: t.paces.domain, Seed: seed, PaceSums: own}, p.factor})
+	for id, p := range t.paces.toReport {
+		if own, ok := t.relative(p, now); ok && p.reportable(own) {
+			all = append(all, scored{Pace{Target: id, Domain: t.paces.domain, Seed: own.seeds(), PaceSums: own}, p.factor})
 		}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Target, b.Target)) })
@@ -511,4 +546,5 @@
 		t.paces.forgotten = map[ids.Target]time.Time{}
 	}
 	t.paces.forgotten[id] = t.paces.at
+	delete(t.paces.toReport, id)
 }
--- a/internal/loadview/pace_test.go
+++ b/internal/loadview/pace_test.go
@@ -1,6 +1,7 @@
 package loadview
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -108,6 +109,9 @@
 		{0, 0, 9, 9},
 		{3, 4, 9, 9},
 	} {
+		if s.valid() { // checked directly, since some of these change no choice
+			t.Errorf("%+v is taken as valid", s)
+		}
 		p.SetPeerPaces("vm1", 1, uint64(i+1), []Pace{{Target: "a", PaceSums: s}}, p.now)
 		p.run(1500*time.Millisecond, nil)
 		if l := p.load("a"); l.Slowdown != 1 {
@@ -134,3 +138,73 @@
 		t.Errorf("got a slowdown of %v and a delay of %v s at the replica with the long calls", l.Slowdown, l.Delay)
 	}
 }
+
+// TestReferenceWhileTargetChanges guards against reports that are too high or too low right after a target has
+// begun or ceased to count as slow. Until the sums of its service are computed again, they include its own
+// answers as before.
+func TestReferenceWhileTargetChanges(t *testing.T) {
+	p := newPaceTracker()
+	p.run(3*time.Second, nil)
+	measured := 1400 * time.Millisecond
+	changes, was := 0, false
+	for range 120 {
+		p.run(100*time.Millisecond, func() {
+			for range 20 { // as many as four other targets get
+				p.ObservePace("slow", "model", 140*time.Millisecond, measured, p.now)
+			}
+		})
+		slow := len(p.SlowTargets(p.now)) > 0
+		if slow != was {
+			changes++
+			was, measured = slow, 240*time.Millisecond
+		}
+		pace := &p.targets["slow"].pace
+		got, ok := p.relative(pace, p.now)
+		if want := pace.current(p.now); ok && math.Abs(got.Measured-want.Measured) > 0.02*want.Measured {
+			t.Errorf("counts as slow: %t; got a ratio of %.3f, want %.3f as the others answer as predicted", slow, got.Measured/got.Predicted, want.Measured/want.Predicted)
+		}
+	}
+	if changes != 2 {
+		t.Errorf("the target began or ceased to count as slow %d times, want 2", changes)
+	}
+}
+
+// TestOneLongResponseOfPlainService guards against one response that takes minutes, after which the mean of its
+// route would be far too long for hundreds of calls, and with it the delay of a slow replica.
+func TestOneLongResponseOfPlainService(t *testing.T) {
+	p := newPaceTracker()
+	answers := func() {
+		for _, id := range []ids.Target{"p1", "p2", "p3", "p4"} {
+			p.ObservePlain(id, "plain", "short", 60*time.Millisecond, p.now)
+		}
+		p.ObservePlain("p5", "plain", "short", 210*time.Millisecond, p.now)
+	}
+	p.run(5*time.Second, answers)
+	p.ObservePlain("p1", "plain", "short", 10*time.Minute, p.now)
+	p.run(time.Second, answers)
+	if l := p.load("p5"); l.Slowdown < 2 || l.Delay < 0.06 || l.Delay > 2 {
+		t.Errorf("got a slowdown of %v and a delay of %v s at a replica 3.5 times slower", l.Slowdown, l.Delay)
+	}
+}
+
+// TestPlainRoutesAreReplaced guards against slow replicas that are not noticed because the bound on the routes
+// is reached by routes that no longer exist.
+func TestPlainRoutesAreReplaced(t *testing.T) {
+	p := newPaceTracker()
+	for i := range maxPlainRoutes {
+		p.ObservePlain("p1", "plain", fmt.Sprint("old-", i), 60*time.Millisecond, p.now)
+	}
+	p.now = p.now.Add(plainRouteTTL + time.Second)
+	p.run(5*time.Second, func() {
+		for _, id := range []ids.Target{"p1", "p2", "p3", "p4"} {
+			p.ObservePlain(id, "plain", "new", 60*time.Millisecond, p.now)
+		}
+		p.ObservePlain("p5", "plain", "new", 210*time.Millisecond, p.now)
+	})
+	if l := p.load("p5"); l.Slowdown < 2 {
+		t.Errorf("got a slowdown of %v at a replica 3.5 times slower", l.Slowdown)
+	}
+	if n := len(p.paces.routes); n > maxPlainRoutes {
+		t.Errorf("%d routes are kept, want at most %d", n, maxPlainRoutes)
+	}
+}
--- a/internal/news/paces.go
+++ b/internal/news/paces.go
@@ -8,7 +8,7 @@
 	"github.com/threadwall/threadwall/internal/loadview"
 )
 
-// wirePace is a loadview.Pace, in about 17 bytes. Answers and Slow are in hundredths of an answer, Measured
+// wirePace is a loadview.Pace, in about 22 bytes. Answers and Slow are in hundredths of an answer, Measured
 // and Predicted in milliseconds: integers can't carry NaN or infinity.
 type wirePace struct {
 	_         struct{} `cbor:",toarray"`
