Soak: VMs admit by fair shares

Cause: the promises of a refusal (not run, one answer) were not checked with admission by fair shares, which the settings of the soak left off. Change: fair_shares in the settings of all VMs.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -61,7 +61,7 @@
 		"store": "http://" + store.Addr(), "store_timeout": "500ms", "dial_timeout": "400ms",
 		"edge": map[string]any{
 			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
-			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet, "test_suspension": suspension.String(),
+			"retry_ratio": 0.2, "retry_burst": 40, "grace": grace.String(), "direct_fleet": directFleet, "fair_shares": true, "test_suspension": suspension.String(),
 			"allowance_window": limitedWindow.String(), "allowance_excess": limitedExcess, "allowance_slack": limitedSlack,
 		},
 	}
