--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -103,13 +103,13 @@
 
 // Machine keeps the plan of one service. It reads no clock. Not safe for concurrent use.
 type Machine struct {
-	routes   map[uint32]*route
-	share    float64   // moving average
-	first    time.Time // first value of it
-	at       time.Time // last value of it
-	size     int
-	failing  time.Time // since when the conditions for pools have failed; zero: they hold
-	unsettle time.Time // since when the size is not the nearest step; zero: it is
+	routes         map[uint32]*route
+	share          float64   // moving average
+	first          time.Time // first value of it
+	at             time.Time // last value of it
+	size           int
+	failingSince   time.Time // since when the conditions for pools have failed; zero: they hold
+	unsettledSince time.Time // since when the size is not the nearest step; zero: it is
 }
 
 // route is what a Machine knows of a route.
@@ -142,18 +142,18 @@
 	both := in.DecodeRoutes > 0 && in.PrefillRoutes > 0
 	switch {
 	case engines < minEngines:
-		m.size, m.failing = 0, time.Time{}
+		m.size, m.failingSince = 0, time.Time{}
 	case m.size == 0:
 		if both && in.Paused >= startPaused && paused >= minPaused {
-			m.size, m.failing, m.unsettle = nearest(m.share), time.Time{}, time.Time{}
+			m.size, m.failingSince, m.unsettledSince = nearest(m.share), time.Time{}, time.Time{}
 		}
 	case both && in.Paused >= stopPaused:
-		m.failing = time.Time{}
+		m.failingSince = time.Time{}
 		m.resize(now)
-	case m.failing.IsZero():
-		m.failing = now
-	case now.Sub(m.failing) >= stopAfter:
-		m.size, m.failing = 0, time.Time{}
+	case m.failingSince.IsZero():
+		m.failingSince = now
+	case now.Sub(m.failingSince) >= stopAfter:
+		m.size, m.failingSince = 0, time.Time{}
 	case both:
 		m.resize(now)
 	}
@@ -246,13 +246,13 @@
 	want := nearest(m.share)
 	switch {
 	case want == m.size:
-		m.unsettle = time.Time{}
+		m.unsettledSince = time.Time{}
 		return
-	case m.unsettle.IsZero():
-		m.unsettle = now
+	case m.unsettledSince.IsZero():
+		m.unsettledSince = now
 	}
-	if math.Abs(min(max(m.share*Steps, minSize), maxSize)-float64(m.size)) > 1 || now.Sub(m.unsettle) >= settleAfter {
-		m.size, m.unsettle = want, time.Time{}
+	if math.Abs(min(max(m.share*Steps, minSize), maxSize)-float64(m.size)) > 1 || now.Sub(m.unsettledSince) >= settleAfter {
+		m.size, m.unsettledSince = want, time.Time{}
 	}
 }
 
