--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,5 +19,5 @@
 fi
 echo "tests"
 skip=$(scripts/known-red.sh skip)
-go test -race -count=1 -timeout 8m ${skip:+-skip "$skip"} ./...
+go test -race -count=1 -timeout 12m ${skip:+-skip "$skip"} ./...
 scripts/known-red.sh run
