Test of failed watches: wait until the second watch has begun

Cause: TestFailedWatchMakesAllFollowersRelist fails the watch of a/ once both followers have listed. The follower of b/ may not have begun its watch by then; the watch that it begins later is not cancelled, and need not be, since the test speaks of a watch that was open. Change: the test waits for the watch, too. What it checks and its bounds are the same.

--- a/internal/follow/health_test.go
+++ b/internal/follow/health_test.go
@@ -19,8 +19,9 @@
 	broken string
 	fail   chan struct{}
 
-	mu    sync.Mutex
-	lists map[string]int
+	mu      sync.Mutex
+	lists   map[string]int
+	watches map[string]int
 }
 
 func (s *silentStore) List(_ context.Context, prefix string) ([]objectapi.Object, objectapi.Revision, error) {
@@ -31,6 +32,9 @@
 }
 
 func (s *silentStore) Watch(ctx context.Context, prefix string, _ objectapi.Revision) ([]objectapi.Object, objectapi.Revision, error) {
+	s.mu.Lock()
+	s.watches[prefix]++
+	s.mu.Unlock()
 	var fail chan struct{}
 	if prefix == s.broken {
 		fail = s.fail
@@ -49,6 +53,12 @@
 	return s.lists[prefix]
 }
 
+func (s *silentStore) watched(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches[prefix]
+}
+
 type noHandler struct{}
 
 func (noHandler) Listed([]objectapi.Object, At, bool) {}
@@ -59,7 +69,7 @@
 // breaking, as happened when the store dropped its history: a new version of weights stayed
 // unnoticed for 6 s. When another watch fails, the unresponsive one is cancelled too.
 func TestFailedWatchMakesAllFollowersRelist(t *testing.T) {
-	store := &silentStore{broken: "a/", fail: make(chan struct{}), lists: map[string]int{}}
+	store := &silentStore{broken: "a/", fail: make(chan struct{}), lists: map[string]int{}, watches: map[string]int{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var health StoreHealth
 	var wg sync.WaitGroup
@@ -69,7 +79,7 @@
 	}
 	defer wg.Wait()
 	defer cancel()
-	await(t, func() bool { return store.listed("a/") == 1 && store.listed("b/") == 1 })
+	await(t, func() bool { return store.listed("a/") == 1 && store.listed("b/") == 1 && store.watched("b/") == 1 })
 	store.fail <- struct{}{}
 	await(t, func() bool { return store.listed("b/") == 2 })
 }
