Logs: what pays for each retry, and this VM's share of the burst

The logs said only that a budget is used up. Each allowed repeat is a line now ('retry'), with what pays for it (the fraction of the window's requests, the burst, or nothing since no byte was sent), and with the counts of the window; 'no-retry' has the same counts, 'vms' the share. No decision changes.

--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -149,7 +149,7 @@
 	}
 	c.d.news.SetPeers(peers)
 	c.d.allowances.SetVMs(names)
-	c.d.Log.State("vms").Int("count", len(c.records)).Send()
+	c.d.Log.State("vms").Int("count", len(c.records)).Float64("retry_burst", c.d.budgets.Share()).Send()
 }
 
 // listedPoll is the interval at which a starting VM checks whether the list has been read.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -111,15 +111,32 @@
 		return false // the crash of this attempt may have quarantined the request
 	case err.Outcome != outcome.NotRun && r.guard.Suspected():
 		return false // it may have crashed the replica, and would crash the next one
-	case !nothingSent(err) && !r.f.Budgets.Of(r.service).Withdraw():
-		r.f.Stats.BudgetEmpty.Add(1)
-		r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").Send()
+	case !r.withdraw(err):
 		return false
 	}
 	r.f.Stats.Retries.Add(1)
 	return true
 }
 
+// withdraw takes a retry out of the service's retry budget, unless the failed send ended before any byte was
+// sent, and logs what pays for it. It returns false if the budget is used up.
+func (r *run) withdraw(err *outcome.Error) bool {
+	if nothingSent(err) {
+		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", "nothing: no byte was sent").Send()
+		return true
+	}
+	a := r.f.Budgets.Of(r.service).Spend()
+	if a.Allowed() {
+		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", string(a.Source)).
+			Int("window_requests", a.Requests).Int("window_retries", a.Retries).Float64("burst", a.Burst).Send()
+		return true
+	}
+	r.f.Stats.BudgetEmpty.Add(1)
+	r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").
+		Int("window_requests", a.Requests).Int("window_retries", a.Retries).Float64("burst", a.Burst).Send()
+	return false
+}
+
 // repeatable reports whether the call may run again after an attempt that may have run.
 func (r *run) repeatable() bool { return r.route.Repeatable() && r.attempts < r.route.Attempts }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -54,16 +54,51 @@
 	b.requests[b.advance()]++
 }
 
+// Source says which part of a budget pays for a retry.
+type Source string
+
+// Sources of retries.
+const (
+	FromRequests Source = "requests" // the fraction of the window's requests
+	FromBurst    Source = "burst"
+	Exhausted    Source = "none" // the retry is not allowed
+)
+
+// Account is the state of a budget when a retry was asked for.
+type Account struct {
+	Source   Source
+	Requests int     // in the window
+	Retries  int     // in the window, without the one that was asked for
+	Burst    float64 // retries that the burst allows
+}
+
+// Allowed reports whether the retry may be made.
+func (a *Account) Allowed() bool { return a.Source != Exhausted }
+
 // Withdraw takes one retry out of the budget. It returns false if the budget is empty.
 func (b *Budget) Withdraw() bool {
+	a := b.Spend()
+	return a.Allowed()
+}
+
+// Spend does the same as Withdraw, and tells which part of the budget pays.
+func (b *Budget) Spend() Account {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.advance()
-	if b.remaining() < 1 {
-		return false
+	requests, retries := b.counts()
+	a := Account{Source: Exhausted, Requests: requests, Retries: retries, Burst: b.burst}
+	fraction := b.ratio*float64(requests) - float64(retries)
+	switch {
+	case fraction >= 1:
+		a.Source = FromRequests
+	case fraction+b.burst >= 1:
+		a.Source = FromBurst
+	default:
+		return a
 	}
 	b.retries[slot]++
-	return true
+	return a
 }
 
 // SetBounds changes the ratio of retries to requests, and the burst.
@@ -83,7 +118,12 @@
 
 // remaining implements Remaining. The caller holds mu and has called advance.
 func (b *Budget) remaining() float64 {
-	requests, retries := 0, 0
+	requests, retries := b.counts()
+	return b.ratio*float64(requests) + b.burst - float64(retries)
+}
+
+// counts returns the requests and the retries of the window. The caller holds mu and has called advance.
+func (b *Budget) counts() (requests, retries int) {
 	oldest := (b.newest + 1) % int64(len(b.requests))
 	for i := range b.requests {
 		retries += b.retries[i]
@@ -91,7 +131,7 @@
 			requests += b.requests[i]
 		}
 	}
-	return b.ratio*float64(requests) + b.burst - float64(retries)
+	return requests, retries
 }
 
 // advance clears the slots that have expired and returns the index of the current one. The
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// Share returns this VM's share of the burst, for each service.
+func (s *ServiceBudgets) Share() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.share()
+}
+
 // share returns this VM's share of the burst. The caller holds mu.
 func (s *ServiceBudgets) share() float64 { return s.burst / float64(s.vms) }
 
