Logs: since when and by which rule a VM waits for a replica's entry

A VM that kept a replica whose entry was missing said so only when the wait was over. 'replica-missing' and 'replica-returned' are logged now, and 'replica-gone' says how long the entry was missing. No decision changes.

--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -151,6 +151,7 @@
 	}
 	rec := &record{Record: n, hash: routing.HashTarget(id)}
 	rec.rendezvousWeight = routing.RendezvousWeight(rec.hash, r.Subset.hash())
+	r.logReturn(old)
 	switch {
 	case old == nil:
 	case n.Incarnation > old.Incarnation:
@@ -175,6 +176,14 @@
 	return id, true
 }
 
+// logReturn logs that the entry of a replica is listed again, if it was missing.
+func (r *Replicas) logReturn(old *record) {
+	if old == nil || old.missingAt.IsZero() {
+		return
+	}
+	r.Log.State("replica-returned").Str("target", old.ID).Int64("missing_ms", clock.Since(old.missingAt).Milliseconds()).Send()
+}
+
 // isLogged reports whether changes of an entry are logged: in a large fleet only those of active
 // replicas. The caller holds the lock.
 func (r *Replicas) isLogged(old *record) bool {
@@ -238,7 +247,10 @@
 	rec.missingAt = now
 	if now.Sub(r.regainedAt) >= r.ReturnGrace {
 		r.drop(id, "its entry was removed")
+		return
 	}
+	r.Log.State("replica-missing").Str("target", string(id)).Str("rule", "its entry may have expired in an outage of the store").
+		Int64("store_back_ms", now.Sub(r.regainedAt).Milliseconds()).Int64("waits_ms", r.ReturnGrace.Milliseconds()).Send()
 }
 
 // Sweep drops replicas whose entries did not reappear within ReturnGrace, and takes back those whose
@@ -264,12 +276,13 @@
 
 // drop removes a replica that is gone. The caller holds the lock.
 func (r *Replicas) drop(id ids.Target, reason string) {
+	missing := clock.Since(r.records[id].missingAt)
 	r.restored.drop(id, r.records[id].Incarnation)
 	r.directory.replace(id, r.records[id], nil)
 	delete(r.records, id)
 	r.Fleet.Members.Remove(id)
 	r.OnGone(id)
-	r.Log.State("replica-gone").Str("target", string(id)).Str("reason", reason).Send()
+	r.Log.State("replica-gone").Str("target", string(id)).Str("reason", reason).Int64("missing_ms", missing.Milliseconds()).Send()
 }
 
 // SetWeights records the weights of a replica as reported by a source other than its entry.
