Retry budget: VMs divide the burst by a list that they agree on, and a restarted VM waits for a window

Cause: retry.ServiceBudgets gave each process burst / VMs in a window that started empty, so each start of all VMs renewed the whole burst; a process counted itself as the only VM until the list was read, and by an old list while it was cut off. Log line retry-share, field retry_share of the status. No call of the store is added. TestServicesShareTheBurst is replaced by TestVMsShareTheBurst, which asks for the same shares of VMs that have heard each other; two tests give their budgets a list of one VM.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"runtime"
 	"sync/atomic"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/allowance"
 	"github.com/threadwall/threadwall/internal/canary"
@@ -36,6 +37,25 @@
 	LostLinks     []ids.Target              `json:"lost_links,omitempty"` // targets that this VM reaches through peers only
 	Slow          []loadview.SlowTarget     `json:"slow,omitempty"`       // targets that count as slow here
 	Demand        []demand.Status           `json:"demand,omitempty"`     // load of each service on all VMs
+	RetryShare    retryShare                `json:"retry_share"`          // this VM's part of the fleet's retry burst
+}
+
+// retryShare is this VM's part of the retry burst.
+type retryShare struct {
+	VMs     int     `json:"vms"`                  // that divide the burst; zero: this VM has no part
+	Retries float64 `json:"retries"`              // in each window, for each service
+	Waits   string  `json:"waits,omitempty"`      // why this VM has no part
+	AtMost  string  `json:"waits_most,omitempty"` // how long it still waits at most, as a Go duration; empty: until the store answers
+}
+
+// retryShareStatus returns the retry share for the status.
+func (d *Daemon) retryShareStatus(now time.Time) retryShare {
+	s := d.budgets.Share()
+	out := retryShare{VMs: s.VMs, Retries: s.Retries, Waits: s.Wait.Reason}
+	if !s.Wait.Until.IsZero() {
+		out.AtMost = s.Wait.Until.Sub(now).String()
+	}
+	return out
 }
 
 // Status returns this VM's current state.
@@ -46,7 +66,7 @@
 		VM: d.Settings.VM, FailureDomain: d.Settings.FailureDomain, Ready: ready, Reason: reason, StoreSource: d.reader.Source(), StoreEra: d.vms.era(),
 		ProofAge: d.Catalog.ProofAge(now).String(), InFlight: d.Forward.InFlight(), Targets: d.Fleet.Members.Targets(now),
 		Limits: d.Fleet.Members.Limits.Status(), Canaries: d.Forward.Software.Records(), LostLinks: d.links.LostLinks(), Slow: d.Fleet.Load.SlowTargets(now),
-		Demand: d.demandStatus(),
+		Demand: d.demandStatus(), RetryShare: d.retryShareStatus(now),
 	}
 	if c := d.Catalog.Get(); c != nil {
 		s.Catalog = c.Version
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -22,6 +22,8 @@
 	logEvery     = time.Second
 	sweepEvery   = 250 * time.Millisecond
 	forgetEvery  = 10 * time.Second
+	// retryShareEvery is how often a VM checks whether its part of the retry burst has changed.
+	retryShareEvery = 200 * time.Millisecond
 	// holderEvery is how often the lease holder renews the lease; otherEvery is the mean interval
 	// at which other VMs read it.
 	holderEvery = 700 * time.Millisecond
@@ -71,6 +73,7 @@
 		"forget":        every(forgetEvery, func() { d.crashes.Sweep(); d.badParts.Sweep() }),
 		"log":           every(logEvery, d.Log.ReportDropped),
 		"usage":         every(usageEvery, d.logUsage),
+		"retry-share":   every(retryShareEvery, d.retryShareLog()),
 		"paces":         every(paceLogEvery, d.paceLog()),
 		"demand":        d.watchDemand,
 		"feeds":         d.feeds.Run,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -224,7 +224,7 @@
 		Fleet: fleet.New(membership.New(s.VM, tuning), cacheview.New(cacheViewCapacity, nil),
 			loadview.New(), policy, nil),
 		store:   &objectapi.CountingStore{Store: o.Adapter.Store},
-		budgets: retry.NewServiceBudgets(s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D()),
+		budgets: retry.NewServiceBudgets(s.VM, s.Edge.RetryRatio*budgetUse, s.Edge.RetryBurst*budgetUse, s.Edge.RetryWindow.D(), vmListTTL, nil),
 	}
 	if n, ok := o.Adapter.Store.(objectapi.EraNotifier); ok {
 		n.NotifyEra(func(era objectapi.Era) { d.Log.State("store-era").Uint64("era", uint64(era)).Send() })
@@ -236,6 +236,10 @@
 	return d, nil
 }
 
+// vmListTTL is the largest age of the list of VMs by which this VM spends of the fleet's retry burst. The age of a
+// list reaches twice the wait of its watch.
+const vmListTTL = 2*watchWait + 2*time.Second
+
 // budgetUse is the fraction of the retry budget that is used, since attempts that this VM counts
 // as failed dials may have reached their replica.
 const budgetUse = 0.8
@@ -314,7 +318,7 @@
 		},
 		OnStoreDown: func(addr string) { d.Forward.KV.StoreDown(addr, true, clock.Now()) },
 		PrefillRate: prefillRate,
-		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams, Demand: d.demand,
+		LeaseLapse:  d.leaseLapse, OnLeaseLapse: d.onLeaseLapse, Crashes: d.crashes, Parts: d.badParts, Allowances: d.allowances, Streams: d.streams, Demand: d.demand, Budgets: d.budgets,
 		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit, Credit: d.Fleet.Members.Limits,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -9,8 +9,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/durations"
+	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/settings"
 )
 
@@ -50,6 +53,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.budgets.EntryCreated(1)
+	d.budgets.SetList(retry.List{VMs: []ids.VM{"a"}, Revision: 1, Sent: clock.Now(), OwnEntry: 1})
 	bad = eris.New("a comma is missing")
 	d.reload()
 	if ttl := d.Forward.KeyTTL.Load(); ttl != int64(5*time.Second-keyMargin) {
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -200,10 +200,9 @@
 // a list this VM reads the store itself.
 func (d *Daemon) listVMs(ctx context.Context) {
 	for range listAttempts {
-		sent := clock.Now()
 		objects, rev, err := d.store.List(objectapi.WithStale(ctx), prefixVMs)
 		if err == nil {
-			d.vms.Listed(objects, follow.At{Revision: rev, Sent: sent, Answered: clock.Now()}, false)
+			d.vms.Listed(objects, follow.At{Revision: rev, Answered: clock.Now()}, false) // without Sent: a stale list proves no state
 			return
 		}
 		if !timing.Sleep(ctx, listPause/2+rand.N(listPause)) {
--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -17,6 +17,7 @@
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/news"
 	"github.com/threadwall/threadwall/internal/objectapi"
+	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/timing"
 )
@@ -74,6 +75,9 @@
 // writeEntry creates the object at key, or updates it if its value differs, and returns its revision.
 func (d *Daemon) writeEntry(ctx context.Context, key string, value []byte) (objectapi.Revision, error) {
 	rev, err := d.store.Create(ctx, key, value)
+	if err == nil {
+		d.budgets.EntryCreated(rev)
+	}
 	if !errors.Is(err, objectapi.ErrExists) {
 		return rev, err
 	}
@@ -95,6 +99,8 @@
 	records map[string]vmRecord // by key; nil: the list has not been read yet
 	at      objectapi.Revision  // of the latest response
 	listed  map[string]bool     // keys of the entries that the store has
+	// ownEntry is the revision of this VM's entry; zero: the store does not have it.
+	ownEntry objectapi.Revision
 	// restoredAt is when the store came back from an older copy, which may lack entries.
 	restoredAt time.Time
 	// alive is the latest snapshot of the live VMs; nil: none yet.
@@ -115,7 +121,7 @@
 	if c.records == nil || clock.Since(c.restoredAt) >= returnGrace {
 		c.records = map[string]vmRecord{}
 	}
-	c.listed = map[string]bool{}
+	c.listed, c.ownEntry = map[string]bool{}, 0
 	c.mu.Unlock()
 	c.Changed(objects, at)
 }
@@ -126,11 +132,18 @@
 	defer c.mu.Unlock()
 	c.at = max(c.at, at.Revision)
 	for _, o := range events {
+		own := o.Key == prefixVMs+string(c.d.Settings.VM)
 		if o.Deleted {
 			delete(c.records, o.Key)
 			delete(c.listed, o.Key)
+			if own {
+				c.ownEntry = 0
+			}
 			continue
 		}
+		if own {
+			c.ownEntry = o.Version
+		}
 		var r vmRecord
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			c.d.Log.State("vm-rejected").Str("key", o.Key).Str("error", err.Error()).Send()
@@ -138,7 +151,7 @@
 		}
 		c.records[o.Key], c.listed[o.Key] = r, true
 	}
-	c.d.budgets.SetVMs(len(c.records))
+	c.d.budgets.SetList(c.budgetList(at))
 	c.d.Fleet.SetPeerCount(len(c.records) - 1)
 	c.d.demand.SetListed(len(c.records))
 	names := make([]ids.VM, 0, len(c.records))
@@ -149,7 +162,17 @@
 	}
 	c.d.news.SetPeers(peers)
 	c.d.allowances.SetVMs(names)
-	c.d.Log.State("vms").Int("count", len(c.records)).Float64("retry_burst", c.d.budgets.Share()).Send()
+	c.d.Log.State("vms").Int("count", len(c.records)).Send()
+}
+
+// budgetList returns the list for the division of the retry burst: what the store has, without the entries that are only
+// awaited. The caller holds mu.
+func (c *vmList) budgetList(at follow.At) retry.List {
+	l := retry.List{Revision: at.Revision, Sent: at.Sent, OwnEntry: c.ownEntry}
+	for key := range c.listed {
+		l.VMs = append(l.VMs, c.records[key].VM)
+	}
+	return l
 }
 
 // listedPoll is the interval at which a starting VM checks whether the list has been read.
@@ -182,6 +205,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.at = max(c.at, at.Revision)
+	c.d.budgets.ConfirmList(at.Revision, at.Sent)
 }
 
 // domainOf returns the failure domain of the VM with the peer address addr.
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -196,9 +196,12 @@
 	fl := fleet.New(membership.New("vm", tuning), cacheview.New(1024, nil), loadview.New(), routing.NewFetching(), nil)
 	fl.Members.ApplyPlatform(records(replicas...), time.Now())
 	fl.Refresh()
+	budgets := retry.NewServiceBudgets("vm", 1, 100, time.Second, 0, nil)
+	budgets.EntryCreated(1)
+	budgets.SetList(retry.List{VMs: []ids.VM{"vm"}, Revision: 1, Sent: time.Now(), OwnEntry: 1})
 	f := &Forwarder{
 		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(2 * time.Second), Dialect: plainDialect{},
-		Budgets: retry.NewServiceBudgets(1, 100, time.Second), KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
+		Budgets: budgets, KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
 		ObserveWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxBodyMemory: 1 << 20, MaxInFlight: 100},
 	}
 	f.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Routes: []catalog.Route{r}}))
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/kvcache"
@@ -126,15 +128,16 @@
 		return true
 	}
 	a := r.f.Budgets.Of(r.service).Spend()
+	var line *zerolog.Event
 	if a.Allowed() {
-		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", string(a.Source)).
-			Int("window_requests", a.Requests).Int("window_retries", a.Retries).Float64("burst", a.Burst).Send()
-		return true
+		line = r.f.Log.Request("retry", string(r.call.ID)).Str("paid_from", string(a.Source))
+	} else {
+		r.f.Stats.BudgetEmpty.Add(1)
+		line = r.f.Log.Request("no-retry", string(r.call.ID)).Str("reason", "the retry budget is used up")
 	}
-	r.f.Stats.BudgetEmpty.Add(1)
-	r.f.Log.Request("no-retry", string(r.call.ID)).Str("service", r.service).Str("reason", "the retry budget is used up").
-		Int("window_requests", a.Requests).Int("window_retries", a.Retries).Float64("burst", a.Burst).Send()
-	return false
+	line.Str("service", r.service).Int("window_requests", a.Requests).Int("window_retries", a.Retries).
+		Float64("burst", a.Burst).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
+	return a.Allowed()
 }
 
 // repeatable reports whether the call may run again after an attempt that may have run.
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -36,6 +36,7 @@
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/ratelimit"
+	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/timing"
 	"github.com/threadwall/threadwall/internal/traffic"
@@ -92,6 +93,8 @@
 	Streams *streams.Message
 	// Demand holds the sums of this VM's calls. Nil: as in its previous report.
 	Demand *demand.Report
+	// Budget is what this VM says of its part of the retry budgets' burst. Nil: nothing that a VM waits for.
+	Budget *retry.Statement
 	// Report and Total carry the state of several VMs in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -210,6 +213,8 @@
 	// Demand counts the calls of all VMs. Nil: the exchange sends no sums of this VM's calls, and
 	// ignores those of others, which it forwards over the tree.
 	Demand *demand.Tracker
+	// Budgets are the retry budgets, whose burst the VMs divide. Nil: the exchange sends and receives no statements of them.
+	Budgets *retry.ServiceBudgets
 	// Streams is the directory of where streams began. Nil: the exchange ignores messages about it.
 	Streams *streams.Directory
 	// PrefillRate is the assumed prefill rate of targets, in tokens/s. Zero: no round starts early.
@@ -384,6 +389,7 @@
 		x.OnCanaryReports(m.VM, m.Incarnation, m.Canaries)
 		return
 	}
+	x.Budgets.Receive(m.VM, m.Budget)
 	if m.Report != nil || m.Total != nil {
 		x.handleDigest(&m, clock.Now())
 		return
@@ -491,8 +497,8 @@
 // maxSkippedRounds consecutive rounds that have nothing to send.
 func (x *Exchange) sendOwnLoads() {
 	loads := x.ownLoads()
-	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking(), Paces: x.Load.OwnPaces(clock.Now())}
-	if len(loads) == 0 && len(m.Paces) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && x.skippedRounds < maxSkippedRounds {
+	m := Message{Loads: loads, Unresponsive: x.Unresponsive(), RecentWeights: x.RecentWeights(), LeaseLapse: x.LeaseLapse(), Parts: x.Parts.DueReports(len(x.peerList())), Crashes: x.Crashes.DueReports(len(x.peerList())), Uses: x.Allowances.OwnUse(), Limits: x.Limits(), Lacking: x.lacking(), Paces: x.Load.OwnPaces(clock.Now()), Budget: x.Budgets.Statement()}
+	if len(loads) == 0 && len(m.Paces) == 0 && len(m.Uses) == 0 && x.lastLoads == 0 && len(m.Unresponsive) == 0 && len(m.RecentWeights) == 0 && m.LeaseLapse == nil && len(m.Crashes) == 0 && len(m.Parts) == 0 && len(m.Limits) == 0 && len(m.Lacking) == 0 && m.Budget == nil && x.skippedRounds < maxSkippedRounds {
 		x.skippedRounds++
 		return
 	}
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -14,6 +14,7 @@
 	"github.com/threadwall/threadwall/internal/prefix"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/ratelimit"
+	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/streams"
 )
@@ -58,6 +59,8 @@
 	EarlySeq uint64                 `cbor:"24,keyasint,omitempty"`
 	Demand   *lenient[packedReport] `cbor:"22,keyasint,omitempty"`
 	Paces    []wirePace             `cbor:"23,keyasint,omitempty"`
+
+	Budget *retry.Statement `cbor:"25,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -90,8 +93,8 @@
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
 		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts, Grants: m.Grants,
-		EarlySeq: m.EarlySeq,
-		Demand:   lenientOf((*packedReport)(m.Demand)),
+		EarlySeq: m.EarlySeq, Budget: m.Budget,
+		Demand: lenientOf((*packedReport)(m.Demand)),
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, wireLoad{Target: shorten(l.Target), InFlight: l.InFlight, Pending: l.Pending, NotResumable: l.NotResumable})
@@ -120,8 +123,8 @@
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
 		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts, Grants: w.Grants,
-		EarlySeq: w.EarlySeq,
-		Demand:   (*demand.Report)(w.Demand.get()),
+		EarlySeq: w.EarlySeq, Budget: w.Budget,
+		Demand: (*demand.Report)(w.Demand.get()),
 	}
 	m.Paces = fromWirePaces(w.Paces, resolve)
 	m.Report.restoreNumbers()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -20,6 +20,7 @@
 	window time.Duration
 	now    func() time.Time
 	start  time.Time
+	fleet  *ServiceBudgets // gives the burst; nil: it is constant
 
 	mu    sync.Mutex
 	ratio float64
@@ -70,6 +71,10 @@
 	Requests int     // in the window
 	Retries  int     // in the window, without the one that was asked for
 	Burst    float64 // retries that the burst allows
+	// VMs is the number of VMs by which the burst is divided; zero: it is not, or this VM has no share.
+	VMs int
+	// Wait is why this VM has no share of the burst.
+	Wait Wait
 }
 
 // Allowed reports whether the retry may be made.
@@ -86,14 +91,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.advance()
+	share := b.share()
 	requests, retries := b.counts()
-	a := Account{Source: Exhausted, Requests: requests, Retries: retries, Burst: b.burst}
+	a := Account{Source: Exhausted, Requests: requests, Retries: retries, Burst: share.Retries, VMs: share.VMs, Wait: share.Wait}
 	fraction := b.ratio*float64(requests) - float64(retries)
 	switch {
 	case fraction >= 1:
 		a.Source = FromRequests
-	case fraction+b.burst >= 1:
+	case fraction+share.Retries >= 1:
 		a.Source = FromBurst
+		if b.fleet != nil {
+			b.fleet.spend(share.VMs)
+		}
 	default:
 		return a
 	}
@@ -101,6 +110,14 @@
 	return a
 }
 
+// share returns the burst in force. The caller holds mu.
+func (b *Budget) share() Share {
+	if b.fleet == nil {
+		return Share{Retries: b.burst}
+	}
+	return b.fleet.Share()
+}
+
 // SetBounds changes the ratio of retries to requests, and the burst.
 func (b *Budget) SetBounds(ratio, burst float64) {
 	b.mu.Lock()
@@ -119,7 +136,7 @@
 // remaining implements Remaining. The caller holds mu and has called advance.
 func (b *Budget) remaining() float64 {
 	requests, retries := b.counts()
-	return b.ratio*float64(requests) + b.burst - float64(retries)
+	return b.ratio*float64(requests) + b.share().Retries - float64(retries)
 }
 
 // counts returns the requests and the retries of the window. The caller holds mu and has called advance.
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -73,16 +73,3 @@
 		t.Fatalf("%v retries remain after a window without requests, want 5 (the burst)", remaining)
 	}
 }
-
-// TestServicesShareTheBurst checks that the VMs' shares of the burst add up to it.
-func TestServicesShareTheBurst(t *testing.T) {
-	s := NewServiceBudgets(0.2, 40, 10*time.Second)
-	s.SetVMs(8)
-	if remaining := s.Of("svc").Remaining(); remaining != 5 {
-		t.Fatalf("one of 8 VMs may retry %v times, want 5", remaining)
-	}
-	s.SetVMs(4)
-	if remaining := s.Of("svc").Remaining(); remaining != 10 {
-		t.Fatalf("one of 4 VMs may retry %v times, want 10", remaining)
-	}
-}
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -1,64 +1,126 @@
 package retry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
 )
 
-// ServiceBudgets holds one budget per service: this VM's share of a budget for the whole
+// ServiceBudgets holds one budget per service: this VM's part of a budget for the whole
 // fleet. Safe for concurrent use.
 //
-// In any window all VMs together make at most ratio retries per request, plus burst: each VM
-// counts only the requests that it received itself, and burst is divided by the number of
-// VMs. A VM behind a network partition keeps its share, so a partition can't raise the sum.
+// In any window all VMs together make at most ratio retries per request, plus burst. Each process
+// counts only the requests that it received itself, and the burst is divided between the VMs (share).
+// Neither restarts nor partitions raise the sum.
 type ServiceBudgets struct {
 	window time.Duration
+	now    func() time.Time
 
 	mu      sync.Mutex
 	ratio   float64
 	burst   float64
-	vms     int
+	share   *share
 	budgets map[string]*Budget
 }
 
 // NewServiceBudgets returns budgets of ratio retries per request, plus burst over all VMs, in
-// any window.
-func NewServiceBudgets(ratio, burst float64, window time.Duration) *ServiceBudgets {
-	return &ServiceBudgets{ratio: ratio, burst: burst, window: window, vms: 1, budgets: map[string]*Budget{}}
+// any window. listTTL is the largest age of the list of VMs by which this VM spends of the burst. A nil now means clock.Now.
+func NewServiceBudgets(vm ids.VM, ratio, burst float64, window, listTTL time.Duration, now func() time.Time) *ServiceBudgets {
+	if now == nil {
+		now = clock.Now
+	}
+	return &ServiceBudgets{
+		window: window, now: now, ratio: ratio, burst: burst, share: newShare(vm, window, listTTL, now()), budgets: map[string]*Budget{},
+	}
 }
 
-// SetVMs sets how many VMs share the budgets; values below 1 count as 1.
-func (s *ServiceBudgets) SetVMs(n int) {
+// SetList applies a reading of the list of VMs.
+func (s *ServiceBudgets) SetList(l List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = max(n, 1)
-	s.update()
+	s.share.setList(l, s.now())
 }
 
-// SetBounds changes the ratio, and the burst of the whole fleet.
-func (s *ServiceBudgets) SetBounds(ratio, burst float64) {
+// ConfirmList records that nothing has changed on the list up to a revision, as proved by a call
+// that was sent at a time.
+func (s *ServiceBudgets) ConfirmList(rev objectapi.Revision, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ratio, s.burst = ratio, burst
-	s.update()
+	s.share.confirm(rev, sent)
+}
+
+// EntryCreated records that this process has created this VM's entry, which did not exist before.
+func (s *ServiceBudgets) EntryCreated(rev objectapi.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share.create(rev)
+}
+
+// Statement returns what to tell the other VMs; nil: nothing. A nil receiver says nothing.
+func (s *ServiceBudgets) Statement() *Statement {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.share.statement(s.now())
+}
+
+// Receive applies the statement of another VM. It does nothing if the receiver or the statement is nil.
+func (s *ServiceBudgets) Receive(vm ids.VM, st *Statement) {
+	if s == nil || st == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share.receive(vm, st, s.now())
+}
+
+// Share is this VM's part of the burst, for each service.
+type Share struct {
+	Retries float64 // in each window
+	VMs     int     // by which the burst is divided; zero: this VM has no share
+	Wait    Wait    // why not
+}
+
+// Share returns this VM's part of the burst.
+func (s *ServiceBudgets) Share() Share {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shareAt(s.now())
 }
 
-// update applies the bounds to all budgets. The caller holds mu.
-func (s *ServiceBudgets) update() {
-	for _, b := range s.budgets {
-		b.SetBounds(s.ratio, s.share())
+// shareAt implements Share. The caller holds mu.
+func (s *ServiceBudgets) shareAt(now time.Time) Share {
+	n, wait := s.share.count(now)
+	if n == 0 {
+		return Share{Wait: wait}
 	}
+	return Share{Retries: s.burst / float64(n), VMs: n}
 }
 
-// Share returns this VM's share of the burst, for each service.
-func (s *ServiceBudgets) Share() float64 {
+// spend records that a budget has spent part of the burst.
+func (s *ServiceBudgets) spend(count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.share()
+	s.share.spend(count, s.now())
 }
 
-// share returns this VM's share of the burst. The caller holds mu.
-func (s *ServiceBudgets) share() float64 { return s.burst / float64(s.vms) }
+// SetBounds changes the ratio, and the burst of the whole fleet.
+func (s *ServiceBudgets) SetBounds(ratio, burst float64) {
+	s.mu.Lock()
+	s.ratio, s.burst = ratio, burst
+	budgets := slices.Collect(maps.Values(s.budgets))
+	s.mu.Unlock()
+	for _, b := range budgets {
+		b.SetBounds(ratio, 0)
+	}
+}
 
 // Of returns the budget of a service, and creates it at first use.
 func (s *ServiceBudgets) Of(service string) *Budget {
@@ -66,7 +128,8 @@
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = NewBudget(s.ratio, s.share(), s.window, nil)
+		b = NewBudget(s.ratio, 0, s.window, s.now)
+		b.fleet = s
 		s.budgets[service] = b
 	}
 	return b
--- /dev/null
+++ b/internal/retry/share_test.go
@@ -0,0 +1,341 @@
+package retry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/objectapi"
+)
+
+// Values of these tests.
+const (
+	testWindow  = 10 * time.Second
+	testListTTL = 12 * time.Second
+)
+
+// testFleet is a fleet of VMs that divide a burst, and the store that has their list. Everything happens in
+// virtual time.
+type testFleet struct {
+	ratio, burst float64
+	now          time.Time
+	rev          objectapi.Revision
+	entries      map[ids.VM]objectapi.Revision // in the store
+	processes    []*testProcess                // all that ever ran
+	running      map[ids.VM]*testProcess
+}
+
+// testProcess is one process of a VM.
+type testProcess struct {
+	vm      ids.VM
+	budgets *ServiceBudgets
+	cut     bool      // it reaches neither the store nor its peers
+	sent    time.Time // when its pending read of the list was sent; zero: there is none
+	answer  *List     // of the pending read; nil: the store has not answered
+	inbox   []testMessage
+	// Times of its requests, and of its retries.
+	requests, retries []time.Time
+}
+
+type testMessage struct {
+	from ids.VM
+	Statement
+}
+
+func newTestFleet(ratio, burst float64) *testFleet {
+	return &testFleet{ratio: ratio, burst: burst, now: time.Unix(1000, 0), entries: map[ids.VM]objectapi.Revision{}, running: map[ids.VM]*testProcess{}}
+}
+
+func (f *testFleet) start(vm ids.VM) *testProcess {
+	p := &testProcess{vm: vm, budgets: NewServiceBudgets(vm, f.ratio, f.burst, testWindow, testListTTL, func() time.Time { return f.now })}
+	f.processes = append(f.processes, p)
+	f.running[vm] = p
+	return p
+}
+
+// answerRead has the store answer the pending read of p.
+func (f *testFleet) answerRead(p *testProcess) {
+	l := List{Revision: f.rev, Sent: p.sent, OwnEntry: f.entries[p.vm]}
+	l.VMs = slices.Collect(maps.Keys(f.entries))
+	p.answer = &l
+}
+
+// applyRead has p handle the answer of its pending read.
+func (p *testProcess) applyRead() {
+	p.budgets.SetList(*p.answer)
+	p.sent, p.answer = time.Time{}, nil
+}
+
+// read has p read the list without delay.
+func (f *testFleet) read(p *testProcess) {
+	p.sent = f.now
+	f.answerRead(p)
+	p.applyRead()
+}
+
+// register has p create its entry. If the answer is lost, p doesn't know that it has.
+func (f *testFleet) register(p *testProcess, answerLost bool) {
+	if f.entries[p.vm] != 0 {
+		return
+	}
+	f.rev++
+	f.entries[p.vm] = f.rev
+	if !answerLost {
+		p.budgets.EntryCreated(f.rev)
+	}
+}
+
+// state has p send its statement, if it has one, to all others.
+func (f *testFleet) state(p *testProcess) {
+	st := p.budgets.Statement()
+	if st == nil {
+		return
+	}
+	for _, other := range f.running {
+		if other != p && !other.cut && !p.cut {
+			other.inbox = append(other.inbox, testMessage{p.vm, *st})
+		}
+	}
+}
+
+// receive has p handle the messages that it has received.
+func (p *testProcess) receive() {
+	for _, m := range p.inbox {
+		p.budgets.Receive(m.from, &m.Statement)
+	}
+	p.inbox = nil
+}
+
+// exchange lets all VMs that are not cut off exchange statements.
+func (f *testFleet) exchange() {
+	for range 2 {
+		for _, vm := range slices.Sorted(maps.Keys(f.running)) {
+			f.state(f.running[vm])
+		}
+		for _, vm := range slices.Sorted(maps.Keys(f.running)) {
+			f.running[vm].receive()
+		}
+	}
+}
+
+// converge lets all VMs that are not cut off read the list and exchange statements.
+func (f *testFleet) converge() {
+	for range 4 {
+		for _, vm := range slices.Sorted(maps.Keys(f.running)) {
+			if p := f.running[vm]; !p.cut {
+				f.register(p, false)
+				f.read(p)
+				p.receive()
+				f.state(p)
+			}
+		}
+	}
+}
+
+func (f *testFleet) request(p *testProcess) {
+	p.budgets.Of("svc").Deposit()
+	p.requests = append(p.requests, f.now)
+}
+
+// retry has p retry if it may.
+func (f *testFleet) retry(p *testProcess) bool {
+	if !p.budgets.Of("svc").Withdraw() {
+		return false
+	}
+	p.retries = append(p.retries, f.now)
+	return true
+}
+
+// exceeded returns the retries of the window that ends now and how many are allowed: the burst, and for
+// each process the fraction of its requests in the window that ended with its last retry.
+func (f *testFleet) exceeded() (got int, allowed float64) {
+	allowed = f.burst
+	for _, p := range f.processes {
+		n := within(p.retries, f.now)
+		if n == 0 {
+			continue
+		}
+		got += n
+		allowed += f.ratio * float64(within(p.requests, p.retries[len(p.retries)-1]))
+	}
+	return got, allowed
+}
+
+// within counts the times in the window that ends at end.
+func within(times []time.Time, end time.Time) (n int) {
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < testWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFleetKeepsBudget generates random kills, restarts, joins, departures, cuts, suspensions, lost and late
+// messages, and a store that comes back from older copies. In each window that ends with a retry all VMs
+// together keep the budget.
+func TestFleetKeepsBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newTestFleet(rapid.SampledFrom([]float64{0, 0.2}).Draw(rt, "ratio"), float64(rapid.IntRange(2, 30).Draw(rt, "burst")))
+		copied := maps.Clone(f.entries)
+		suspended := map[ids.VM]bool{}
+		for range rapid.IntRange(1, 250).Draw(rt, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 300, 2500, 10100, 12100}).Draw(rt, "pause")) * time.Millisecond)
+			vm := ids.VM(fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(rt, "vm")))
+			p := f.running[vm]
+			action := rapid.SampledFrom(fleetActions).Draw(rt, "action")
+			switch {
+			case action == "start" && p == nil:
+				f.start(vm)
+			case action == "restore":
+				f.rev = objectapi.StartOf(f.rev.Era()+1) + f.rev - objectapi.StartOf(f.rev.Era()) + 1
+				f.entries = maps.Clone(copied)
+			case action == "copy":
+				copied = maps.Clone(f.entries)
+			case action == "converge":
+				f.converge()
+			case action == "exchange":
+				f.exchange()
+			case action == "remove" && p == nil: // operators remove the entries of VMs that are gone
+				f.rev++
+				delete(f.entries, vm)
+			case p == nil:
+			case action == "spend":
+				for f.retry(p) {
+					if got, allowed := f.exceeded(); float64(got) > allowed+1e-9 {
+						rt.Fatalf("%d retries in the window, %.1f are allowed", got, allowed)
+					}
+				}
+			case suspended[vm] && action != "kill":
+				suspended[vm] = action != "resume"
+			default:
+				f.act(rt, p, action, suspended)
+			}
+		}
+	})
+}
+
+var fleetActions = []string{
+	"start", "start", "kill", "kill all", "remove", "restore", "copy", "converge", "exchange", "exchange", "spend", "spend", "spend", "request",
+	"cut", "heal", "suspend", "resume", "register", "register, answer lost", "register and read", "read", "read", "send read", "answer read", "apply read", "state", "receive", "lose messages",
+}
+
+// act carries out an action of a running process.
+func (f *testFleet) act(rt *rapid.T, p *testProcess, action string, suspended map[ids.VM]bool) {
+	switch action {
+	case "kill":
+		delete(f.running, p.vm)
+		delete(suspended, p.vm)
+	case "kill all":
+		for vm := range f.running {
+			f.start(vm)
+			delete(suspended, vm)
+		}
+	case "request":
+		for range rapid.IntRange(1, 30).Draw(rt, "requests") {
+			f.request(p)
+		}
+	case "cut", "heal":
+		p.cut = action == "cut"
+	case "suspend":
+		suspended[p.vm] = true
+	case "register", "register, answer lost":
+		if !p.cut {
+			f.register(p, action != "register")
+		}
+	case "register and read":
+		if !p.cut {
+			f.register(p, false)
+			f.read(p)
+		}
+	case "read":
+		if !p.cut {
+			f.read(p)
+		}
+	case "send read":
+		p.sent, p.answer = f.now, nil
+	case "answer read":
+		if !p.sent.IsZero() && !p.cut {
+			f.answerRead(p)
+		}
+	case "apply read":
+		if p.answer != nil {
+			p.applyRead()
+		}
+	case "state":
+		f.state(p)
+	case "receive":
+		p.receive()
+	case "lose messages":
+		p.inbox = nil
+	}
+}
+
+// TestVMsShareTheBurst checks that VMs that start together have the whole burst between them once
+// they have heard each other, and that one that joins gets its part without a window's wait.
+func TestVMsShareTheBurst(t *testing.T) {
+	f := newTestFleet(0.2, 40)
+	for i := range 8 {
+		f.start(ids.VM(fmt.Sprint("vm", i)))
+	}
+	f.converge()
+	for vm, p := range f.running {
+		if remaining := p.budgets.Of("svc").Remaining(); remaining != 5 {
+			t.Errorf("%s, one of 8 VMs, may retry %v times, want 5", vm, remaining)
+		}
+	}
+	joins := f.start("vm8")
+	f.converge()
+	f.converge()
+	if remaining := joins.budgets.Of("svc").Remaining(); remaining != 40.0/9 {
+		t.Errorf("a VM that joins may retry %v times, want 40/9", remaining)
+	}
+}
+
+// TestShareWithoutPeers checks that a VM has its part of the burst a window and listTTL after its entry was
+// written although another listed VM is gone, and none while its list is too old.
+func TestShareWithoutPeers(t *testing.T) {
+	f := newTestFleet(0, 40)
+	f.start("gone")
+	f.converge()
+	delete(f.running, "gone")
+	p := f.start("vm0")
+	f.converge()
+	if s := p.budgets.Share(); s.VMs != 0 || s.Wait.Reason != waitsForPeers || !s.Wait.Until.Equal(f.now.Add(testWindow+testListTTL)) {
+		t.Errorf("before the other VM has stated anything: %+v", s)
+	}
+	f.now = f.now.Add(testWindow + testListTTL)
+	f.read(p)
+	if s := p.budgets.Share(); s.VMs != 2 || s.Retries != 20 {
+		t.Errorf("a window and listTTL later: %+v, want a half", s)
+	}
+	f.now = f.now.Add(testListTTL + time.Millisecond)
+	if s := p.budgets.Share(); s.VMs != 0 || s.Wait.Reason != waitsForNewerList {
+		t.Errorf("cut off from the store: %+v", s)
+	}
+}
+
+// TestRestartedVMWaitsForAWindow checks that a process whose VM's entry exists has no part of the burst
+// for a window, and its part after that.
+func TestRestartedVMWaitsForAWindow(t *testing.T) {
+	f := newTestFleet(0, 40)
+	f.start("vm0")
+	f.start("vm1")
+	f.converge()
+	started := f.now
+	p := f.start("vm0")
+	f.converge()
+	if s := p.budgets.Share(); s.VMs != 0 || s.Wait.Reason != waitsForPredecessor || !s.Wait.Until.Equal(started.Add(testWindow)) {
+		t.Errorf("just after the restart: %+v", s)
+	}
+	f.now = started.Add(testWindow)
+	f.converge()
+	if s := p.budgets.Share(); s.VMs != 2 || s.Retries != 20 {
+		t.Errorf("a window later: %+v, want a half", s)
+	}
+}
