Missing entries: the wait counts from the store's return, for entries that can have expired in the outage

What callers saw: requests reached a replica more than two seconds after its entry was removed (DRAIN), at VMs that had been cut off from the store. Ruled out: a late watch (the removal is logged at once elsewhere), a replica that is taken back (no line says so). The wait ends two seconds after the store's return: for an entry that the first list after the outage lacks, after the return from the next outage if that begins before; for one whose removal was seen, never later; not at all for one that was written after the return. Lists from peers carry the age of the return (field regained_age_us; without it as before), Followers and Readers tell when the store is lost, and a timer ends each wait.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -20,7 +20,6 @@
 	refreshEvery = 100 * time.Millisecond
 	trimEvery    = time.Second
 	logEvery     = time.Second
-	sweepEvery   = 250 * time.Millisecond
 	forgetEvery  = 10 * time.Second
 	// retryShareEvery is how often a VM checks whether its part of the retry burst has changed.
 	retryShareEvery = 200 * time.Millisecond
@@ -67,7 +66,7 @@
 		"reload":        d.watchReload,
 		"readiness":     d.watchReadiness,
 		"trim":          every(trimEvery, func() { d.Forward.Upstream.Trim(clock.Now()) }),
-		"sweep":         every(sweepEvery, d.Replicas.Sweep),
+		"sweep":         d.Replicas.Run,
 		"clock":         func(ctx context.Context) { clock.Watch(ctx, d.onSuspension) },
 		"allowances":    every(allowance.SweepEvery, d.allowances.Sweep),
 		"forget":        every(forgetEvery, func() { d.crashes.Sweep(); d.badParts.Sweep() }),
--- a/internal/follow/clock.go
+++ b/internal/follow/clock.go
@@ -54,7 +54,13 @@
 	next  Handler
 }
 
-var _ Handler = clockHandler{}
+var (
+	_ Handler       = clockHandler{}
+	_ OutageHandler = clockHandler{}
+)
+
+// Unavailable implements OutageHandler.
+func (h clockHandler) Unavailable() { NotifyUnavailable(h.next) }
 
 // Listed implements Handler. The clock records a list only after next has handled it: the objects
 // of the list existed before its revision.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -30,6 +30,9 @@
 	Sent time.Time
 	// Answered is when the response was received: the store was reachable then.
 	Answered time.Time
+	// Regained is when the store was first heard again, by this VM or the one whose copy it reads, in the list that
+	// follows an outage. Zero: not known.
+	Regained time.Time
 	// EraSince is when the store was first known to be in the era of Revision, after it had come back
 	// from an older copy. Zero: no earlier era is known of.
 	EraSince time.Time
@@ -46,6 +49,19 @@
 	Unchanged(at At)
 }
 
+// OutageHandler is a Handler that is told when an outage of the store begins. It ends with the next call of
+// the Handler.
+type OutageHandler interface {
+	Unavailable()
+}
+
+// NotifyUnavailable tells a handler that the store has become unavailable, if it is an OutageHandler.
+func NotifyUnavailable(h Handler) {
+	if o, ok := h.(OutageHandler); ok {
+		o.Unavailable()
+	}
+}
+
 // Delays between failed calls. They double up to the maximum, with jitter, so that not all VMs
 // call a store that has just recovered at the same time.
 const (
@@ -119,7 +135,11 @@
 			return err
 		}
 		f.after = max(rev, 1)
-		f.Handler.Listed(objects, At{Revision: f.after, Sent: sent, Answered: clock.Now()}, f.lost)
+		at := At{Revision: f.after, Sent: sent, Answered: clock.Now()}
+		if f.lost {
+			at.Regained = at.Answered
+		}
+		f.Handler.Listed(objects, at, f.lost)
 		return nil
 	}
 	if f.Wait != nil {
@@ -152,6 +172,7 @@
 		return
 	}
 	f.lost, f.lostSince = true, clock.Now()
+	NotifyUnavailable(f.Handler)
 	f.Log.State("dependency-lost").Str("dependency", "store "+f.Prefix).Str("error", err.Error()).Send()
 }
 
--- a/internal/follow/missing_test.go
+++ b/internal/follow/missing_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/threadwall/threadwall/internal/objectapi"
 	"github.com/threadwall/threadwall/internal/platform"
-	"github.com/threadwall/threadwall/internal/timing"
 )
 
 // These tests guard against VMs that go on waiting for a replica's entry after it was removed, and against
@@ -121,7 +120,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var all sync.WaitGroup
 		all.Go(func() { (&Follower{Store: store, Prefix: "servers/", Handler: r, Health: &StoreHealth{}}).Run(ctx) })
-		all.Go(func() { runSweeps(ctx, r) })
+		all.Go(func() { r.Run(ctx) })
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		steps(store, r)
@@ -130,13 +129,6 @@
 	})
 }
 
-// runSweeps is the daemon's duty.
-func runSweeps(ctx context.Context, r *Replicas) {
-	for timing.Sleep(ctx, 250*time.Millisecond) {
-		r.Sweep()
-	}
-}
-
 // outage makes the store unavailable and returns when r has heard it again.
 func outage(s *outageStore, r *Replicas, length time.Duration, meanwhile func()) {
 	s.setLost(true)
@@ -148,7 +140,7 @@
 	regained := func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return time.Since(r.regainedAt) < length
+		return time.Since(r.lapse.returned) < length
 	}
 	for !regained() {
 		time.Sleep(time.Millisecond)
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -17,8 +17,8 @@
 //
 // A replica whose entry is removed is gone, and one that reports that it leaves gets no
 // new work for the rest of its incarnation. Only after an outage of the store may an
-// entry be missing although its replica is alive: such a replica is kept for
-// ReturnGrace, within which a live one registers again. A replica that is gone stays gone when the
+// entry be missing although its replica is alive: such a replica is kept until ReturnGrace after the
+// store's return, within which a live one registers again (missing.go). A replica that is gone stays gone when the
 // store comes back from a copy that still has its entry (restoredEntries).
 //
 // A replica may restart under its id. Its incarnation then increases, in whichever source
@@ -50,21 +50,26 @@
 	// Subset bounds which replicas are active on this VM.
 	Subset Subset
 
-	mu         sync.Mutex
-	records    map[ids.Target]*record
-	directory  directory
-	regainedAt time.Time // time of the last list after an outage of the store
-	listed     bool
-	restored   restoredEntries
+	mu        sync.Mutex
+	records   map[ids.Target]*record
+	directory directory
+	lapse     lapse
+	listed    bool
+	wake      chan struct{} // wakes up Run; nil before the first use
+	restored  restoredEntries
 }
 
-var _ Handler = (*Replicas)(nil)
+var (
+	_ Handler       = (*Replicas)(nil)
+	_ OutageHandler = (*Replicas)(nil)
+)
 
 // record is one entry and its state on this VM.
 type record struct {
 	platform.Record
-	missingAt  time.Time // zero: it is listed
-	unreadable bool      // its entry can't be decoded
+	missing    missing
+	version    objectapi.Revision // of the entry
+	unreadable bool               // its entry can't be decoded
 	// weightsAt is when the weights were received from another source than the
 	// entry, which is written about once a second.
 	weightsAt        time.Time
@@ -89,8 +94,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.restored.beginList(at, r.listed)
+	r.lapse.heard()
 	if regained {
-		r.regainedAt = clock.Now()
+		r.regain(at)
 	}
 	if r.records == nil {
 		r.records = map[ids.Target]*record{}
@@ -103,7 +109,7 @@
 	}
 	for id := range r.records {
 		if !seen[id] {
-			r.markMissing(id)
+			r.markMissing(id, regained)
 		}
 	}
 	r.listed = true
@@ -114,6 +120,7 @@
 func (r *Replicas) Changed(events []objectapi.Object, _ At) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lapse.heard()
 	for _, o := range events {
 		if !o.Deleted {
 			r.put(o)
@@ -121,14 +128,26 @@
 		}
 		r.restored.removed(o.Key)
 		if id, ok := r.directory.byKey[o.Key]; ok {
-			r.markMissing(id)
+			r.markMissing(id, false)
 		}
 	}
 	r.publish()
 }
 
 // Unchanged implements Handler.
-func (r *Replicas) Unchanged(At) { r.Sweep() }
+func (r *Replicas) Unchanged(At) {
+	r.mu.Lock()
+	r.lapse.heard()
+	r.mu.Unlock()
+	r.Sweep()
+}
+
+// Unavailable implements OutageHandler.
+func (r *Replicas) Unavailable() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lapse.lost = true
+}
 
 // Key returns the key of the record's object in the store.
 func (r *record) Key() string { return r.Record.Key }
@@ -143,13 +162,13 @@
 	id := ids.Target(n.ID)
 	old := r.records[id]
 	if old != nil && n.Incarnation < old.Incarnation {
-		old.unreadable, old.missingAt = false, time.Time{}
+		old.unreadable, old.missing = false, missing{}
 		return id, true // the entry is of an incarnation that has ended
 	}
 	if old == nil && r.restored.refuse(id, n.Incarnation, o) {
 		return "", false
 	}
-	rec := &record{Record: n, hash: routing.HashTarget(id)}
+	rec := &record{Record: n, version: o.Version, hash: routing.HashTarget(id)}
 	rec.rendezvousWeight = routing.RendezvousWeight(rec.hash, r.Subset.hash())
 	r.logReturn(old)
 	switch {
@@ -178,10 +197,10 @@
 
 // logReturn logs that the entry of a replica is listed again, if it was missing.
 func (r *Replicas) logReturn(old *record) {
-	if old == nil || old.missingAt.IsZero() {
+	if old == nil || !old.missing.is() {
 		return
 	}
-	r.Log.State("replica-returned").Str("target", old.ID).Int64("missing_ms", clock.Since(old.missingAt).Milliseconds()).Send()
+	r.Log.State("replica-returned").Str("target", old.ID).Int64("missing_ms", clock.Since(old.missing.since).Milliseconds()).Send()
 }
 
 // isLogged reports whether changes of an entry are logged: in a large fleet only those of active
@@ -236,55 +255,6 @@
 	r.OnGone(id)
 }
 
-// markMissing records that a replica's entry is no longer listed, and drops the replica unless its
-// entry may still return after an outage of the store. The caller holds the lock.
-func (r *Replicas) markMissing(id ids.Target) {
-	rec := r.records[id]
-	if rec == nil || !rec.missingAt.IsZero() {
-		return
-	}
-	now := clock.Now()
-	rec.missingAt = now
-	if now.Sub(r.regainedAt) >= r.ReturnGrace {
-		r.drop(id, "its entry was removed")
-		return
-	}
-	r.Log.State("replica-missing").Str("target", string(id)).Str("rule", "its entry may have expired in an outage of the store").
-		Int64("store_back_ms", now.Sub(r.regainedAt).Milliseconds()).Int64("waits_ms", r.ReturnGrace.Milliseconds()).Send()
-}
-
-// Sweep drops replicas whose entries did not reappear within ReturnGrace, and takes back those whose
-// restored entries have stayed listed.
-func (r *Replicas) Sweep() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	dropped := false
-	for id, rec := range r.records {
-		if !rec.missingAt.IsZero() && clock.Since(rec.missingAt) >= r.ReturnGrace {
-			r.drop(id, "its entry did not come back")
-			dropped = true
-		}
-	}
-	alive := r.restored.sweep(r.Heartbeat)
-	for _, o := range alive {
-		r.put(o)
-	}
-	if dropped || len(alive) > 0 {
-		r.publish()
-	}
-}
-
-// drop removes a replica that is gone. The caller holds the lock.
-func (r *Replicas) drop(id ids.Target, reason string) {
-	missing := clock.Since(r.records[id].missingAt)
-	r.restored.drop(id, r.records[id].Incarnation)
-	r.directory.replace(id, r.records[id], nil)
-	delete(r.records, id)
-	r.Fleet.Members.Remove(id)
-	r.OnGone(id)
-	r.Log.State("replica-gone").Str("target", string(id)).Str("reason", reason).Int64("missing_ms", missing.Milliseconds()).Send()
-}
-
 // SetWeights records the weights of a replica as reported by a source other than its entry.
 func (r *Replicas) SetWeights(id ids.Target, w ids.WeightsVersion, from string) {
 	r.mu.Lock()
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -156,6 +156,9 @@
 	if p.EraAgeUs > 0 {
 		at.EraSince = before(clock.Now(), p.EraAgeUs)
 	}
+	if p.Regained && p.RegainedAgeUs > 0 {
+		at.Regained = before(clock.Now(), p.RegainedAgeUs)
+	}
 	objects := make([]objectapi.Object, 0, len(p.Objects))
 	for _, o := range p.Objects {
 		objects = append(objects, objectapi.Object{Key: o.Key, Value: o.Value, Version: objectapi.Revision(o.Version), Deleted: o.Deleted})
--- a/internal/mirror/reader.go
+++ b/internal/mirror/reader.go
@@ -192,6 +192,7 @@
 			return nil, Peer{}
 		}
 		if err != nil {
+			r.lost()
 			r.avoidPeer(p, err)
 			return nil, Peer{}
 		}
@@ -274,6 +275,7 @@
 			return
 		}
 		if err != nil {
+			r.lost()
 			r.avoidPeer(p, err)
 			return
 		}
@@ -281,6 +283,13 @@
 	}
 }
 
+// lost tells the spaces that they are not kept up to date at present.
+func (r *Reader) lost() {
+	for _, s := range r.Spaces {
+		s.Unavailable()
+	}
+}
+
 // preferred reports whether a peer is still the first one to read from.
 func (r *Reader) preferred(p Peer) bool {
 	for _, other := range r.UpstreamPeers() {
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -86,6 +86,9 @@
 	if !u.at.EraSince.IsZero() {
 		p.EraAgeUs = max(microseconds(u.at.EraSince, now), 1) // zero has another meaning
 	}
+	if u.regained {
+		p.RegainedAgeUs = max(microseconds(u.regainedAt, now), 1)
+	}
 	if p.Packed = u.packed; len(u.packed) == 0 {
 		p.Objects = toProto(u.objects)
 	}
--- a/internal/mirror/space.go
+++ b/internal/mirror/space.go
@@ -75,7 +75,7 @@
 	objects    map[string]objectapi.Object
 	at         follow.At // all changes up to its revision are applied
 	listed     bool
-	regainedAt time.Time // time of the last list after an outage of the store
+	regainedAt time.Time // when the store was first heard again after its latest outage, by this VM or by those it reads from
 	copyID     uint64    // random identifier of this copy for readers; zero: not listed yet
 	change     uint64    // sequence number of the last list or batch
 	keys       []string  // of objects, sorted; nil: not sorted yet
@@ -84,7 +84,10 @@
 	batches    []batch
 }
 
-var _ follow.Handler = (*Space)(nil)
+var (
+	_ follow.Handler       = (*Space)(nil)
+	_ follow.OutageHandler = (*Space)(nil)
+)
 
 // Listed implements follow.Handler.
 func (s *Space) Listed(objects []objectapi.Object, at follow.At, regained bool) {
@@ -106,8 +109,11 @@
 		s.objects[o.Key] = o
 	}
 	s.listed, s.keys = true, nil
-	if regained {
-		s.regainedAt = clock.Now()
+	if regained && at.Regained.IsZero() {
+		at.Regained = clock.Now()
+	}
+	if at.Regained.After(s.regainedAt) {
+		s.regainedAt = at.Regained
 	}
 	s.change++
 	s.base, s.batches = s.change, nil // readers get a list as a full copy
@@ -158,6 +164,13 @@
 	s.Next.Unchanged(at)
 }
 
+// Unavailable implements follow.OutageHandler.
+func (s *Space) Unavailable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	follow.NotifyUnavailable(s.Next)
+}
+
 // sameEra reports whether the copy is of the era of a response. Otherwise the response neither changes
 // the copy nor says anything about its age: what it lacks is not known before the first list of a new
 // era, and an older era is over. The caller holds the lock.
@@ -252,8 +265,10 @@
 	more     bool   // the copy continues after the last of objects
 	afterKey string // key after which this chunk begins
 	regained bool
-	objects  []objectapi.Object
-	packed   []byte // compressed objects of a full copy; empty: objects are sent uncompressed
+	// regainedAt is when the store was first heard again, with regained.
+	regainedAt time.Time
+	objects    []objectapi.Object
+	packed     []byte // compressed objects of a full copy; empty: objects are sent uncompressed
 }
 
 // chunkBytes bounds the keys and values of one chunk of a copy, unless a single object is longer:
@@ -292,7 +307,7 @@
 	if s.keys == nil {
 		s.keys = slices.Sorted(maps.Keys(s.objects))
 	}
-	u.full, u.afterKey, u.regained = true, afterKey, clock.Since(s.regainedAt) < regainedPeriod
+	u.full, u.afterKey, u.regained, u.regainedAt = true, afterKey, clock.Since(s.regainedAt) < regainedPeriod, s.regainedAt
 	from, found := slices.BinarySearch(s.keys, afterKey)
 	if found {
 		from++
