Retry budget: VMs lend each other retries that they don't need

Cause: a process that has just started, or a VM of a large fleet, gets few requests for a service, and a part of a retry is no retry. The budget of the fleet is there, in parts at VMs that don't need it: with the burst withheld for a window after a restart, callers lose by that. A VM whose budget lacks a retry asks up to six live VMs one after the other, 50 ms at most in all; each lends what it has, up to what is missing, and counts it as spent. What did not suffice goes back. A VM that could not borrow neither asks nor lends for a second. The waits of share.go are longer by the 50 ms. Before and after, refused of the wanted retries in the first window, one request in twenty failing (TestRetriesAfterStart, virtual time), 8, 66, 986 VMs: first start 0 of 8, 1 of 103, 326 of 661, now 0, 0, 46; one VM killed 2 of 13, 0 of 106, 29 of 629, now 0, 0, 1; all killed 3, 29, 291 (of 612), now 1, 5, 49. Where 57% fail: 230 to 269 of 372, before 237 to 289 of 372 to 388.

--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"math/rand/v2"
+
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/retry"
 )
 
@@ -22,3 +25,17 @@
 		e.Send()
 	}
 }
+
+// retryLenders returns at most limit live VMs that may lend retries, in random order, those of this VM's failure domain
+// first.
+func (c *vmList) retryLenders(limit int) []ids.VM {
+	same, other := c.livePeers("lends retries")
+	var out []ids.VM
+	for _, group := range [][]vmRecord{same, other} {
+		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+		for _, r := range group[:min(len(group), limit-len(out))] {
+			out = append(out, r.VM)
+		}
+	}
+	return out
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -113,7 +113,7 @@
 		return false // the crash of this attempt may have quarantined the request
 	case err.Outcome != outcome.NotRun && r.guard.Suspected():
 		return false // it may have crashed the replica, and would crash the next one
-	case !r.withdraw(err):
+	case !r.withdraw(ctx, err):
 		return false
 	}
 	r.f.Stats.Retries.Add(1)
@@ -121,13 +121,13 @@
 }
 
 // withdraw takes a retry out of the service's retry budget, unless the failed send ended before any byte was
-// sent, and logs what pays for it. It returns false if the budget is used up.
-func (r *run) withdraw(err *outcome.Error) bool {
+// sent, and logs what pays for it. It returns false if the budget is used up and no other VM lends a retry.
+func (r *run) withdraw(ctx context.Context, err *outcome.Error) bool {
 	if nothingSent(err) {
 		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", "nothing: no byte was sent").Send()
 		return true
 	}
-	a := r.f.Budgets.Of(r.service).Spend()
+	a := r.f.Budgets.SpendOrBorrow(ctx, r.service)
 	var line *zerolog.Event
 	if a.Allowed() {
 		line = r.f.Log.Request("retry", string(r.call.ID)).Str("paid_from", string(a.Source))
@@ -135,8 +135,8 @@
 		r.f.Stats.BudgetEmpty.Add(1)
 		line = r.f.Log.Request("no-retry", string(r.call.ID)).Str("reason", "the retry budget is used up")
 	}
-	line.Str("service", r.service).Int("window_requests", a.Requests).Int("window_retries", a.Retries).
-		Float64("burst", a.Burst).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
+	line.Str("service", r.service).Int("window_requests", a.Requests).Float64("window_retries", a.Retries).
+		Float64("burst", a.Burst).Float64("borrowed", a.Borrowed).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
 	return a.Allowed()
 }
 
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -95,6 +95,8 @@
 	Demand *demand.Report
 	// Budget is what this VM says of its part of the retry budgets' burst. Nil: nothing that a VM waits for.
 	Budget *retry.Statement
+	// Loan asks for a part of a retry, or answers that. Such a message carries nothing else.
+	Loan *retry.Loan
 	// Report and Total carry the state of several VMs in large fleets (tree.go).
 	Report, Total *digest
 }
@@ -375,6 +377,10 @@
 		x.receiveGrants(m.Grants)
 		return
 	}
+	if m.Loan != nil {
+		x.Budgets.ReceiveLoan(m.VM, m.Loan)
+		return
+	}
 	if m.Streams != nil {
 		x.Streams.Receive(m.VM, m.Streams)
 		return
@@ -561,6 +567,13 @@
 	}
 }
 
+// SendLoan sends a question for a part of a retry, or the answer to one, to one VM, if it is listed.
+func (x *Exchange) SendLoan(to ids.VM, l retry.Loan) {
+	if p, ok := x.tree.peer(to); ok && p.Addr != "" {
+		x.sendTo(Message{VM: x.VM, Incarnation: x.incarnation, Loan: &l}, []Peer{p})
+	}
+}
+
 // SendStoreDown reports to all peers that the KV cache store at addr does not answer.
 func (x *Exchange) SendStoreDown(addr string) {
 	if x.usesTree() {
--- a/internal/news/wire.go
+++ b/internal/news/wire.go
@@ -61,6 +61,7 @@
 	Paces    []wirePace             `cbor:"23,keyasint,omitempty"`
 
 	Budget *retry.Statement `cbor:"25,keyasint,omitempty"`
+	Loan   *retry.Loan      `cbor:"26,keyasint,omitempty"`
 }
 
 type wireLoad struct {
@@ -93,7 +94,7 @@
 		VM: m.VM, Seq: m.Seq, Incarnation: m.Incarnation, Order: m.Order, RecentWeights: m.RecentWeights,
 		StoreDown: m.StoreDown, CacheChanges: groupChanges(m.CacheChanges), LeaseLapse: m.LeaseLapse, Report: m.Report, Total: m.Total,
 		Crashes: m.Crashes, Uses: m.Uses, Limits: wireLimits(m.VM, m.Limits), Canaries: m.Canaries, Streams: m.Streams, Parts: m.Parts, Grants: m.Grants,
-		EarlySeq: m.EarlySeq, Budget: m.Budget,
+		EarlySeq: m.EarlySeq, Budget: m.Budget, Loan: m.Loan,
 		Demand: lenientOf((*packedReport)(m.Demand)),
 	}
 	for _, l := range m.Loads {
@@ -123,7 +124,7 @@
 	m := Message{
 		VM: w.VM, Seq: w.Seq, Incarnation: w.Incarnation, Order: w.Order, RecentWeights: w.RecentWeights, StoreDown: w.StoreDown, LeaseLapse: w.LeaseLapse, Report: w.Report, Total: w.Total,
 		Crashes: w.Crashes, Uses: w.Uses, Canaries: w.Canaries, Streams: w.Streams, Parts: w.Parts, Grants: w.Grants,
-		EarlySeq: w.EarlySeq, Budget: w.Budget,
+		EarlySeq: w.EarlySeq, Budget: w.Budget, Loan: w.Loan,
 		Demand: (*demand.Report)(w.Demand.get()),
 	}
 	m.Paces = fromWirePaces(w.Paces, resolve)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -30,7 +30,12 @@
 	// than the exact window would.
 	newest   int64
 	requests [windowSlots + 1]int
-	retries  [windowSlots + 1]int
+	retries  [windowSlots + 1]float64 // also what was lent, and without what was borrowed
+	// lent is what was lent in the current slot. It counts in the next slot, since its borrower spends it later than
+	// it was lent.
+	lent    float64
+	loans   map[loanKey]lentLoan // that may still be returned
+	shortAt time.Time            // when a retry was last refused although peers were asked for it
 }
 
 // Defaults: one retry for ten requests within ten seconds, plus a burst of ten.
@@ -62,15 +67,17 @@
 const (
 	FromRequests Source = "requests" // the fraction of the window's requests
 	FromBurst    Source = "burst"
-	Exhausted    Source = "none" // the retry is not allowed
+	FromPeers    Source = "peers" // in part, by what other VMs have lent
+	Exhausted    Source = "none"  // the retry is not allowed
 )
 
 // Account is the state of a budget when a retry was asked for.
 type Account struct {
 	Source   Source
 	Requests int     // in the window
-	Retries  int     // in the window, without the one that was asked for
+	Retries  float64 // in the window, without the one that was asked for; what was lent counts, what was borrowed does not
 	Burst    float64 // retries that the burst allows
+	Borrowed float64 // part of the retry that other VMs have lent
 	// VMs is the number of VMs by which the burst is divided; zero: it is not, or this VM has no share.
 	VMs int
 	// Wait is why this VM has no share of the burst.
@@ -87,29 +94,39 @@
 }
 
 // Spend does the same as Withdraw, and tells which part of the budget pays.
-func (b *Budget) Spend() Account {
+func (b *Budget) Spend() Account { return b.spendWith(0) }
+
+// spendWith implements Spend with a part of the retry that other VMs have lent.
+func (b *Budget) spendWith(borrowed float64) Account {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.advance()
 	share := b.share()
 	requests, retries := b.counts()
 	a := Account{Source: Exhausted, Requests: requests, Retries: retries, Burst: share.Retries, VMs: share.VMs, Wait: share.Wait}
-	fraction := b.ratio*float64(requests) - float64(retries)
+	fraction := b.ratio*float64(requests) - retries
 	switch {
 	case fraction >= 1:
 		a.Source = FromRequests
 	case fraction+share.Retries >= 1:
 		a.Source = FromBurst
-		if b.fleet != nil {
-			b.fleet.spend(share.VMs)
-		}
+	case borrowed > 0 && fraction+share.Retries+borrowed >= enough:
+		a.Source, a.Borrowed = FromPeers, borrowed
 	default:
 		return a
 	}
-	b.retries[slot]++
+	b.take(slot, 1-a.Borrowed, fraction, share.VMs)
 	return a
 }
 
+// take records an amount as spent. fraction is what the requests allow. The caller holds mu.
+func (b *Budget) take(slot int64, amount, fraction float64, vms int) {
+	b.retries[slot] += amount
+	if amount > fraction && b.fleet != nil && vms > 0 {
+		b.fleet.spend(vms)
+	}
+}
+
 // share returns the burst in force. The caller holds mu.
 func (b *Budget) share() Share {
 	if b.fleet == nil {
@@ -136,11 +153,12 @@
 // remaining implements Remaining. The caller holds mu and has called advance.
 func (b *Budget) remaining() float64 {
 	requests, retries := b.counts()
-	return b.ratio*float64(requests) + b.share().Retries - float64(retries)
+	return b.ratio*float64(requests) + b.share().Retries - retries
 }
 
 // counts returns the requests and the retries of the window. The caller holds mu and has called advance.
-func (b *Budget) counts() (requests, retries int) {
+func (b *Budget) counts() (requests int, retries float64) {
+	retries = b.lent
 	oldest := (b.newest + 1) % int64(len(b.requests))
 	for i := range b.requests {
 		retries += b.retries[i]
@@ -158,7 +176,16 @@
 	number := int64(b.now().Sub(b.start) / (b.window / windowSlots))
 	for i := max(b.newest+1, number-n+1); i <= number; i++ {
 		b.requests[i%n], b.retries[i%n] = 0, 0
+		if i == b.newest+1 {
+			b.retries[i%n], b.lent = b.lent, 0
+		}
+	}
+	if number > b.newest+n {
+		b.lent = 0 // more than a window ago
+	}
+	if number > b.newest {
+		b.newest = number
+		b.forgetLoans()
 	}
-	b.newest = max(b.newest, number)
 	return b.newest % n
 }
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,9 +19,16 @@
 // counts only the requests that it received itself, and the burst is divided between the VMs (share).
 // Neither restarts nor partitions raise the sum.
 type ServiceBudgets struct {
+	// Lenders are other VMs that may lend retries. Set before the first call; without them nothing is borrowed.
+	Lenders Lenders
+
 	window time.Duration
 	now    func() time.Time
 
+	loansMu   sync.Mutex
+	question  uint64 // number of the last one; starts at random, since answers to an earlier process may come late
+	questions map[uint64]question
+
 	mu      sync.Mutex
 	ratio   float64
 	burst   float64
@@ -35,7 +43,9 @@
 		now = clock.Now
 	}
 	return &ServiceBudgets{
-		window: window, now: now, ratio: ratio, burst: burst, share: newShare(vm, window, listTTL, now()), budgets: map[string]*Budget{},
+		window: window, now: now, ratio: ratio, burst: burst, budgets: map[string]*Budget{},
+		share:    newShare(vm, window+loanTime(window), listTTL, now()), // loans are spent later than they are lent
+		question: rand.Uint64(), questions: map[uint64]question{},
 	}
 }
 
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -183,6 +183,9 @@
 	}
 	n = s.counted(now)
 	settled := s.entrySince.Add(s.window + s.listTTL)
+	if now.Before(settled) {
+		n = max(n, s.stated) // others count VMs whose entries were removed before this VM read the list
+	}
 	if !s.active && now.Before(settled) && !s.agreed(n) {
 		return 0, Wait{Reason: waitsForPeers, Until: settled}
 	}
@@ -190,9 +193,6 @@
 		s.active = true
 		clear(s.statements)
 	}
-	if now.Before(settled) {
-		n = max(n, s.stated) // others count VMs whose entries were removed before this VM read the list
-	}
 	return n, Wait{}
 }
 
