Membership: a target's own report that it leaves outlives its entry

Only our own interface applies such reports. TestLeavingPersists has the case 'report', which failed before ('live after its entry was removed and added, want leaving').

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -247,7 +247,10 @@
 	}
 	m.restart(r.Incarnation, r.Weights, now)
 	m.report, m.reportAt = r, now
-	m.leaving = m.leaving || r.Leaving
+	if r.Leaving {
+		m.leaving = true
+		t.signalsOf(id, r.Incarnation, now).leave()
+	}
 	return true
 }
 
--- a/internal/membership/signals_test.go
+++ b/internal/membership/signals_test.go
@@ -21,6 +21,7 @@
 	}
 	for name, leave := range map[string]func(*Table){
 		"answer":  func(table *Table) { table.ApplySignals("t", 2, Signals{Leaving: true}, now, now) },
+		"report":  func(table *Table) { table.ApplyReport("t", Report{Incarnation: 2, Seq: 1, Leaving: true}, now) },
 		"refusal": func(table *Table) { table.MarkLeaving("t", 2) },
 		"entry":   func(table *Table) { list(table, platform.StateLeaving, 2) },
 	} {
