Retry budget: logs of loans, and an order of events for two more rules

'retry-lent' and 'retry-returned' say who lent what to whom for which service, and 'retry' names the lenders, so that the logs of all VMs add up.

--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// sendLoan sends a question, an answer or a return to another VM, and logs what is lent and returned.
+func (d *Daemon) sendLoan(to ids.VM, l retry.Loan) {
+	d.news.SendLoan(to, l)
+	if l.Amount <= 0 || l.Kind == retry.LoanQuestion {
+		return
+	}
+	event := "retry-lent"
+	if l.Kind == retry.LoanReturn {
+		event = "retry-returned"
+	}
+	d.Log.State(event).Str("to", string(to)).Str("service", l.Service).Uint64("loan", l.Number).Float64("retries", l.Amount).Send()
+}
+
 // retryLenders returns at most limit live VMs that may lend retries, in random order, those of this VM's failure domain
 // first.
 func (c *vmList) retryLenders(limit int) []ids.VM {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -322,7 +322,7 @@
 		Limits: d.Fleet.Members.Limits.Reports, OnLimit: d.onLimit, Credit: d.Fleet.Members.Limits,
 		Resolve: d.resolve, CacheChanges: d.cacheChanges, OnCacheChange: d.Fleet.Cache.ApplyPeerChange,
 	}
-	d.budgets.Lenders = retry.Lenders{Pick: d.vms.retryLenders, Send: d.news.SendLoan}
+	d.budgets.Lenders = retry.Lenders{Pick: d.vms.retryLenders, Send: d.sendLoan}
 	d.crashes.Settle, d.badParts.Settle = d.news.SettleTime, d.news.SettleTime
 	d.vms.d = d
 	d.buildCanaries()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -136,10 +136,18 @@
 		line = r.f.Log.Request("no-retry", string(r.call.ID)).Str("reason", "the retry budget is used up")
 	}
 	line.Str("service", r.service).Int("window_requests", a.Requests).Float64("window_retries", a.Retries).
-		Float64("burst", a.Burst).Float64("borrowed", a.Borrowed).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
+		Float64("burst", a.Burst).Float64("borrowed", a.Borrowed).Strs("lenders", lenders(a.Lenders)).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
 	return a.Allowed()
 }
 
+// lenders returns VMs as strings.
+func lenders(vms []ids.VM) (out []string) {
+	for _, vm := range vms {
+		out = append(out, string(vm))
+	}
+	return out
+}
+
 // repeatable reports whether the call may run again after an attempt that may have run.
 func (r *run) repeatable() bool { return r.route.Repeatable() && r.attempts < r.route.Attempts }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ids"
 )
 
 // windowSlots is the number of slots in a window; counts are exact to one slot.
@@ -78,6 +79,7 @@
 	Retries  float64 // in the window, without the one that was asked for; what was lent counts, what was borrowed does not
 	Burst    float64 // retries that the burst allows
 	Borrowed float64 // part of the retry that other VMs have lent
+	Lenders  []ids.VM
 	// VMs is the number of VMs by which the burst is divided; zero: it is not, or this VM has no share.
 	VMs int
 	// Wait is why this VM has no share of the burst.
--- a/internal/retry/loan.go
+++ b/internal/retry/loan.go
@@ -171,6 +171,10 @@
 	}
 	if a.Source != FromPeers {
 		s.giveBack(service, loans)
+		return a
+	}
+	for _, l := range loans {
+		a.Lenders = append(a.Lenders, l.vm)
 	}
 	return a
 }
--- a/internal/retry/rules_test.go
+++ b/internal/retry/rules_test.go
@@ -45,6 +45,8 @@
 	for name, play := range map[string]func(f *ruleFleet){
 		"a VM joins whose entry another has not read": func(f *ruleFleet) {
 			a := f.join("a")
+			f.now = f.now.Add(testWindow + maxLoanTime + testListTTL)
+			f.read(a)
 			b := f.join("b")
 			f.state(b)
 			a.receive()
@@ -129,6 +131,16 @@
 			f.entries, f.rev = map[ids.VM]objectapi.Revision{}, objectapi.StartOf(1)+f.rev
 			f.spend(f.join("a"))
 		},
+		"a restarted VM creates its entry anew in a restored store": func(f *ruleFleet) {
+			f.spend(f.join("a"))
+			a := f.start("a")
+			f.read(a)
+			f.entries, f.rev = map[ids.VM]objectapi.Revision{}, objectapi.StartOf(1)+f.rev
+			f.read(a)
+			f.register(a, false)
+			f.read(a)
+			f.spend(a)
+		},
 	} {
 		t.Run(name, func(t *testing.T) { play(newRuleFleet(t)) })
 	}
