Restored store: waits count from when a peer first knew of the era

They count from At.EraSince now, which peers tell with its age, as the configuration's and the weights' waits do. No failure was seen or brought about by them: what they delay is that a live replica is taken back, and that VMs without entries stop to count.

--- a/internal/edge/vms.go
+++ b/internal/edge/vms.go
@@ -101,7 +101,8 @@
 	listed  map[string]bool     // keys of the entries that the store has
 	// ownEntry is the revision of this VM's entry; zero: the store does not have it.
 	ownEntry objectapi.Revision
-	// restoredAt is when the store came back from an older copy, which may lack entries.
+	// restoredAt is when this VM, or the one whose copy it reads, first knew that the store had come back from an older copy,
+	// which may lack entries.
 	restoredAt time.Time
 	// alive is the latest snapshot of the live VMs; nil: none yet.
 	alive   *liveVMs
@@ -116,7 +117,10 @@
 func (c *vmList) Listed(objects []objectapi.Object, at follow.At, _ bool) {
 	c.mu.Lock()
 	if c.records != nil && at.Revision.Era() > c.at.Era() {
-		c.restoredAt = clock.Now()
+		c.restoredAt = at.EraSince
+		if at.EraSince.IsZero() {
+			c.restoredAt = clock.Now()
+		}
 	}
 	if c.records == nil || clock.Since(c.restoredAt) >= returnGrace {
 		c.records = map[string]vmRecord{}
--- a/internal/follow/restored.go
+++ b/internal/follow/restored.go
@@ -20,7 +20,7 @@
 type restoredEntries struct {
 	at       objectapi.Revision // of the latest list
 	start    objectapi.Revision // of the first list of the era; zero: this VM knows of no earlier era
-	eraSince time.Time          // when start was recorded
+	eraSince time.Time          // when the era was first known of, by this VM or the one whose copy it reads
 	gone     map[ids.Target]goneReplica
 }
 
@@ -48,7 +48,10 @@
 		e.gone[id] = g
 	}
 	if listed && at.Revision.Era() > e.at.Era() {
-		e.start, e.eraSince = at.Revision, clock.Now()
+		e.start, e.eraSince = at.Revision, at.EraSince
+		if e.eraSince.IsZero() {
+			e.eraSince = clock.Now()
+		}
 	}
 	e.at = max(e.at, at.Revision)
 }
