Retry budget: a list from before a VM's entry was created takes nothing back

Found while reading the change: a list without the VM's own entry, read after the entry had been created, made a first process wait for a predecessor, as when VMs that start together register one after the other. TestEntryCreatedBeforeLateList failed before (waits for a window).

--- a/internal/retry/rules_test.go
+++ b/internal/retry/rules_test.go
@@ -32,14 +32,6 @@
 	}
 }
 
-// join starts a VM that creates its entry and reads the list.
-func (f *ruleFleet) join(vm ids.VM) *testProcess {
-	p := f.start(vm)
-	f.register(p, false)
-	f.read(p)
-	return p
-}
-
 // TestSharesOfBurst plays one order of events for each rule of the division, which fails without the rule.
 func TestSharesOfBurst(t *testing.T) {
 	for name, play := range map[string]func(f *ruleFleet){
--- a/internal/retry/services.go
+++ b/internal/retry/services.go
@@ -16,7 +16,7 @@
 // fleet. Safe for concurrent use.
 //
 // In any window all VMs together make at most ratio retries per request, plus burst. Each process
-// counts only the requests that it received itself, and the burst is divided between the VMs (share).
+// counts only the requests that it received itself, and the burst is divided between the VMs (divider).
 // Neither restarts nor partitions raise the sum.
 type ServiceBudgets struct {
 	// Lenders are other VMs that may lend retries. Set before the first call; without them nothing is borrowed.
@@ -32,7 +32,7 @@
 	mu      sync.Mutex
 	ratio   float64
 	burst   float64
-	share   *share
+	divider *divider
 	budgets map[string]*Budget
 }
 
@@ -44,7 +44,7 @@
 	}
 	return &ServiceBudgets{
 		window: window, now: now, ratio: ratio, burst: burst, budgets: map[string]*Budget{},
-		share:    newShare(vm, window+loanTime(window), listTTL, now()), // loans are spent later than they are lent
+		divider:  newDivider(vm, window+loanTime(window), listTTL, now()), // loans are spent later than they are lent
 		question: rand.Uint64(), questions: map[uint64]question{},
 	}
 }
@@ -53,7 +53,7 @@
 func (s *ServiceBudgets) SetList(l List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.setList(l, s.now())
+	s.divider.setList(l, s.now())
 }
 
 // ConfirmList records that nothing has changed on the list up to a revision, as proved by a call
@@ -61,14 +61,14 @@
 func (s *ServiceBudgets) ConfirmList(rev objectapi.Revision, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.confirm(rev, sent)
+	s.divider.confirm(rev, sent)
 }
 
 // EntryCreated records that this process has created this VM's entry, which did not exist before.
 func (s *ServiceBudgets) EntryCreated(rev objectapi.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.create(rev)
+	s.divider.create(rev)
 }
 
 // Statement returns what to tell the other VMs; nil: nothing. A nil receiver says nothing.
@@ -78,7 +78,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.share.statement(s.now())
+	return s.divider.statement(s.now())
 }
 
 // Receive applies the statement of another VM. It does nothing if the receiver or the statement is nil.
@@ -88,7 +88,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.receive(vm, st, s.now())
+	s.divider.receive(vm, st, s.now())
 }
 
 // Share is this VM's part of the burst, for each service.
@@ -107,7 +107,7 @@
 
 // shareAt implements Share. The caller holds mu.
 func (s *ServiceBudgets) shareAt(now time.Time) Share {
-	n, wait := s.share.count(now)
+	n, wait := s.divider.count(now)
 	if n == 0 {
 		return Share{Wait: wait}
 	}
@@ -118,7 +118,7 @@
 func (s *ServiceBudgets) spend(count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.spend(count, s.now())
+	s.divider.spend(count, s.now())
 }
 
 // SetBounds changes the ratio, and the burst of the whole fleet.
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -67,9 +67,9 @@
 	waitsForPeers       = "other VMs may not count this VM yet"
 )
 
-// share decides by how many VMs this one divides the burst. It holds one element for each listed VM. Not safe for
+// divider decides by how many VMs this one divides the burst. It holds one element for each listed VM. Not safe for
 // concurrent use.
-type share struct {
+type divider struct {
 	vm      ids.VM
 	window  time.Duration
 	listTTL time.Duration // zero: the list doesn't age
@@ -78,7 +78,7 @@
 	list       List
 	listed     map[ids.VM]bool
 	missing    map[ids.VM]time.Time // VMs that were listed, and since when they are not
-	created    bool                 // this process created the VM's entry
+	created    objectapi.Revision   // at which this process created the VM's entry; zero: it has not
 	lostUntil  time.Time            // until when a VM may spend whose entry the store has lost
 	entrySince time.Time            // since when this VM knows that its entry is listed; zero: it is not
 	active     bool                 // all other VMs count this one
@@ -88,66 +88,73 @@
 	spent      map[int]time.Time    // last spending by count
 }
 
-func newShare(vm ids.VM, window, listTTL time.Duration, now time.Time) *share {
-	return &share{
+func newDivider(vm ids.VM, window, listTTL time.Duration, now time.Time) *divider {
+	return &divider{
 		vm: vm, window: window, listTTL: listTTL, started: now,
 		listed: map[ids.VM]bool{}, missing: map[ids.VM]time.Time{}, statements: map[ids.VM]Statement{}, spent: map[int]time.Time{},
 	}
 }
 
 // setList applies a reading of the list of VMs.
-func (s *share) setList(l List, now time.Time) {
+func (d *divider) setList(l List, now time.Time) {
 	listed := make(map[ids.VM]bool, len(l.VMs))
 	for _, vm := range l.VMs {
 		listed[vm] = true
-		delete(s.missing, vm)
+		delete(d.missing, vm)
 	}
-	for vm := range s.listed {
+	for vm := range d.listed {
 		if !listed[vm] {
-			s.missing[vm] = now
+			d.missing[vm] = now
 		}
 	}
-	s.listed = listed
-	s.checkEra(l.Revision, now)
-	s.confirm(l.Revision, l.Sent)
+	d.listed = listed
+	d.checkEra(l.Revision, now)
+	d.confirm(l.Revision, l.Sent)
 	switch {
 	case l.OwnEntry == 0:
-		s.entrySince, s.active, s.created = time.Time{}, false, false
-	case s.entrySince.IsZero():
-		s.entrySince = now
+		d.entrySince, d.active = time.Time{}, false
+		if l.Revision >= d.created { // not a list from before
+			d.created = 0
+		}
+	case d.entrySince.IsZero():
+		d.entrySince = now
 	}
-	s.list.OwnEntry = l.OwnEntry
+	d.list.OwnEntry = l.OwnEntry
 }
 
 // checkEra sets until when VMs may spend that a list does not show since the store has come back from an older copy. This VM
 // knows all of them by its earlier list if that was proved within the window: the others have spent nothing before they had been listed
 // for longer.
-func (s *share) checkEra(rev objectapi.Revision, now time.Time) {
-	if rev.Era() > s.list.Revision.Era() && now.Sub(s.list.Sent) >= s.window {
-		s.lostUntil = now.Add(s.window + s.listTTL)
+func (d *divider) checkEra(rev objectapi.Revision, now time.Time) {
+	if rev.Era() > d.list.Revision.Era() && now.Sub(d.list.Sent) >= d.window {
+		d.lostUntil = now.Add(d.window + d.listTTL)
 	}
 }
 
 // confirm records that the list is still complete up to a revision.
-func (s *share) confirm(rev objectapi.Revision, sent time.Time) {
-	s.list.Revision = max(s.list.Revision, rev)
-	if sent.After(s.list.Sent) {
-		s.list.Sent = sent
+func (d *divider) confirm(rev objectapi.Revision, sent time.Time) {
+	d.list.Revision = max(d.list.Revision, rev)
+	if sent.After(d.list.Sent) {
+		d.list.Sent = sent
 	}
 }
 
 // create records that this process has created the VM's entry, which did not exist. An entry may be missing in a
 // store that has come back from an older copy, so that only one of the first era proves that there was no earlier process.
-func (s *share) create(rev objectapi.Revision) { s.created = rev.Era() == 0 }
+func (d *divider) create(rev objectapi.Revision) {
+	if rev.Era() == 0 {
+		d.created = rev
+	}
+}
 
 // receive applies the statement of another VM.
-func (s *share) receive(vm ids.VM, st *Statement, now time.Time) {
+func (d *divider) receive(vm ids.VM, st *Statement, now time.Time) {
 	if st.Asks {
-		s.askedAt = now
+		d.askedAt = now
 	}
-	s.stated = max(s.stated, st.VMs)
-	if !s.active {
-		s.statements[vm] = *st
+	d.stated = max(d.stated, st.VMs)
+	if !d.active {
+		d.statements[vm] = *st
 	}
 }
 
@@ -155,64 +162,64 @@
 const askedFor = 2 * time.Second
 
 // statement returns what to tell the other VMs; nil: nothing that one waits for.
-func (s *share) statement(now time.Time) *Statement {
-	count, wait := s.count(now)
+func (d *divider) statement(now time.Time) *Statement {
+	count, wait := d.count(now)
 	asks := count == 0 && wait.Reason == waitsForPeers
-	if !asks && (s.askedAt.IsZero() || now.Sub(s.askedAt) > askedFor) {
+	if !asks && (d.askedAt.IsZero() || now.Sub(d.askedAt) > askedFor) {
 		return nil
 	}
-	return &Statement{Revision: s.list.Revision, VMs: s.counted(now), Spent: s.smallestSpent(now), Asks: asks}
+	return &Statement{Revision: d.list.Revision, VMs: d.counted(now), Spent: d.smallestSpent(now), Asks: asks}
 }
 
 // count returns the number of VMs by which this VM divides the burst. Zero: it has no share, and wait
 // says why.
-func (s *share) count(now time.Time) (n int, wait Wait) {
+func (d *divider) count(now time.Time) (n int, wait Wait) {
 	switch {
-	case s.list.Sent.IsZero():
+	case d.list.Sent.IsZero():
 		return 0, Wait{Reason: waitsForList}
-	case s.listTTL > 0 && now.Sub(s.list.Sent) > s.listTTL:
+	case d.listTTL > 0 && now.Sub(d.list.Sent) > d.listTTL:
 		return 0, Wait{Reason: waitsForNewerList}
-	case s.entrySince.IsZero():
+	case d.entrySince.IsZero():
 		return 0, Wait{Reason: waitsForEntry}
 	}
-	if now.Before(s.lostUntil) {
-		return 0, Wait{Reason: waitsForLostEntries, Until: s.lostUntil}
+	if now.Before(d.lostUntil) {
+		return 0, Wait{Reason: waitsForLostEntries, Until: d.lostUntil}
 	}
-	if until := s.predecessorUntil(); now.Before(until) {
+	if until := d.predecessorUntil(); now.Before(until) {
 		return 0, Wait{Reason: waitsForPredecessor, Until: until}
 	}
-	n = s.counted(now)
-	settled := s.entrySince.Add(s.window + s.listTTL)
+	n = d.counted(now)
+	settled := d.entrySince.Add(d.window + d.listTTL)
 	if now.Before(settled) {
-		n = max(n, s.stated) // others count VMs whose entries were removed before this VM read the list
+		n = max(n, d.stated) // others count VMs whose entries were removed before this VM read the list
 	}
-	if !s.active && now.Before(settled) && !s.agreed(n) {
+	if !d.active && now.Before(settled) && !d.agreed(n) {
 		return 0, Wait{Reason: waitsForPeers, Until: settled}
 	}
-	if !s.active {
-		s.active = true
-		clear(s.statements)
+	if !d.active {
+		d.active = true
+		clear(d.statements)
 	}
 	return n, Wait{}
 }
 
 // predecessorUntil returns when no window has spendings of an earlier process any more.
-func (s *share) predecessorUntil() time.Time {
-	if s.created {
-		return s.started
+func (d *divider) predecessorUntil() time.Time {
+	if d.created != 0 {
+		return d.started
 	}
-	return s.started.Add(s.window)
+	return d.started.Add(d.window)
 }
 
 // agreed reports whether all other listed VMs have stated that they count this VM and have spent
 // nothing by a count below n.
-func (s *share) agreed(n int) bool {
-	for vm := range s.listed {
-		if vm == s.vm {
+func (d *divider) agreed(n int) bool {
+	for vm := range d.listed {
+		if vm == d.vm {
 			continue
 		}
-		st, ok := s.statements[vm]
-		if !ok || st.Revision < s.list.OwnEntry || st.Spent != 0 && st.Spent < n {
+		st, ok := d.statements[vm]
+		if !ok || st.Revision < d.list.OwnEntry || st.Spent != 0 && st.Spent < n {
 			return false
 		}
 	}
@@ -220,27 +227,27 @@
 }
 
 // counted returns the number of listed VMs and of those that may still spend although they are not listed.
-func (s *share) counted(now time.Time) int {
-	for vm, since := range s.missing {
-		if now.Sub(since) > s.window+s.listTTL {
-			delete(s.missing, vm)
+func (d *divider) counted(now time.Time) int {
+	for vm, since := range d.missing {
+		if now.Sub(since) > d.window+d.listTTL {
+			delete(d.missing, vm)
 		}
 	}
-	return len(s.listed) + len(s.missing)
+	return len(d.listed) + len(d.missing)
 }
 
 // spend records that this VM has spent part of the burst by a count.
-func (s *share) spend(count int, now time.Time) { s.spent[count] = now }
+func (d *divider) spend(count int, now time.Time) { d.spent[count] = now }
 
 // smallestSpent returns the value of Statement.Spent.
-func (s *share) smallestSpent(now time.Time) int {
+func (d *divider) smallestSpent(now time.Time) int {
 	smallest := 0
-	if now.Before(s.predecessorUntil()) {
+	if now.Before(d.predecessorUntil()) {
 		smallest = 1
 	}
-	for count, at := range s.spent {
-		if now.Sub(at) > s.window {
-			delete(s.spent, count)
+	for count, at := range d.spent {
+		if now.Sub(at) > d.window {
+			delete(d.spent, count)
 			continue
 		}
 		if smallest == 0 || count < smallest {
--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// join starts a VM that creates its entry and reads the list.
+func (f *testFleet) join(vm ids.VM) *testProcess {
+	p := f.start(vm)
+	f.register(p, false)
+	f.read(p)
+	return p
+}
+
 // answerRead has the store answer the pending read of p.
 func (f *testFleet) answerRead(p *testProcess) {
 	l := List{Revision: f.rev, Sent: p.sent, OwnEntry: f.entries[p.vm]}
@@ -340,6 +348,22 @@
 	}
 }
 
+// TestEntryCreatedBeforeLateList checks that a list from before a VM's entry was created, which is read after that, does not
+// make the VM wait for a predecessor.
+func TestEntryCreatedBeforeLateList(t *testing.T) {
+	f := newTestFleet(0, 40)
+	p := f.start("vm0")
+	f.join("vm1")
+	p.sent = f.now
+	f.answerRead(p)
+	f.register(p, false)
+	p.applyRead()
+	f.converge()
+	if s := p.budgets.Share(); s.VMs != 2 {
+		t.Errorf("got %+v, want a half", s)
+	}
+}
+
 // TestShareWithoutPeers checks that a VM has its part of the burst a window and listTTL after its entry was
 // written although another listed VM is gone, and none while its list is too old.
 func TestShareWithoutPeers(t *testing.T) {
