Missing entries: a VM's own first answer after it has heard a peer is no further return

Order of events in the logs, in seconds: 15.739 the entry is removed, three VMs see it; 16.610 vm1 notices that the store does not answer it; 16.672 it reads the list from a peer, which lacks the entry, and waits until 16.9, two seconds after the peer's return; 16.690 the store answers it, which counted as the return from a further outage: it waited until 18.69. Change: a regained list counts as a return only if this VM has not heard the store since it lost it, or a peer tells of a return later than this VM's last answer, or the era is a new one. A VM that begins to read the store itself with data that is too old counts as having lost it. TestReturnHeardFromPeerFirst failed before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,6 +33,8 @@
 	// Regained is when the store was first heard again, by this VM or the one whose copy it reads, in the list that
 	// follows an outage. Zero: not known.
 	Regained time.Time
+	// Relayed says that the response comes from a peer's copy.
+	Relayed bool
 	// EraSince is when the store was first known to be in the era of Revision, after it had come back
 	// from an older copy. Zero: no earlier era is known of.
 	EraSince time.Time
@@ -94,6 +96,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
 	f.lost, f.lostSince = f.Reconnecting, clock.Now()
+	if f.lost {
+		NotifyUnavailable(f.Handler)
+	}
 	for ctx.Err() == nil {
 		if f.Health.awaitTurn(ctx, f) {
 			f.after = 0
--- a/internal/follow/missing.go
+++ b/internal/follow/missing.go
@@ -27,10 +27,25 @@
 	returned time.Time          // when the store was first heard again; zero: there was no outage
 	revision objectapi.Revision // of the first list after the outage
 	lost     bool               // the store is not heard at present
+	answered time.Time          // when the store last answered this VM, or the one whose copy it reads
+	era      objectapi.Era      // of the latest response
 }
 
-// heard records an answer of the store.
-func (l *lapse) heard() { l.lost = false }
+// heard records a response.
+func (l *lapse) heard(at At) {
+	l.lost = false
+	l.era = max(l.era, at.Revision.Era())
+	if at.Answered.After(l.answered) {
+		l.answered = at.Answered
+	}
+}
+
+// isReturn reports whether a list that follows an outage is the first one for this VM. It may have heard of the store's return from
+// a peer before the store answered it itself; and a peer may have been cut off for longer than this VM. A store that has come back
+// from an older copy may lack entries although no call to it failed.
+func (l *lapse) isReturn(at At) bool {
+	return l.lost || at.Revision.Era() > l.era || at.Relayed && at.Regained.After(l.answered)
+}
 
 // missing is the state of an entry that is not listed. The zero value is that of a listed one.
 type missing struct {
@@ -68,7 +83,7 @@
 		returned = clock.Now()
 	}
 	if !returned.After(r.lapse.returned) {
-		return // this VM knows of the outage already
+		return // the same return, from another peer
 	}
 	r.lapse.returned, r.lapse.revision = returned, at.Revision
 	for _, rec := range r.records {
--- a/internal/follow/missing_test.go
+++ b/internal/follow/missing_test.go
@@ -250,3 +250,47 @@
 		checkUsed(t, r, "e1", false, "the grace is over")
 	})
 }
+
+// TestReturnHeardFromPeerFirst has a VM hear of the store's return from a peer before the store answers it itself: its own first
+// answer is no further return, so that the wait for a missing entry does not begin anew (soak --shortage, seed 9826).
+func TestReturnHeardFromPeerFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newReplicas(t)
+		r.ReturnGrace, r.Heartbeat = testGrace, time.Second
+		time.Sleep(time.Hour)
+		both := []objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLive)), entryOf(engineOf("e2", 100, platform.StateLive))}
+		r.Listed(both, At{Revision: 10, Answered: time.Now()}, false)
+		r.Unavailable()
+		time.Sleep(time.Second)
+		returned := time.Now().Add(-1700 * time.Millisecond)
+		r.Listed(both[1:], At{Revision: 20, Answered: time.Now().Add(-300 * time.Millisecond), Regained: returned, Relayed: true}, true)
+		checkUsed(t, r, "e1", true, "its entry may have expired in the outage")
+		time.Sleep(20 * time.Millisecond)
+		r.Listed(both[1:], At{Revision: 21, Answered: time.Now(), Regained: time.Now()}, true)
+		time.Sleep(testGrace - 1700*time.Millisecond)
+		r.Sweep()
+		checkUsed(t, r, "e1", false, "the grace after the return is over")
+	})
+}
+
+// TestEntryMissingInCopyReturns has the store come back from an older copy that lacks the entry of a live replica, without a call that
+// failed. The replica is used all the time.
+func TestEntryMissingInCopyReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newReplicas(t)
+		r.ReturnGrace, r.Heartbeat = testGrace, time.Second
+		time.Sleep(time.Hour)
+		era := objectapi.StartOf(1)
+		both := []objectapi.Object{entryOf(engineOf("e1", 100, platform.StateLive)), entryOf(engineOf("e2", 100, platform.StateLive))}
+		r.Listed(both, At{Revision: 10, Answered: time.Now()}, false)
+		time.Sleep(time.Second)
+		r.Listed(both[1:], At{Revision: era + 5, Answered: time.Now(), Regained: time.Now()}, true)
+		time.Sleep(testGrace - time.Second)
+		r.Sweep()
+		checkUsed(t, r, "e1", true, "the copy lacks its entry")
+		r.Changed([]objectapi.Object{atRevision(both[0], era+7)}, At{Revision: era + 7, Answered: time.Now()})
+		time.Sleep(2 * testGrace)
+		r.Sweep()
+		checkUsed(t, r, "e1", true, "it has registered again")
+	})
+}
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -94,7 +94,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.restored.beginList(at, r.listed)
-	r.lapse.heard()
+	regained = regained && r.lapse.isReturn(at)
+	r.lapse.heard(at)
 	if regained {
 		r.regain(at)
 	}
@@ -117,10 +118,10 @@
 }
 
 // Changed implements Handler.
-func (r *Replicas) Changed(events []objectapi.Object, _ At) {
+func (r *Replicas) Changed(events []objectapi.Object, at At) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lapse.heard()
+	r.lapse.heard(at)
 	for _, o := range events {
 		if !o.Deleted {
 			r.put(o)
@@ -135,9 +136,9 @@
 }
 
 // Unchanged implements Handler.
-func (r *Replicas) Unchanged(At) {
+func (r *Replicas) Unchanged(at At) {
 	r.mu.Lock()
-	r.lapse.heard()
+	r.lapse.heard(at)
 	r.mu.Unlock()
 	r.Sweep()
 }
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -152,7 +152,7 @@
 func (c *client) apply(i int, p *mirrorpb.Part, sent time.Time) {
 	s := c.spaces[i]
 	c.have[i] = position{copyID: p.Copy, change: p.Change}
-	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs)}
+	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs), Relayed: true}
 	if p.EraAgeUs > 0 {
 		at.EraSince = before(clock.Now(), p.EraAgeUs)
 	}
