Test of the log's budget: the bound counts the time that the lines take

Cause: TestRequestLineBudget writes 800 lines and wants at most 610 of a burst of 600 at once, but the limiter refills 300 a second meanwhile: where the loop takes over 33 ms, more are right.

--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -49,15 +49,17 @@
 // must drop and count the rest, and still write lines about the process's state.
 func TestRequestLineBudget(t *testing.T) {
 	var out bytes.Buffer
+	began := time.Now()
 	l := New(&out, nil)
 	for range requestBurst + 200 {
 		l.Request("decide", "q").Send()
 	}
+	allowed := requestBurst + int(requestLinesPerSecond*time.Since(began).Seconds())
 	l.State("ready").Send()
 	l.ReportDropped()
 	l.Close()
-	if n := strings.Count(out.String(), `"decide"`); n > requestBurst+10 {
-		t.Fatalf("%d lines about requests, want about %d", n, requestBurst)
+	if n := strings.Count(out.String(), `"decide"`); n > allowed {
+		t.Fatalf("%d lines about requests, want at most %d", n, allowed)
 	}
 	for _, want := range []string{`"event":"ready"`, `"over_budget":`} {
 		if !strings.Contains(out.String(), want) {
