Test: the shares of the burst grow after departures

The shares grow no longer at once, which is the point of rule 5 in docs/design/retry-budget.md: TestSharesGrowAfterDepartures asks for five while the removed entries count, and ten after a window and listTTL.

--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -406,3 +406,28 @@
 		t.Errorf("a window later: %+v, want a half", s)
 	}
 }
+
+// TestSharesGrowAfterDepartures checks that VMs whose entries were removed count for a window and listTTL, and that the
+// others have their parts of the burst after that.
+func TestSharesGrowAfterDepartures(t *testing.T) {
+	f := newTestFleet(0.2, 40)
+	for i := range 8 {
+		f.start(ids.VM(fmt.Sprint("vm", i)))
+	}
+	f.converge()
+	for i := range 4 {
+		vm := ids.VM(fmt.Sprint("vm", i))
+		delete(f.running, vm)
+		delete(f.entries, vm)
+		f.rev++
+	}
+	for _, want := range []float64{5, 10} {
+		f.converge()
+		for vm, p := range f.running {
+			if remaining := p.budgets.Of("svc").Remaining(); remaining != want {
+				t.Errorf("%s may retry %v times, want %v", vm, remaining, want)
+			}
+		}
+		f.now = f.now.Add(testWindow + maxLoanTime + testListTTL + time.Millisecond)
+	}
+}
