--- a/cmd/threadwall-lab/soak.go
+++ b/cmd/threadwall-lab/soak.go
@@ -28,6 +28,7 @@
 			&cli.BoolFlag{Name: "parts", Usage: "have parts of prompts crash engines, and most connections go to one VM at times"},
 			&cli.BoolFlag{Name: "versions", Usage: "run engines of several software versions whose streams break off and are taken up"},
 			&cli.BoolFlag{Name: "shortage", Usage: "have most calls of a service fail while all VMs are restarted, or replicas leave just after cuts"},
+			&cli.BoolFlag{Name: "hushes", Usage: "have engines fall silent and go on while configurations change and retries are short"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep logs even if there were no violations"},
 		},
 		Action: runSoak,
@@ -44,7 +45,7 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Program: c.String("program"), Seed: seed + uint64(i), VMs: c.Int("vms"), Callers: c.Int("callers"),
 			FaultDuration: c.Duration("faults"), Keep: c.Bool("keep"), Drills: c.Bool("drills"), Cuts: c.Bool("cuts"), Versions: c.Bool("versions"), Parts: c.Bool("parts"),
-			Shortage: c.Bool("shortage"),
+			Shortage: c.Bool("shortage"), Hushes: c.Bool("hushes"),
 		})
 		if err != nil {
 			return eris.Wrapf(err, "seed %d", seed+uint64(i))
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -124,6 +124,7 @@
 	handler      atomic.Pointer[func(w http.ResponseWriter, r *http.Request) bool]
 	signals      atomic.Pointer[Signals]
 	unresponsive atomic.Bool // requests hang until the caller closes them
+	silence      silence
 	ended        atomic.Bool // a request has crashed the replica
 }
 
@@ -264,6 +265,9 @@
 		<-req.Context().Done()
 		return
 	}
+	if !r.silence.await(req.Context()) {
+		return
+	}
 	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.ID {
 		w.Header().Set("X-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/lab/platformlab/stream.go
+++ b/internal/lab/platformlab/stream.go
@@ -47,6 +47,9 @@
 		software = r.software()
 	}
 	for n := after + 1; n <= r.Chunks; n++ {
+		if !r.silence.await(req.Context()) {
+			return
+		}
 		event := Event(n, req.Header.Get("X-Request-Id"), software)
 		if breaks && n == after+1+r.Break.After {
 			r.breakOff(w, req, event)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -77,15 +77,43 @@
 
 // pause returns the mean pause between two calls of one caller.
 func (c *callers) pause() time.Duration {
-	if c.h.shortage {
+	if c.h.shortage || c.h.hushes {
 		return shortagePause
 	}
 	return callPause
 }
 
-// deadline is how long a caller waits for a response.
+// streamShape is the size of streams, and the time that callers have.
+type streamShape struct {
+	chunks   int           // events of a stream
+	interval time.Duration // between them
+	deadline time.Duration // how long a caller waits for a response, of any route
+}
+
+// usualStreams is the shape of streams in most soaks.
+var usualStreams = streamShape{chunks: 6, interval: 5 * time.Millisecond, deadline: deadline}
+
+// deadline is how long a caller usually waits for a response.
 const deadline = 2 * time.Second
 
+// timeoutMargin is how much sooner than its callers a route gives up.
+const timeoutMargin = 200 * time.Millisecond
+
+// shapeOf returns the shape of streams in a soak.
+func shapeOf(o *Options) streamShape {
+	if o.Hushes {
+		return hushedStreams
+	}
+	return usualStreams
+}
+
+// setTimeouts sets the timeouts of all routes.
+func (h *harness) setTimeouts(d time.Duration) {
+	for _, r := range h.config.Routes {
+		r["timeoutMs"] = d.Milliseconds()
+	}
+}
+
 // callRandom makes one call on a random route, with one of the keys that faults replace.
 func (c *callers) callRandom(rng *rand.Rand, transport *http.Transport) {
 	path := paths[rng.IntN(len(paths))]
@@ -111,9 +139,9 @@
 	out.id, out.vm, out.version = fmt.Sprintf("s%08d", c.number.Add(1)), h.pickVM(rng), h.confirmedVersion()
 	faultFree, vmFaultFree := h.faultFree(out.vm), out.vm.faultFree(faultFreeTime)
 	out.sent = time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), h.streams.deadline)
 	defer cancel()
-	spec := platformlab.Call{ID: out.id, Host: host, Path: out.path + "x", Key: out.key, Body: "body of " + out.id, Deadline: deadline}
+	spec := platformlab.Call{ID: out.id, Host: host, Path: out.path + "x", Key: out.key, Body: "body of " + out.id, Deadline: h.streams.deadline}
 	if out.path == pathStream {
 		spec.Model, spec.Tokens = model, 1000
 		spec.Parts = []string{"aa:500", fmt.Sprintf("b%d:400", rng.IntN(20)), out.id + ":100"}
@@ -145,8 +173,8 @@
 	return append([]call(nil), c.calls...)
 }
 
-// wantBody returns the body of a complete response to the call.
-func (c *call) wantBody() string {
+// wantBody returns the body of a complete response to the call. A stream has the given number of events.
+func (c *call) wantBody(chunks int) string {
 	if c.path != pathStream {
 		return "answer to " + c.id
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,6 +69,7 @@
 	c.completeOrBroken(k)
 	c.keys(k, runs)
 	c.routeFound(k)
+	c.silentReplicas(k)
 	c.replicas(k, runs)
 	if c.h.checkTiming && k.faultFree && !k.left && k.resumes == "" && !c.acceptable(k) && !c.withoutWeights(k) {
 		c.report("call %s on %s to %s failed without a fault: status %d, broken %v, after %v", k.id, k.path, k.vm.name, k.status, k.broken, k.ended.Sub(k.sent))
@@ -87,6 +88,9 @@
 	_, revoked := c.h.revoked[k.key]
 	issuedAt, replaced := c.h.issued[k.key]
 	early := replaced && k.sent.Before(issuedAt.Add(propagationTime))
+	if c.h.hushes && k.path == pathStream && k.status == http.StatusServiceUnavailable {
+		return true // an engine that is silent now may not answer in time
+	}
 	if k.key == limitedKey {
 		return k.status == http.StatusTooManyRequests
 	}
@@ -119,10 +123,10 @@
 	switch {
 	case !k.signed:
 		c.report("call %s got a successful response without a signature", k.id)
-	case !k.broken && k.body != k.wantBody():
-		c.report("call %s on %s got %q as a complete response, want %q", k.id, k.path, k.body, k.wantBody())
-	case k.broken && !strings.HasPrefix(k.wantBody(), k.body):
-		c.report("call %s on %s got a cut-off response %q, want a prefix of %q", k.id, k.path, k.body, k.wantBody())
+	case !k.broken && k.body != k.wantBody(c.h.streams.chunks):
+		c.report("call %s on %s got %q as a complete response, want %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks))
+	case k.broken && !strings.HasPrefix(k.wantBody(c.h.streams.chunks), k.body):
+		c.report("call %s on %s got a cut-off response %q, want a prefix of %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks))
 	}
 }
 
--- a/internal/soak/shortage.go
+++ b/internal/soak/shortage.go
@@ -49,8 +49,11 @@
 
 // retryBounds returns the bounds in force.
 func (h *harness) retryBounds() retryBounds {
-	if h.shortage {
+	switch {
+	case h.shortage:
 		return shortageRetries
+	case h.hushes:
+		return hushedRetries
 	}
 	return usualRetries
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,8 @@
 	// Shortage states that the replicas of the plain service fail most calls, and that all VMs are restarted in quick
 	// series, or replicas leave without a word just after VMs were cut off from the store.
 	Shortage bool
+	// Hushes states that engines fall silent and go on while configurations change, and that retries are short.
+	Hushes bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -48,6 +50,7 @@
 	TakenUp    int            `json:"taken_up"` // streams that callers took up at another VM
 	WentOn     int            `json:"went_on"`  // of these, streams of which a further event came
 	Retries    RetryWindow    `json:"retries"`
+	Hushed     HushedStreams  `json:"hushed"`
 	Violations []string       `json:"broken,omitempty"` // of the guarantees
 	Logs       []string       `json:"logs,omitempty"`   // paths of files that were kept
 }
@@ -75,7 +78,7 @@
 	}
 	h, err := newHarness(dir, directFleet(o.Seed), &o)
 	defer h.close()
-	h.checkTiming, h.storeFaults = !o.Busy, !o.Shortage || o.Seed/4%2 == 1
+	h.checkTiming, h.storeFaults = !o.Busy, !o.Shortage && !o.Hushes || o.Seed/4%2 == 1
 	if err != nil {
 		return report, err
 	}
@@ -103,6 +106,10 @@
 	if o.Shortage {
 		waitShortage = h.injectShortage(faultCtx, o.Seed)
 	}
+	waitHushes := func() map[string]int { return nil }
+	if o.Hushes {
+		waitHushes = h.injectHushes(faultCtx, o.Seed)
+	}
 	waitExtraFaults, waitSignals := h.injectExtraFaults(faultCtx, o.Seed), h.injectSignals(faultCtx, o.Seed)
 	if !h.storeFaults {
 		<-faultCtx.Done() // half of the seeds have no other faults, so that VMs are without faults for longer
@@ -115,12 +122,14 @@
 	maps.Copy(report.Faults, waitCuts())
 	maps.Copy(report.Faults, waitParts())
 	maps.Copy(report.Faults, waitShortage())
+	maps.Copy(report.Faults, waitHushes())
 	report.Faults["a brittle replica fell over"] = h.countFalls()
 	stopFaults()
 	h.awaitRecovery(&report)
 	time.Sleep(afterTime)
 	stopCalls()
 	c.wg.Wait()
+	report.Hushed = h.countHushed(c.all())
 	h.evaluate(c.all(), &report)
 	h.evaluateStreams(c.allStreams(), &report)
 	if len(report.Violations) > 0 || o.Keep {
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -105,7 +105,7 @@
 			c.addStream(s)
 		}
 		c.addVersions(s, versions)
-		if last += events; last >= chunks {
+		if last += events; last >= c.h.streams.chunks {
 			return
 		}
 		time.Sleep(rand.N(takeUpPause))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -26,7 +26,6 @@
 const (
 	host     = "soak.example"
 	model    = "m"
-	chunks   = 6
 	keyCount = 4
 
 	keyTTL = 2 * time.Second
@@ -75,7 +74,9 @@
 	entryRemoved  map[string]time.Time    // when the entry of a replica was removed that had not said that it leaves, by its id
 	suspended     bool                    // a VM was suspended
 	worstRetries  RetryWindow
-	storeFaults   bool        // faults of the store itself are drawn
+	storeFaults   bool // faults of VMs, replicas and the store are drawn
+	hushes        bool // engines fall silent and go on
+	streams       streamShape
 	drills        []time.Time // ends of drills: what the store lost has been written again
 	lastFault     time.Time   // start or end of the last fault outside the VMs
 	activeFaults  int         // number of faults in progress outside the VMs
@@ -112,7 +113,7 @@
 
 func route(path, kind, service string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
-		"name": path, "host": host, "pathPrefix": path, "kind": kind, "timeoutMs": 1800, "targetLatencyMs": 300, "gapAimMs": 200,
+		"name": path, "host": host, "pathPrefix": path, "kind": kind, "targetLatencyMs": 300, "gapAimMs": 200,
 		"service": service, "maxAttempts": attempts, "resumable": resumable, "sticky": resumable,
 	}
 }
@@ -120,7 +121,7 @@
 // newHarness starts the store, three replicas of each service and the VMs' processes. The caller
 // must close the returned harness, also after an error.
 func newHarness(dir string, directFleet int, o *Options) (*harness, error) {
-	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, entryRemoved: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: o.Cuts, versions: o.Versions, parts: o.Parts, shortage: o.Shortage, failing: o.Shortage, badPrompts: map[string][]fatalCall{}}
+	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, entryRemoved: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: o.Cuts, versions: o.Versions, parts: o.Parts, shortage: o.Shortage, hushes: o.Hushes, streams: shapeOf(o), failing: o.Shortage, badPrompts: map[string][]fatalCall{}}
 	h.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -130,6 +131,7 @@
 		Services: []map[string]any{{"name": "svc"}, {"name": "llm"}},
 		Limits:   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
+	h.setTimeouts(h.streams.deadline - timeoutMargin)
 	for i := range keyCount {
 		h.keys[i] = h.newKey()
 		h.config.Tenants = append(h.config.Tenants, tenant{Name: fmt.Sprint("t", i), APIKeys: []string{h.keys[i]}})
@@ -191,7 +193,7 @@
 	h.replicaNumber++
 	r := &replica{Replica: &platformlab.Replica{ID: fmt.Sprintf("i-%s-%d", service, h.replicaNumber), Service: service, Zone: "z1", ServiceTime: 3 * time.Millisecond}}
 	if service == "llm" {
-		r.Model, r.Chunks, r.ChunkInterval = model, chunks, 5*time.Millisecond
+		r.Model, r.Chunks, r.ChunkInterval = model, h.streams.chunks, h.streams.interval
 		r.SetVersion(h.weights)
 		h.setSoftware(r)
 	}
