Log: an answer that a VM itself cuts is told from others

Streams that ended while their replicas were only silent had an 'end' line with code target_failed, as for a replica that failed. The line answer-cut and the counter answers_cut say who ended an answer (this VM, the replica, the deadline), which condition kept another attempt away, which replica was given up, how long it had been silent, and what was spent.

No decision is changed.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -103,8 +103,9 @@
 	Latency       *forward.Histogram        `json:"latency"`
 	Prediction    *forward.PredictionErrors `json:"prediction"`
 	Rollout       RolloutMetrics            `json:"rollout"`
-	Late          *forward.LateCounts       `json:"late"`     // late responses, by reason
-	Refusals      *forward.RefusalCounts    `json:"refusals"` // refusals and failures, by code and step
+	Late          *forward.LateCounts       `json:"late"`        // late responses, by reason
+	Refusals      *forward.RefusalCounts    `json:"refusals"`    // refusals and failures, by code and step
+	Cuts          *forward.CutCounts        `json:"answers_cut"` // answers that ended early, by who ended them and why nothing replaced them
 	Crashes       CrashMetrics              `json:"crashes"`
 	Allowances    []allowance.Status        `json:"allowances"`
 	Demand        []demand.Status           `json:"demand"`      // load of each service on all VMs
@@ -202,7 +203,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Demand: d.demandStatus(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Cuts: &f.Cuts, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Demand: d.demandStatus(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- /dev/null
+++ b/internal/forward/cut.go
@@ -0,0 +1,129 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/quarantine"
+	"github.com/threadwall/threadwall/internal/tally"
+)
+
+// stopReason is why a call gets no further attempt.
+type stopReason string
+
+// Reasons to make no further attempt. The empty one says that there may be one.
+const (
+	stopDeadline   stopReason = "deadline"
+	stopSends      stopReason = "sends used up"
+	stopAttempts   stopReason = "attempts used up"
+	stopNotAgain   stopReason = "may not run again"
+	stopNoResume   stopReason = "may not be resumed"
+	stopBudget     stopReason = "retry budget used up"
+	stopNoTarget   stopReason = "no target"
+	stopUnproven   stopReason = "configuration not proven"
+	stopShed       stopReason = "would be late"
+	stopQuarantine stopReason = "quarantined or suspected"
+)
+
+// cutter is who ended an answer before its end.
+type cutter string
+
+const (
+	cutByReplica  cutter = "replica"
+	cutByDeadline cutter = "deadline"
+	cutByVM       cutter = "vm" // this VM gave the replica up
+)
+
+// CutCounts counts answers that were ended early, by who ended them and why nothing replaced them. Safe for concurrent use.
+type CutCounts struct{ tally.Counts }
+
+// givenUp is a replica that this VM gave up while it may still have worked on the call.
+type givenUp struct {
+	target ids.Target
+	silent time.Duration // how long it had sent nothing
+}
+
+// noteGivenUp records the replica of an attempt that this VM ended.
+func (r *run) noteGivenUp(c *choice, err *outcome.Error) {
+	if errors.Is(err, errStalled) || errors.Is(err, errOldWeights) {
+		r.gaveUp = givenUp{c.target.ID, clock.Since(r.heard)}
+	}
+}
+
+// cutterOf returns who ended an answer, given the error of the call.
+func (r *run) cutterOf(final *outcome.Error) cutter {
+	switch {
+	case final.Code == outcome.CodeDeadline:
+		return cutByDeadline
+	case r.gaveUp.target != "", errors.Is(final, errNotAllowed):
+		return cutByVM
+	}
+	return cutByReplica
+}
+
+// recordCut counts and logs an answer that ends early. The line is one about the state of this VM, so that a flood of lines about
+// requests does not displace it.
+func (r *run) recordCut(err, final *outcome.Error) {
+	by := r.cutterOf(final)
+	r.f.Cuts.Add(string(by) + "/" + string(r.stopped))
+	r.f.Log.State("answer-cut").Str("request", string(r.call.ID)).Str("route", r.route.Name).Str("service", r.service).
+		Str("by", string(by)).Str("reason", string(r.stopped)).Str("target", r.lastTarget()).
+		Str("gave_up", string(r.gaveUp.target)).Int64("silent_ms", r.gaveUp.silent.Milliseconds()).Bool("begun", r.begun).
+		Int("sends", r.sends).Int("attempts", r.attempts).Int("retries", len(r.paidFrom)).Str("paid_from", strings.Join(r.paidFrom, ",")).
+		Int64("left_ms", clock.Until(r.ends).Milliseconds()).Str("error", err.Error()).Send()
+}
+
+// lastTarget returns the replica of the last send; empty: there was none.
+func (r *run) lastTarget() string {
+	if len(r.tried) == 0 {
+		return ""
+	}
+	return string(r.tried[len(r.tried)-1])
+}
+
+// mayRetry returns why the call may not be sent again after a failed send; empty: it may. In that case it takes the retry
+// out of the service's retry budget, unless the failed send ended before any byte was sent.
+func (r *run) mayRetry(ctx context.Context, err *outcome.Error) stopReason {
+	if stop := r.stopAfter(ctx, err); stop != "" {
+		return stop
+	}
+	if !r.withdraw(ctx, err) {
+		return stopBudget
+	}
+	r.f.Stats.Retries.Add(1)
+	return ""
+}
+
+// stopAfter returns what speaks against another send after a failed one, apart from the retry budget.
+func (r *run) stopAfter(ctx context.Context, err *outcome.Error) stopReason {
+	switch {
+	case ctx.Err() != nil, clock.Until(r.ends) < minAttemptTime:
+		return stopDeadline
+	case r.sends >= maxSends:
+		return stopSends
+	case err.Code == outcome.CodeNoTarget:
+		return stopNoTarget
+	case err.Code == outcome.CodeStoreDown:
+		return stopUnproven
+	case err.Step == stepShed:
+		return stopShed
+	case err.Step == quarantine.Step:
+		return stopQuarantine
+	case err.Outcome != outcome.NotRun && !r.route.Repeatable():
+		return stopNotAgain
+	case err.Outcome != outcome.NotRun && !r.repeatable():
+		return stopAttempts
+	case r.begun && !r.route.Resumable:
+		return stopNoResume
+	case r.guard.Refusal(false) != nil:
+		return stopQuarantine // the crash of this attempt may have quarantined the request
+	case err.Outcome != outcome.NotRun && r.guard.Suspected():
+		return stopQuarantine // it may have crashed the replica, and would crash the next one
+	}
+	return ""
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -169,6 +169,8 @@
 	// failures by cause.
 	Late     LateCounts
 	Refusals RefusalCounts
+	// Cuts counts answers that ended early.
+	Cuts CutCounts
 
 	// Draining is set when the VM shuts down: responses then ask callers to use another
 	// connection.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -37,9 +37,13 @@
 	// maxSilence bounds the silence of the replicas that the call may move to, after it has waited
 	// for one that sent nothing (onStall). Zero: no bound.
 	maxSilence time.Duration
-	begun      bool   // a part of the response was passed on
-	status     int    // of the response that was passed on
-	via        ids.VM // the peer through which the last response came; empty: this VM's own link
+	begun      bool       // a part of the response was passed on
+	paidFrom   []string   // what paid for each retry that was taken out of the budget
+	heard      time.Time  // when a replica last sent something, or was sent the call
+	stopped    stopReason // why there was no further attempt
+	gaveUp     givenUp    // the last replica that this VM gave up; zero: none
+	status     int        // of the response that was passed on
+	via        ids.VM     // the peer through which the last response came; empty: this VM's own link
 	stream     streamState
 	origin     origin
 	progress   progress
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -13,7 +13,6 @@
 	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/outcome"
-	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/tunnel"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
@@ -51,7 +50,7 @@
 			r.abandon(err)
 			return
 		}
-		if !r.mayRetry(ctx, err) {
+		if r.stopped = r.mayRetry(ctx, err); r.stopped != "" {
 			r.fail(ctx, err)
 			return
 		}
@@ -71,6 +70,9 @@
 // fail ends a call that failed and is not retried.
 func (r *run) fail(ctx context.Context, err *outcome.Error) {
 	e := r.finalError(ctx, err)
+	if r.begun || r.gaveUp.target != "" {
+		r.recordCut(err, e)
+	}
 	if !r.begun {
 		r.refuse(e)
 		return
@@ -97,29 +99,6 @@
 	return e
 }
 
-// mayRetry reports whether the call may be sent again after a failed send. If so, it takes the retry
-// out of the service's retry budget, unless the failed send ended before any byte was sent.
-func (r *run) mayRetry(ctx context.Context, err *outcome.Error) bool {
-	switch {
-	case ctx.Err() != nil, clock.Until(r.ends) < minAttemptTime, r.sends >= maxSends:
-		return false
-	case err.Code == outcome.CodeNoTarget, err.Code == outcome.CodeStoreDown, err.Step == stepShed, err.Step == quarantine.Step:
-		return false
-	case err.Outcome != outcome.NotRun && !r.repeatable():
-		return false
-	case r.begun && !r.route.Resumable:
-		return false
-	case r.guard.Refusal(false) != nil:
-		return false // the crash of this attempt may have quarantined the request
-	case err.Outcome != outcome.NotRun && r.guard.Suspected():
-		return false // it may have crashed the replica, and would crash the next one
-	case !r.withdraw(ctx, err):
-		return false
-	}
-	r.f.Stats.Retries.Add(1)
-	return true
-}
-
 // withdraw takes a retry out of the service's retry budget, unless the failed send ended before any byte was
 // sent, and logs what pays for it. It returns false if the budget is used up and no other VM lends a retry.
 func (r *run) withdraw(ctx context.Context, err *outcome.Error) bool {
@@ -130,6 +109,7 @@
 	a := r.f.Budgets.SpendOrBorrow(ctx, r.service)
 	var line *zerolog.Event
 	if a.Allowed() {
+		r.paidFrom = append(r.paidFrom, string(a.Source))
 		line = r.f.Log.Request("retry", string(r.call.ID)).Str("paid_from", string(a.Source))
 	} else {
 		r.f.Stats.BudgetEmpty.Add(1)
@@ -233,6 +213,7 @@
 	}
 	t.countTransfers()
 	r.progress.sent, r.progress.work = t.sent, seconds(float32(t.c.work)/max(t.c.rate, 1))
+	r.heard = t.sent
 	t.stall.start(t.firstEventTimeout())
 	a, err := r.f.Upstream.Send(t.ctx, upstream.Replica{ID: t.c.target.ID, Addr: t.c.target.Addr}, t.request())
 	if err != nil {
@@ -382,6 +363,7 @@
 		return
 	}
 	r.checkForCrash(ctx, t, err)
+	r.noteGivenUp(c, err)
 	if nothingSent(err) {
 		r.f.Fleet.GiveBack(c.target.ID)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -85,7 +85,8 @@
 	if t.events++; t.events == eventsOfBegunAnswer {
 		r.guard.GoesOn()
 	}
-	r.progress.observe(clock.Now())
+	r.heard = clock.Now()
+	r.progress.observe(r.heard)
 	if ev.Numbered {
 		r.stream.last, r.stream.numbered = ev.ID, true
 	}
