A call keeps its silent replica until another one has answered

Cause: attempt.onStall looked whether the retry budget held a retry and whether another replica would take the call, and then cancelled the attempt. Only afterwards mayRetry took the retry, decide chose, recheckAdmission asked for the proof of the configuration, and the dial, the head and the first event followed. Each may say no, and fail then cut a stream whose replica still had it. Streams of one replica stall in the same milliseconds, so many saw the one retry that was left.

Ruled out: changes of the configuration by themselves (a call keeps the catalog that it was admitted with; no cut without silence), connections to engines that count as lost (each cut was the VM's own, by the line answer-cut).

Change: the call is sent to the other replica as well, and the first of the two from which something arrives that can be passed on keeps it; the other is cancelled then. Every attempt has a reader; the call's goroutine owns its state. TestEndedSendNotCountedAsWithdrawn names the timer's new function, nothing else of it changed. In TestSilentReplicaKeepsItsCall the proof of the configuration lapses once all calls have been sent: before, it also kept first sends from any replica, which is a refusal as not run and no cut.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -106,6 +106,7 @@
 	Late          *forward.LateCounts       `json:"late"`        // late responses, by reason
 	Refusals      *forward.RefusalCounts    `json:"refusals"`    // refusals and failures, by code and step
 	Cuts          *forward.CutCounts        `json:"answers_cut"` // answers that ended early, by who ended them and why nothing replaced them
+	Moves         *forward.MoveCounts       `json:"moves"`       // of calls whose replica was silent, by what came of them
 	Crashes       CrashMetrics              `json:"crashes"`
 	Allowances    []allowance.Status        `json:"allowances"`
 	Demand        []demand.Status           `json:"demand"`      // load of each service on all VMs
@@ -203,7 +204,7 @@
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
-		Late: &f.Late, Refusals: &f.Refusals, Cuts: &f.Cuts, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Demand: d.demandStatus(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
+		Late: &f.Late, Refusals: &f.Refusals, Cuts: &f.Cuts, Moves: &f.Moves, Crashes: d.crashMetrics(), Allowances: d.allowances.Status(), Demand: d.demandStatus(), Bytes: d.adapter.Meter, StoreCalls: d.store, News: d.newsMetrics(), Links: d.linkMetrics(), Streams: d.streamMetrics(),
 		HeapBytes: int64(mem.HeapAlloc), Goroutines: runtime.NumGoroutine(),
 	}
 }
--- a/internal/forward/cut.go
+++ b/internal/forward/cut.go
@@ -44,14 +44,15 @@
 
 // givenUp is a replica that this VM gave up while it may still have worked on the call.
 type givenUp struct {
-	target ids.Target
-	silent time.Duration // how long it had sent nothing
+	target   ids.Target
+	silent   time.Duration // how long it had sent nothing
+	replaced bool          // another replica had answered by then
 }
 
 // noteGivenUp records the replica of an attempt that this VM ended.
-func (r *run) noteGivenUp(c *choice, err *outcome.Error) {
-	if errors.Is(err, errStalled) || errors.Is(err, errOldWeights) {
-		r.gaveUp = givenUp{c.target.ID, clock.Since(r.heard)}
+func (r *run) noteGivenUp(t *attempt, err *outcome.Error) {
+	if stalled := errors.Is(err, errStalled); stalled || errors.Is(err, errOldWeights) {
+		r.gaveUp = givenUp{t.c.target.ID, t.silence(), stalled}
 	}
 }
 
@@ -60,7 +61,7 @@
 	switch {
 	case final.Code == outcome.CodeDeadline:
 		return cutByDeadline
-	case r.gaveUp.target != "", errors.Is(final, errNotAllowed):
+	case r.gaveUp.target != "" && !r.gaveUp.replaced, errors.Is(final, errNotAllowed):
 		return cutByVM
 	}
 	return cutByReplica
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,9 +21,10 @@
 // # Stages
 //
 // admit (handler.go) reads the call, the catalog and the key. decide.go picks a replica
-// and the address from which this replica fetches KV cache. run.go sends the call,
-// classifies the outcome and retries where that is allowed. whole.go and stream.go pass
-// responses on.
+// and the address from which this replica fetches KV cache. attempt.go sends the call and
+// reads the response. follow.go follows the attempts of a call, and whole.go and stream.go pass
+// their responses on. run.go classifies outcomes and retries where that is allowed, and move.go
+// sends a call whose replica is silent to another one as well.
 //
 // A Dialect defines the header names that callers and replicas use.
 package forward
@@ -171,6 +172,8 @@
 	Refusals RefusalCounts
 	// Cuts counts answers that ended early.
 	Cuts CutCounts
+	// Moves counts sends to another replica while a call's own was silent.
+	Moves MoveCounts
 
 	// Draining is set when the VM shuts down: responses then ask callers to use another
 	// connection.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -30,17 +30,24 @@
 	service   string
 	body      []byte
 
+	live     []*attempt    // attempts under way, in the order of their sends; at most one has passed on a part of the response
+	arrivals chan arrival  // from the readers of attempts
+	stalls   chan *attempt // whose replicas have sent nothing within the timeout
+	readers  int           // that have not ended
+
 	tried      []ids.Target
 	sends      int  // sends so far, with any outcome
 	attempts   int  // sends that may have run
 	mayHaveRun bool // an attempt ended with another outcome than not-run
+	// prepaid states that a retry was taken out of the budget for a send of which no byte was sent.
+	prepaid bool
 	// maxSilence bounds the silence of the replicas that the call may move to, after it has waited
 	// for one that sent nothing (onStall). Zero: no bound.
 	maxSilence time.Duration
 	begun      bool       // a part of the response was passed on
 	paidFrom   []string   // what paid for each retry that was taken out of the budget
-	heard      time.Time  // when a replica last sent something, or was sent the call
 	stopped    stopReason // why there was no further attempt
+	kept       stopReason // why the call last stayed at a silent replica
 	gaveUp     givenUp    // the last replica that this VM gave up; zero: none
 	status     int        // of the response that was passed on
 	via        ids.VM     // the peer through which the last response came; empty: this VM's own link
@@ -52,13 +59,20 @@
 	charge     charge
 }
 
+func newRun(f *Forwarder, w http.ResponseWriter, req *http.Request) *run {
+	return &run{
+		f: f, w: w, req: req, received: clock.Now(),
+		arrivals: make(chan arrival, maxSends*unreadArrivals), stalls: make(chan *attempt, 1),
+	}
+}
+
 // vmRetryAfter is the Retry-After of a VM that lacks something it needs to serve the call.
 // Other VMs may have it.
 const vmRetryAfter = 100 * time.Millisecond
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r := &run{f: f, w: w, req: req, received: clock.Now()}
+	r := newRun(f, w, req)
 	f.Stats.Requests.Add(1)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // clears the deadline of the previous call on the connection
 	defer r.extendWriteDeadline()                                   // the server writes buffered data after the handler returns
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -30,7 +30,7 @@
 	ActivateSoftware(service string, v ids.SoftwareVersion, key uint64)
 }
 
-// origin is the software version at which a call's stream began. The stall timer reads it while the call relays events.
+// origin is the software version at which a call's stream began. Readers of attempts check it before they send.
 type origin struct {
 	key      streams.Key
 	software atomic.Pointer[ids.SoftwareVersion] // nil: the stream has not begun, and the call takes none up
@@ -135,7 +135,7 @@
 	}
 	req.Software = &routing.SoftwareChoice{Version: v}
 	snap, d := f.Fleet.Decide(req, r.tried, sc)
-	if d.Index < 0 {
+	if d.Index < 0 && len(r.live) == 0 {
 		snap, d = f.Fleet.Decide(req, nil, sc)
 	}
 	if d.Index < 0 {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -69,7 +69,7 @@
 
 // endedLocally reports whether this VM ended the attempt itself.
 func endedLocally(err *outcome.Error) bool {
-	return errors.Is(err, errCallerGone) || errors.Is(err, errStalled) || errors.Is(err, errOldWeights)
+	return errors.Is(err, errCallerGone) || errors.Is(err, errStalled) || errors.Is(err, errOvertaken) || errors.Is(err, errOldWeights)
 }
 
 // logFingerprint returns the request's fingerprint for the log of a failed attempt. If the
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
-	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/tunnel"
@@ -21,6 +20,7 @@
 var (
 	errCallerGone = errors.New("the caller has disconnected or stopped reading")
 	errStalled    = errors.New("the replica has sent nothing within the timeout")
+	errOvertaken  = errors.New("another replica has answered the call first")
 	errOldWeights = errors.New("the replica's weights have become too old to start the call on")
 )
 
@@ -38,8 +38,12 @@
 	}
 	r.startGuard()
 	r.f.Budgets.Of(r.service).Deposit()
+	defer r.endAttempts(ctx)
 	for {
-		err := r.attempt(ctx)
+		err := r.start(ctx)
+		if err == nil {
+			err = r.follow(ctx)
+		}
 		if err == nil {
 			r.f.Late.counts[r.lateCause()].Add(1)
 			r.countEnd()
@@ -102,7 +106,8 @@
 // withdraw takes a retry out of the service's retry budget, unless the failed send ended before any byte was
 // sent, and logs what pays for it. It returns false if the budget is used up and no other VM lends a retry.
 func (r *run) withdraw(ctx context.Context, err *outcome.Error) bool {
-	if nothingSent(err) {
+	if nothingSent(err) || r.prepaid {
+		r.prepaid = false
 		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", "nothing: no byte was sent").Send()
 		return true
 	}
@@ -140,8 +145,8 @@
 	return err.Step == stepDial || errors.Is(err, errNotAllowed)
 }
 
-// attempt makes one attempt: it picks a replica, sends the call there and passes the response on.
-func (r *run) attempt(ctx context.Context) *outcome.Error {
+// start picks a replica and sends the call there.
+func (r *run) start(ctx context.Context) *outcome.Error {
 	if refusal := r.guard.Refusal(r.sends == 0); refusal != nil {
 		return refusal
 	}
@@ -149,94 +154,18 @@
 	if refusal != nil {
 		return refusal
 	}
-	defer c.admission.Release()
 	if refusal := r.guard.RefusalAtSend(r.sends == 0); refusal != nil { // after decide, so that a trial is not used up when no replica can take the call
-		r.f.Fleet.GiveBack(c.target.ID)
+		r.giveBack(&c)
 		return refusal
 	}
-	r.sends++
-	r.attempts++ // recordOutcome reverts this if the attempt did not run
-	r.tried = append(r.tried, c.target.ID)
-	r.f.Stats.Attempts.Add(1)
-	work := r.f.Fleet.Load.Sent(c.target.ID, c.work, clock.Now())
-	defer work.End()
-	if !r.route.Resumable || r.attempts >= r.route.Attempts {
-		work.MarkNotResumable()
-	}
-	t := r.newAttempt(ctx, &c, work)
-	err := t.run()
-	t.end()
-	r.recordOutcome(ctx, t, err)
-	t.reportToGate(err)
-	return err
-}
-
-// attempt is one send of a call to one replica.
-type attempt struct {
-	r         *run
-	c         *choice
-	work      *loadview.Work
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	stall     *stallTimer
-	weights   weightsWatch
-	sent      time.Time
-	timedOut  bool          // the replica has sent nothing within a timeout; guarded by stall.mu
-	responded bool          // the replica's first event, or its response, has arrived
-	computing bool          // the planner counts this send as computing shared parts
-	framed    bool          // the response marks its own end
-	events    int           // complete events passed on
-	unread    time.Duration // total time that writes to the caller took
-}
-
-func (r *run) newAttempt(ctx context.Context, c *choice, work *loadview.Work) *attempt {
-	tctx, cancel := context.WithCancelCause(ctx)
-	t := &attempt{r: r, c: c, work: work, ctx: tctx, cancel: cancel, sent: clock.Now()}
-	t.stall = newStallTimer(t.onStall)
-	t.watchWeights()
-	return t
-}
-
-func (t *attempt) end() {
-	t.endComputing(false)
-	t.stall.stop()
-	t.stopWeightsWatch()
-	t.cancel(nil)
+	r.launch(ctx, &c)
+	return nil
 }
 
-// run sends the call and passes the response on.
-func (t *attempt) run() *outcome.Error {
-	r := t.r
-	if r.call.Prompt != nil && r.route.Prompts {
-		r.f.KV.sendStarted(t.c, r.call.Prompt.Model, kvcache.Shared(r.call.Prompt.Parts))
-		t.computing = true
-	}
-	t.countTransfers()
-	r.progress.sent, r.progress.work = t.sent, seconds(float32(t.c.work)/max(t.c.rate, 1))
-	r.heard = t.sent
-	t.stall.start(t.firstEventTimeout())
-	a, err := r.f.Upstream.Send(t.ctx, upstream.Replica{ID: t.c.target.ID, Addr: t.c.target.Addr}, t.request())
-	if err != nil {
-		return t.classify(err)
-	}
-	defer a.Close()
-	t.framed, r.via = a.Framed(), a.Via
-	reply := r.f.Dialect.ReadReply(a.Status, a.Header)
-	if !r.superseded(t.c) && reply.Weights != "" && reply.Weights != t.c.target.Weights && (reply.Replica == "" || reply.Replica == t.c.target.ID) {
-		r.f.ObserveWeights(t.c.target.ID, reply.Weights)
-	}
-	t.recordSignals(&reply)
-	if e := t.checkHead(a, reply); e != nil {
-		return e
-	}
-	if r.begun && a.Status != http.StatusOK {
-		// The caller already has a part of a stream, so only the rest of it may follow.
-		return t.brokenResponse(&Refusal{Status: a.Status})
-	}
-	if r.route.Kind == streamKind && a.Status < http.StatusMultipleChoices {
-		return t.relayStream(a)
-	}
-	return t.relayBuffered(a)
+// giveBack undoes what a decision took, when nothing is sent.
+func (r *run) giveBack(c *choice) {
+	r.f.Fleet.GiveBack(c.target.ID)
+	c.admission.Release()
 }
 
 // firstOutput records the replica's first event, or its response. It shows that the replica is
@@ -247,6 +176,7 @@
 	}
 	t.responded = true
 	t.stopWeightsWatch()
+	t.r.progress.sent, t.r.progress.work = t.sent, seconds(float32(t.c.work)/max(t.c.rate, 1))
 	now := clock.Now()
 	t.work.FirstToken()
 	if t.r.superseded(t.c) {
@@ -289,8 +219,6 @@
 	switch {
 	case t.r.req.Context().Err() != nil:
 		return outcome.Wrap(errors.Join(errCallerGone, err), e.Outcome, outcome.CodeStreamBroken, e.Step, e.Peer, "the caller has closed the connection")
-	case errors.Is(context.Cause(t.ctx), errStalled):
-		return outcome.Wrap(errors.Join(errStalled, err), e.Outcome, outcome.CodeUpstream, e.Step, e.Peer, "the replica sent nothing within the timeout")
 	case errors.Is(context.Cause(t.ctx), errOldWeights):
 		return outcome.Wrap(errors.Join(errOldWeights, err), e.Outcome, outcome.CodeUpstream, e.Step, e.Peer, "withdrawn: the replica's weights have become too old to start the call on")
 	}
@@ -309,7 +237,7 @@
 			"the replica refused the call").After(noTargetRetryAfter)
 	case a.Status < http.StatusMultipleChoices && !reply.Signed:
 		return outcome.New(outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the response lacks the replica's signature")
-	case a.Status >= http.StatusInternalServerError && t.r.repeatable():
+	case a.Status >= http.StatusInternalServerError && (t.r.repeatable() || len(t.r.live) > 1):
 		return outcome.Wrap(&Refusal{Status: a.Status}, outcome.Unknown, outcome.CodeUpstream, "judge", peer, "the replica failed the call")
 	case impliesNotRun(a.Status):
 		// The replica does not state that the call did not run, so this VM may not state it either.
@@ -363,7 +291,7 @@
 		return
 	}
 	r.checkForCrash(ctx, t, err)
-	r.noteGivenUp(c, err)
+	r.noteGivenUp(t, err)
 	if nothingSent(err) {
 		r.f.Fleet.GiveBack(c.target.ID)
 	}
@@ -379,11 +307,11 @@
 	var refusal *Refusal
 	isRefusal := errors.As(err, &refusal)
 	switch {
-	case errors.Is(err, errCallerGone), ctx.Err() != nil && !errors.Is(err, errStalled):
+	case errors.Is(err, errCallerGone), ctx.Err() != nil && !t.overtaken:
 		return // does not count against the replica
 	case errors.Is(err, errNotAllowed):
 		// Nothing was sent, so this does not count against the replica.
-	case errors.Is(err, errStalled):
+	case errors.Is(err, errStalled), errors.Is(err, errOvertaken):
 		// onStall has recorded the timeout, which opens the breaker only of a replica that is silent
 		// for all calls. A second count here would open it for a replica that is merely slow.
 	case errors.Is(err, errOldWeights):
--- a/internal/forward/shed.go
+++ b/internal/forward/shed.go
@@ -45,7 +45,7 @@
 
 // shed refuses a call that would be late (package verdict), or returns nil.
 func (r *run) shed(c *choice) *outcome.Error {
-	if r.call.Prompt == nil || !r.route.Prompts || r.mayHaveRun || r.begun {
+	if r.call.Prompt == nil || !r.route.Prompts || r.mayHaveRun || r.begun || len(r.live) > 0 {
 		return nil
 	}
 	a := verdict.Arrival{
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -100,7 +101,7 @@
 func (s *silentReplicas) respond(i int, conn net.Conn, r *http.Request) bool {
 	s.mu.Lock()
 	s.seen[r.Header.Get("Id")]++
-	first := s.seen[r.Header.Get("Id")] == 1
+	first, all := s.seen[r.Header.Get("Id")] == 1, len(s.seen) == s.c.calls
 	s.mu.Unlock()
 	if !first {
 		return s.refuse(conn, r)
@@ -116,7 +117,9 @@
 			}
 		}
 	case unproven:
-		s.tf.f.KeyTTL.Store(1)
+		if all { // the first sends need the proof
+			s.tf.f.KeyTTL.Store(1)
+		}
 	}
 	return s.answer(conn, r)
 }
@@ -241,3 +244,93 @@
 		t.Errorf("%+v: %d retries, allowed are %v", s.c, again, s.c.burst)
 	}
 }
+
+// silentAfter writes n events of a stream and is then silent until its connection is closed. It reports the time of that.
+func silentAfter(n int, closed chan<- time.Time) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		if n > 0 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		}
+		for i := 1; i <= n; i++ {
+			ev := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+		}
+		_, _ = io.Copy(io.Discard, c) // until the VM closes the connection
+		closed <- time.Now()
+		return false
+	}
+}
+
+// firstOf has whichever of the replicas gets the first request respond with first, and all later requests with later.
+func firstOf(first, later func(net.Conn, *http.Request) bool) func(net.Conn, *http.Request) bool {
+	var once sync.Once
+	return func(c net.Conn, r *http.Request) bool {
+		respond := later
+		once.Do(func() { respond = first })
+		return respond(c, r)
+	}
+}
+
+// TestCallLeavesReplicaThatStaysSilent has a replica fall silent for good: the call goes on at another one when the timeout has
+// passed, and the silent one is told to stop once that one has begun.
+func TestCallLeavesReplicaThatStaysSilent(t *testing.T) {
+	const stopTime = 400 * time.Millisecond // until the silent replica must be told to stop
+	for begun := range 3 {
+		closed, answered := make(chan time.Time, 1), make(chan time.Time, 1)
+		respond := firstOf(silentAfter(begun, closed), func(c net.Conn, r *http.Request) bool {
+			answered <- time.Now()
+			return events(6, 0, false)(c, r)
+		})
+		tf := newFleet(t, route(catalog.Stream, 2), newFakeReplica(t, "a", respond), newFakeReplica(t, "b", respond))
+		sent := time.Now()
+		resp, body, err := tf.ask(t)
+		if err != nil || resp.StatusCode != http.StatusOK || eventIDs(body) != "1 2 3 4 5 6" {
+			t.Fatalf("silent after %d events: got %v, %q, %v, want events 1 to 6", begun, resp, eventIDs(body), err)
+		}
+		at := <-answered
+		if took := at.Sub(sent); took > loadSlack {
+			t.Errorf("silent after %d events: the other replica got the call after %v", begun, took)
+		}
+		if late := (<-closed).Sub(at); late > stopTime {
+			t.Errorf("silent after %d events: the silent replica was told to stop %v after the other one had begun", begun, late)
+		}
+	}
+}
+
+// TestCallerLeavesDuringMove has a caller leave while two replicas have its call, both silent: both are told so.
+func TestCallerLeavesDuringMove(t *testing.T) {
+	closed := make(chan time.Time, 2)
+	respond := silentAfter(0, closed)
+	a, b := newFakeReplica(t, "a", respond), newFakeReplica(t, "b", respond)
+	tf := newFleet(t, route(catalog.Stream, 2), a, b)
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	go func() {
+		for len(a.requests())+len(b.requests()) < 2 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, tf.url+"/x", strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Id", fmt.Sprint("c", callNumber.Add(1)))
+	if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		_ = resp.Body.Close()
+		t.Fatalf("got %v, want the error of a caller that left", resp)
+	}
+	left := time.Now()
+	for range 2 {
+		if late := (<-closed).Sub(left); late > 500*time.Millisecond {
+			t.Errorf("a replica was told %v after the caller had left", late)
+		}
+	}
+	for tf.f.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := tf.f.Stats.Attempts.Load(); n != 2 {
+		t.Errorf("%d attempts, want 2", n)
+	}
+}
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -20,11 +20,11 @@
 const maxDecisions = 4
 
 // choose picks a target among those that run a software version which is in service. If all of
-// them have been silent for too long, it ignores their silence. The caller must release the
+// them have been silent for too long, it ignores their silence, unless the call has a replica. The caller must release the
 // admission; it is nil if software versions are not distinguished or no target was found.
 func (r *run) choose(req *routing.Request, sc *fleet.Scratch) (*fleet.Snapshot, routing.Decision, *canary.Admission) {
 	snap, d, admission := r.chooseWithin(req, sc)
-	if d.Index < 0 && req.MaxSilence > 0 {
+	if d.Index < 0 && req.MaxSilence > 0 && len(r.live) == 0 {
 		req.MaxSilence = 0
 		return r.chooseWithin(req, sc)
 	}
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -6,14 +6,12 @@
 
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
-	"github.com/threadwall/threadwall/internal/links"
 )
 
 const streamKind = catalog.Stream
 
-// Timeouts for a replica that sends nothing, as multiples of the route's objectives. A timeout
-// ends an attempt only if another attempt may follow; otherwise the call keeps waiting for the
-// replica.
+// Timeouts for a replica that sends nothing, as multiples of the route's objectives. After a timeout
+// the call may be sent to another replica as well (move.go).
 const (
 	// firstEventFactor times the objective is the wait for the first event: a response that
 	// takes longer is worth little more than one that another replica gives from the start.
@@ -50,38 +48,6 @@
 	return gap * eventGapFactor
 }
 
-// silenceDivisor bounds the silence of a replica to which a stalled call moves, as a fraction of the
-// silence of the one that it leaves. Otherwise two silent replicas would exchange their calls.
-const silenceDivisor = 2
-
-// stallCheckInterval is the interval between checks of whether a call whose replica sends nothing
-// can move to another one.
-const stallCheckInterval = 50 * time.Millisecond
-
-// onStall runs when the replica has sent nothing within the timeout. The timeout counts against the
-// replica in later decisions, but the attempt is cancelled only if the call can move to another
-// replica that is not in a worse state. Otherwise its replica keeps it: a slow response is better
-// than none. silence is the time for which the replica has sent nothing. onStall returns the time
-// until the next check; zero: the call will not move.
-func (t *attempt) onStall(silence time.Duration) time.Duration {
-	r := t.r
-	if !t.timedOut && !r.superseded(t.c) {
-		r.f.Fleet.Members.TimedOut(t.c.target.ID, t.sent, clock.Now())
-		r.f.Fleet.MarkDirty()
-		r.f.Upstream.Links.Suspect(links.Target{ID: t.c.target.ID, Addr: t.c.target.Addr})
-	}
-	t.timedOut = true
-	if !r.repeatable() {
-		return 0
-	}
-	r.maxSilence = silence / silenceDivisor
-	if r.f.Budgets.Of(r.service).Remaining() < 1 || !r.mayMove(t.c.target.ID) {
-		return stallCheckInterval
-	}
-	t.cancel(errStalled)
-	return 0
-}
-
 // stallTimer calls a function when its time has passed, unless it is restarted, paused or stopped
 // before. Safe for concurrent use; the methods wait for a call of the function to end.
 type stallTimer struct {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,14 +1,11 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"strconv"
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/relay"
-	"github.com/threadwall/threadwall/internal/upstream"
 )
 
 // unknownLength is the length of a body that is passed on as it arrives.
@@ -29,40 +26,25 @@
 	return c.LastEvent
 }
 
-// relayStream passes the events of a stream on as they arrive. It flushes buffered events before it
-// waits for the next one and when the stream breaks, so none is delayed or lost.
-func (t *attempt) relayStream(a *upstream.Response) *outcome.Error {
-	r := t.r
-	in := relay.NewRawReader(a.Body)
-	unflushed := false // an event was written and not flushed
-	for {
-		if unflushed && !in.Buffered() {
-			if err := t.flush(); err != nil {
-				return t.callerGone(err)
-			}
-			unflushed = false
-			t.stall.start(t.nextEventTimeout())
-		}
-		ev, err := in.Next()
-		if errors.Is(err, io.EOF) {
-			return t.complete(a)
-		}
-		if err != nil {
-			if unflushed {
-				_ = t.flush() // classify detects a caller that has disconnected
-			}
-			return t.brokenResponse(err)
-		}
-		t.firstOutput()
-		t.endComputing(true)
-		if r.stream.duplicate(&ev) {
-			continue
+// onEvent passes an event of a stream on. It flushes written events before the reader waits for the next one, so none is delayed.
+func (t *attempt) onEvent(a *arrival) *outcome.Error {
+	t.firstOutput()
+	t.endComputing(true)
+	if !t.r.stream.duplicate(&a.event) {
+		t.r.keep(t)
+		if err := t.writeEvent(&a.event); err != nil {
+			return t.callerGone(err)
 		}
-		if err := t.writeEvent(a, &ev); err != nil {
+		t.unflushed = true
+	}
+	if t.unflushed && !a.more {
+		if err := t.flush(); err != nil {
 			return t.callerGone(err)
 		}
-		unflushed = true
+		t.unflushed = false
+		t.expect(t.nextEventTimeout())
 	}
+	return nil
 }
 
 // eventsOfBegunAnswer is the number of complete events of one replica that show that it survives the beginning of the answer.
@@ -75,30 +57,30 @@
 
 // writeEvent writes one event, preceded by the head if it is the first. Thus the caller gets the
 // headers of the replica that began the stream, even if another one resumes it.
-func (t *attempt) writeEvent(a *upstream.Response, ev *relay.RawEvent) error {
+func (t *attempt) writeEvent(ev *relay.RawEvent) error {
 	r := t.r
 	if !r.begun {
 		t.beginStream()
-		r.writeHead(a, unknownLength)
+		r.writeHead(t.head, unknownLength)
 	}
 	r.f.Stats.Events.Add(1)
 	if t.events++; t.events == eventsOfBegunAnswer {
 		r.guard.GoesOn()
 	}
-	r.heard = clock.Now()
-	r.progress.observe(r.heard)
+	r.progress.observe(clock.Now())
 	if ev.Numbered {
 		r.stream.last, r.stream.numbered = ev.ID, true
 	}
 	return t.write(ev.Raw)
 }
 
-// complete ends a stream that has arrived completely.
-func (t *attempt) complete(a *upstream.Response) *outcome.Error {
+// complete ends a response that has arrived completely.
+func (t *attempt) complete() *outcome.Error {
 	r := t.r
 	t.stall.stop()
+	r.keep(t)
 	if !r.begun {
-		r.writeHead(a, unknownLength)
+		r.writeHead(t.head, unknownLength)
 	}
 	return nil
 }
--- a/internal/forward/weights_test.go
+++ b/internal/forward/weights_test.go
@@ -342,7 +342,7 @@
 			c:   &choice{target: routing.Target{Weights: "1"}},
 			ctx: ctx, cancel: cancel,
 		}
-		send.stall = newStallTimer(send.onStall)
+		send.stall = newStallTimer(send.reportStall)
 		send.watchWeights()
 		send.end()
 		time.Sleep(time.Minute)
