Upstream: the head of a response is bounded

Cause: conn.exchange read heads by http.ReadResponse without any limit, so a status line or a header that doesn't end was collected until the attempt's timeout. Bodies, events, strays and buffered answers had limits. The client of dispatch had net/http's 10 MB for each response.

Change: a head has 64 KiB at most, here and there; beyond, the attempt fails with outcome unknown, as for other malformed responses.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,15 +70,19 @@
 	idleConnTimeout    = 90 * time.Second
 )
 
+// maxHeadBytes bounds the head of an engine's response, in bytes.
+const maxHeadBytes = 64 << 10
+
 // NewClient returns a client that gives up dialing after dialTimeout. It follows no
 // redirects.
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idleConnsPerEngine,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    idleConnsPerEngine,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 //     breaks after the write, the outcome is Unknown.
 //   - Connections are pooled by target ID. The caller must call Drop when an incarnation of the
 //     target has ended, so that no request is sent over a connection to that incarnation.
+//   - The head of a response is at most maxHeadBytes long; bodies have the bounds of those who read them.
 //   - A response that does not belong to the request (late or extra) is discarded, and the next
 //     response on the connection is read.
 //   - After an exchange, a connection returns to the pool only if the request was written
@@ -196,7 +197,8 @@
 		cn.tunnel, cn.via = raw, raw.Via()
 	}
 	cn.nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
-	cn.br = bufio.NewReaderSize(cn.nc, readBufferSize)
+	cn.head = &headLimit{from: cn.nc}
+	cn.br = bufio.NewReaderSize(cn.head, readBufferSize)
 	return cn, nil
 }
 
@@ -211,6 +213,36 @@
 // head and some events; a few hundred connections take a few MB.
 const readBufferSize = 8 << 10
 
+// maxHeadBytes bounds the head of a response, in bytes.
+const maxHeadBytes = 64 << 10
+
+// errLongHead is the error of a response whose head exceeds maxHeadBytes.
+var errLongHead = eris.New("the head of the response exceeds the size limit")
+
+// headLimit reads from a connection and bounds what may be read for a head.
+type headLimit struct {
+	from   io.Reader
+	inHead bool
+	left   int64 // bytes, while inHead is set
+}
+
+// begin starts the bound for a head, and end ends it.
+func (l *headLimit) begin() { l.inHead, l.left = true, maxHeadBytes }
+func (l *headLimit) end()   { l.inHead = false }
+
+// Read implements io.Reader. It returns errLongHead once the bound is used up.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.from.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := l.from.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // receiveBufferSize is the size of the kernel's receive buffer of a connection, in bytes. Data that
 // a replica sends while the caller does not read counts towards the VM's memory.
 const receiveBufferSize = 128 << 10
@@ -218,7 +250,8 @@
 // conn is one connection to a replica.
 type conn struct {
 	nc          net.Conn
-	br          *bufio.Reader
+	br          *bufio.Reader // reads from head
+	head        *headLimit
 	pool        *pool
 	tunnel      tunneled  // nil: the connection uses this VM's own link
 	via         ids.VM    // of tunnel; empty: none
@@ -249,7 +282,9 @@
 	reused := cn.used
 	cn.used = true
 	for stray := 0; ; stray++ {
+		cn.head.begin()
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+		cn.head.end()
 		if err == nil && resp.StatusCode < http.StatusOK {
 			stray--
 			continue // an interim response (1xx) does not count
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -262,3 +262,57 @@
 		t.Fatalf("the head was split: %q", head)
 	}
 }
+
+// TestHeadWithoutEnd has a replica send a head that does not end, in one line or in many. It
+// guards against a head that was collected in memory until the VM exceeded its limit.
+func TestHeadWithoutEnd(t *testing.T) {
+	const most = 8 << 20 // bytes that the replica sends if nobody stops it
+	for name, part := range map[string]string{
+		"one line":   strings.Repeat("x", 1024),
+		"many lines": "X-Filler: " + strings.Repeat("x", 1000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			to := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				readID(in)
+				writeString(c, "HTTP/1.1 200 OK\r\nX-Long: ")
+				n := 0
+				for n < most {
+					m, err := io.WriteString(c, part)
+					if n += m; err != nil {
+						break
+					}
+				}
+				sent <- n
+			})
+			_, err := client().Send(t.Context(), to, request("a", nil))
+			if got := outcome.Of(err).Outcome; err == nil || got != outcome.Unknown {
+				t.Errorf("got %v, %v, want an error with an unknown outcome", got, err)
+			}
+			// The kernel's buffers hold some of what the replica sends.
+			if n := <-sent; n >= most {
+				t.Errorf("the replica could send all %d bytes of the head", n)
+			}
+		})
+	}
+}
+
+// TestLongHead has a replica send a head that is nearly as long as allowed, after an interim response: the call gets its response, and
+// the connection is used again.
+func TestLongHead(t *testing.T) {
+	to := replica(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for id := readID(in); id != ""; id = readID(in) {
+			writeString(c, "HTTP/1.1 103 Early Hints\r\nX-Long: "+strings.Repeat("x", maxHeadBytes/2)+"\r\n\r\n")
+			writeString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nX-Long: "+strings.Repeat("x", maxHeadBytes-1024)+"\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	c := client()
+	for range 3 {
+		if body, err := roundTrip(t, c, to, request("a", nil)); err != nil || body != "ok" {
+			t.Fatalf("got %q, %v, want ok", body, err)
+		}
+	}
+	if n := c.Dials.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
