--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
@@ -210,56 +208,3 @@
 	}
 	return r.received.Add(wait)
 }
-
-// readBody reads the whole body, within the memory that the bodies of all calls share.
-func (r *run) readBody(limit int64) (release func(), refusal *outcome.Error) {
-	held := int64(0)
-	release = func() { r.f.bodyBytes.Add(-held) }
-	want := r.req.ContentLength
-	if want == 0 {
-		return release, nil
-	}
-	if limit > 0 && want > limit {
-		return release, outcome.New(outcome.NotRun, outcome.CodeTooLarge, "read", "caller", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if want < 0 {
-		want = unknownBodyBytes
-	}
-	held = want
-	if r.f.bodyBytes.Add(want) > r.f.Tuning.MaxBodyMemory {
-		return release, outcome.New(outcome.NotRun, outcome.CodeOverloaded, "read", "caller", "the bodies of other calls use up this VM's memory for bodies").After(vmRetryAfter)
-	}
-	if limit <= 0 {
-		limit = r.f.Tuning.MaxBodyMemory
-	}
-	ctl := http.NewResponseController(r.w)
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // a connection that does not support deadlines is read without one
-	body, err := readAll(http.MaxBytesReader(r.w, r.req.Body, limit), r.req.ContentLength)
-	_ = ctl.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return release, outcome.New(outcome.NotRun, outcome.CodeTooLarge, "read", "caller", "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if err != nil {
-		return release, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", "the body could not be read")
-	}
-	r.body = body
-	return release, nil
-}
-
-const (
-	// unknownBodyBytes is the memory reserved for a body of unknown length, in bytes.
-	unknownBodyBytes = 256 << 10
-	// bodyTimeout bounds the time to read a body, so that a slow caller does not hold memory
-	// for long.
-	bodyTimeout = 30 * time.Second
-)
-
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
-}
