Forward: decisions about retries have a file of their own

No change of logic: retry.go holds the reasons against another attempt, mayRetry and withdraw, which stood in run.go and cut.go; the reader of longer responses uses one chunk in place of the buffer of the first part.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -197,21 +197,16 @@
 		t.report(arrival{kind: arrivedPart, part: buf.Bytes()})
 		return io.EOF
 	}
-	for part := buf.Bytes(); ; {
-		if !t.reportAndWait(arrival{kind: arrivedPart, part: part, more: true}) {
+	if !t.reportAndWait(arrival{kind: arrivedPart, part: buf.Bytes(), more: true}) {
+		return errUnwanted
+	}
+	chunk := make([]byte, chunkBytes)
+	for {
+		n, err := resp.Body.Read(chunk)
+		if n > 0 && !t.reportAndWait(arrival{kind: arrivedPart, part: chunk[:n], more: true}) {
 			return errUnwanted
 		}
-		if cap(part) < chunkBytes {
-			part = make([]byte, chunkBytes)
-		}
-		part = part[:chunkBytes]
-		n, err := resp.Body.Read(part)
-		part = part[:n]
-		if n == 0 && err != nil {
-			return err
-		}
 		if err != nil {
-			t.reportAndWait(arrival{kind: arrivedPart, part: part, more: true})
 			return err
 		}
 	}
--- a/internal/forward/cut.go
+++ b/internal/forward/cut.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"strings"
 	"time"
@@ -9,27 +8,9 @@
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/outcome"
-	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/tally"
 )
 
-// stopReason is why a call gets no further attempt.
-type stopReason string
-
-// Reasons to make no further attempt. The empty one says that there may be one.
-const (
-	stopDeadline   stopReason = "deadline"
-	stopSends      stopReason = "sends used up"
-	stopAttempts   stopReason = "attempts used up"
-	stopNotAgain   stopReason = "may not run again"
-	stopNoResume   stopReason = "may not be resumed"
-	stopBudget     stopReason = "retry budget used up"
-	stopNoTarget   stopReason = "no target"
-	stopUnproven   stopReason = "configuration not proven"
-	stopShed       stopReason = "would be late"
-	stopQuarantine stopReason = "quarantined or suspected"
-)
-
 // cutter is who ended an answer before its end.
 type cutter string
 
@@ -86,45 +67,3 @@
 	}
 	return string(r.tried[len(r.tried)-1])
 }
-
-// mayRetry returns why the call may not be sent again after a failed send; empty: it may. In that case it takes the retry
-// out of the service's retry budget, unless the failed send ended before any byte was sent.
-func (r *run) mayRetry(ctx context.Context, err *outcome.Error) stopReason {
-	if stop := r.stopAfter(ctx, err); stop != "" {
-		return stop
-	}
-	if !r.withdraw(ctx, err) {
-		return stopBudget
-	}
-	r.f.Stats.Retries.Add(1)
-	return ""
-}
-
-// stopAfter returns what speaks against another send after a failed one, apart from the retry budget.
-func (r *run) stopAfter(ctx context.Context, err *outcome.Error) stopReason {
-	switch {
-	case ctx.Err() != nil, clock.Until(r.ends) < minAttemptTime:
-		return stopDeadline
-	case r.sends >= maxSends:
-		return stopSends
-	case err.Code == outcome.CodeNoTarget:
-		return stopNoTarget
-	case err.Code == outcome.CodeStoreDown:
-		return stopUnproven
-	case err.Step == stepShed:
-		return stopShed
-	case err.Step == quarantine.Step:
-		return stopQuarantine
-	case err.Outcome != outcome.NotRun && !r.route.Repeatable():
-		return stopNotAgain
-	case err.Outcome != outcome.NotRun && !r.repeatable():
-		return stopAttempts
-	case r.begun && !r.route.Resumable:
-		return stopNoResume
-	case r.guard.Refusal(false) != nil:
-		return stopQuarantine // the crash of this attempt may have quarantined the request
-	case err.Outcome != outcome.NotRun && r.guard.Suspected():
-		return stopQuarantine // it may have crashed the replica, and would crash the next one
-	}
-	return ""
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,8 +23,8 @@
 // admit (handler.go) reads the call, the catalog and the key. decide.go picks a replica
 // and the address from which this replica fetches KV cache. attempt.go sends the call and
 // reads the response. follow.go follows the attempts of a call, and whole.go and stream.go pass
-// their responses on. run.go classifies outcomes and retries where that is allowed, and move.go
-// sends a call whose replica is silent to another one as well.
+// their responses on. run.go classifies outcomes, retry.go decides whether a failed call is sent
+// again, and move.go sends a call whose replica is silent to another one as well.
 //
 // A Dialect defines the header names that callers and replicas use.
 package forward
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/loadview"
@@ -103,48 +101,6 @@
 	return e
 }
 
-// withdraw takes a retry out of the service's retry budget, unless the failed send ended before any byte was
-// sent, and logs what pays for it. It returns false if the budget is used up and no other VM lends a retry.
-func (r *run) withdraw(ctx context.Context, err *outcome.Error) bool {
-	if nothingSent(err) || r.prepaid {
-		r.prepaid = false
-		r.f.Log.Request("retry", string(r.call.ID)).Str("service", r.service).Str("paid_from", "nothing: no byte was sent").Send()
-		return true
-	}
-	a := r.f.Budgets.SpendOrBorrow(ctx, r.service)
-	var line *zerolog.Event
-	if a.Allowed() {
-		r.paidFrom = append(r.paidFrom, string(a.Source))
-		line = r.f.Log.Request("retry", string(r.call.ID)).Str("paid_from", string(a.Source))
-	} else {
-		r.f.Stats.BudgetEmpty.Add(1)
-		line = r.f.Log.Request("no-retry", string(r.call.ID)).Str("reason", "the retry budget is used up")
-	}
-	line.Str("service", r.service).Int("window_requests", a.Requests).Float64("window_retries", a.Retries).
-		Float64("burst", a.Burst).Float64("borrowed", a.Borrowed).Strs("lenders", lenders(a.Lenders)).Int("vms", a.VMs).Str("waits", a.Wait.Reason).Send()
-	return a.Allowed()
-}
-
-// lenders returns VMs as strings.
-func lenders(vms []ids.VM) (out []string) {
-	for _, vm := range vms {
-		out = append(out, string(vm))
-	}
-	return out
-}
-
-// repeatable reports whether the call may run again after an attempt that may have run.
-func (r *run) repeatable() bool { return r.route.Repeatable() && r.attempts < r.route.Attempts }
-
-// stepDial is the step of failed connects, before anything has reached the replica.
-const stepDial = "dial"
-
-// nothingSent reports whether an attempt ended before any byte reached the replica. Such an
-// attempt counts neither as a retry nor against the replica's rate limit.
-func nothingSent(err *outcome.Error) bool {
-	return err.Step == stepDial || errors.Is(err, errNotAllowed)
-}
-
 // start picks a replica and sends the call there.
 func (r *run) start(ctx context.Context) *outcome.Error {
 	if refusal := r.guard.Refusal(r.sends == 0); refusal != nil {
