--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -13,7 +13,7 @@
 
 const (
 	// firstBodyBytes is the memory reserved at first for a body of unknown length, in bytes. It doubles as the body grows.
-	firstBodyBytes = 256 << 10
+	firstBodyBytes = 16 << 10
 	// bodyTimeout bounds the time to read a body, so that a slow caller does not hold memory
 	// for long.
 	bodyTimeout = 30 * time.Second
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -69,3 +69,22 @@
 		t.Errorf("%d bytes are still held", n)
 	}
 }
+
+// TestSmallChunkedBodiesAreTaken has many callers send small bodies without a length at the same time, which fit in the memory for
+// bodies. It guards against a reservation far above their size.
+func TestSmallChunkedBodiesAreTaken(t *testing.T) {
+	const size, calls = 10 << 10, 40
+	tf := newFleet(t, route(catalog.Idempotent, 1), newFakeReplica(t, "a", after(300*time.Millisecond, "fine")))
+	statuses := make(chan int, calls)
+	for range calls {
+		go func() {
+			status, _ := tf.askChunked(t.Context(), size) // zero after an error
+			statuses <- status
+		}()
+	}
+	for range calls {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("a call of %d bytes got status %d, want 200", size, status)
+		}
+	}
+}
