--- a/internal/clock/rule_test.go
+++ b/internal/clock/rule_test.go
@@ -26,7 +26,7 @@
 	"gateway/answers.go":   "deadlines of connections are on the clock of timers",
 	"gateway/gateway.go":   "deadlines of connections are on the clock of timers",
 	"forward/deliver.go":   "deadlines of connections are on the clock of timers",
-	"forward/handler.go":   "deadlines of connections are on the clock of timers",
+	"forward/body.go":      "deadlines of connections are on the clock of timers",
 	"links/probation.go":   "deadlines of connections are on the clock of timers",
 	"daemon/probing.go":    "peers compare it: wall time",
 	"daemon/daemon.go":     "peers compare it: wall time identifies this start of the process",
