Soak: a stream of hushes whose time is over is not a failure

Traced by its lines: its engine was silent five times, for 0.4 to 2.4 s each, no other engine or no retry was there, and the route's 9.8 s were over (answer-cut, by deadline, silent_ms 0). The check for silent replicas left such streams out already; the general one does so now, in hushes only.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -88,7 +88,7 @@
 	_, revoked := c.h.revoked[k.key]
 	issuedAt, replaced := c.h.issued[k.key]
 	early := replaced && k.sent.Before(issuedAt.Add(propagationTime))
-	if c.h.hushes && k.path == pathStream && k.status == http.StatusServiceUnavailable {
+	if c.h.hushes && k.path == pathStream && (k.status == http.StatusServiceUnavailable || c.outOfTime(k)) {
 		return true // an engine that is silent now may not answer in time
 	}
 	if k.key == limitedKey {
--- a/internal/soak/hush.go
+++ b/internal/soak/hush.go
@@ -92,10 +92,17 @@
 
 // cut reports whether a stream was begun and ended early, although it had time left and its caller stayed.
 func (k *call) cut(deadline time.Duration) bool {
-	took := k.ended.Sub(k.sent)
-	return k.path == pathStream && k.status == http.StatusOK && k.broken && !k.left && float64(took) < nearDeadline*float64(deadline)
+	return k.path == pathStream && k.status == http.StatusOK && k.broken && !k.left && !k.lasted(nearDeadline, deadline)
 }
 
+// lasted reports whether the call took a fraction of its time or more.
+func (k *call) lasted(fraction float64, deadline time.Duration) bool {
+	return float64(k.ended.Sub(k.sent)) >= fraction*float64(deadline)
+}
+
+// outOfTime reports whether a call ended for want of time: engines may be silent for most of it, several times in a row.
+func (c *checker) outOfTime(k *call) bool { return k.lasted(nearDeadline, c.h.streams.deadline) }
+
 // silentReplicas checks that a stream whose engines are sound, though silent for a while, ends whole.
 func (c *checker) silentReplicas(k *call) {
 	if c.h.hushes && k.faultFree && k.cut(c.h.streams.deadline) {
