Test that fails: an unframed end before the first event takes a call from a silent replica

Callers see a stream of three events of six that looks complete. Cause, by two runs with only the framing changed: onEnd takes a clean end of the connection for the end of the response, also of the second replica and without any event, and keep then cancels the silent one.

--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -334,3 +334,17 @@
 		t.Errorf("%d attempts, want 2", n)
 	}
 }
+
+// TestBareEndDoesNotReplaceSilentReplica has the next replica end a response without length or chunks before its first event, as when
+// it crashes, while the call's own replica is silent and goes on. Such an end is no answer, and must not look like the end of the stream.
+func TestBareEndDoesNotReplaceSilentReplica(t *testing.T) {
+	silent := &silentReplicas{c: silentCase{kind: catalog.Stream, silentAt: 4, silence: 600 * time.Millisecond}}
+	respond := firstOf(silent.answer, func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"))
+		return false
+	})
+	tf := newFleet(t, route(catalog.Stream, 2), newFakeReplica(t, "a", respond), newFakeReplica(t, "b", respond))
+	if _, body, err := tf.ask(t); err != nil || eventIDs(body) != "1 2 3 4 5 6" {
+		t.Errorf("got events %q, %v, want 1 to 6", eventIDs(body), err)
+	}
+}
