Bytes of which nothing can be used are bounded at one place

Cause: bounds counted forms (one head, one event, one stray response), and what belongs to none of them was counted nowhere: interim responses, blank lines, events passed on before. A block of comments, or of a type without data, counted as an event: it began the response, was passed on, and restarted the timeout for silence; so did an event that was passed on before.

Ruled out: a check for each form, which leaves the next one. A bound on all bytes of a response: long streams are sound.

Blocks that say nothing are held back for the event that follows, and neither they nor duplicates restart a timeout; the same in dispatch, where a comment ended the stream.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -107,15 +107,16 @@
 		if err != nil {
 			return s.brokenError(err)
 		}
-		received = true
-		s.pauseIdle()
 		verdict, err := s.verifier.Accept(ev)
 		if err != nil {
 			return s.brokenError(err)
 		}
 		if verdict == relay.Duplicate {
-			continue
+			continue // it tells the caller nothing: the idle timer goes on
 		}
+		received = true
+		s.pauseIdle()
+		s.conn.response.Used(len(ev.Data))
 		if err := s.forward(ev, verdict); err != nil {
 			return err
 		}
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -24,11 +24,18 @@
 // TestIdleTimeoutAfterDuplicateEvent has a target send an event, then nothing, the same event
 // again or a part of the next one, and then stall. The caller must get the event at once, and
 // the stream must end after the idle timeout. It guards against a fault in which a duplicate
-// event stopped the idle timer for good.
+// event stopped the idle timer for good, and one in which duplicates, one after another, kept a stream open that brought nothing.
 func TestIdleTimeoutAfterDuplicateEvent(t *testing.T) {
 	const idle = 2 * time.Second
 	const event = "id: 1\ndata: {\"id\":\"a1\"}\n\n"
-	for name, rest := range map[string]string{"nothing": "", "a duplicate": event, "an incomplete event": "id: 2\ndata: {"} {
+	const pause = 300 * time.Millisecond // between the parts of what has no end
+	for name, rest := range map[string]struct {
+		text  string
+		again bool // without an end
+	}{
+		"nothing": {}, "a duplicate": {event, false}, "an incomplete event": {"id: 2\ndata: {", false},
+		"duplicates": {event, true}, "blank lines": {"\n", true}, "comments": {": ping\n\n", true}, "types without data": {"event: ping\n\n", true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				body, target := io.Pipe()
@@ -37,15 +44,20 @@
 					r:    &run{d: &Dispatcher{IdleTimeout: idle, Stats: &Stats{}}, p: &Prompt{}, sink: sink},
 					call: &engine.Call{Target: "e1", Attempt: "a1"},
 					conn: &conn{
-						response: &engine.Response{Body: body}, stateTimer: time.AfterFunc(time.Hour, func() {}),
+						response: engine.NewResponse(body), stateTimer: time.AfterFunc(time.Hour, func() {}),
 						cancel: func() { _ = body.CloseWithError(errors.New("idle timeout")) },
 					},
 					verifier: relay.NewVerifier("a1"), work: loadview.New().Sent("e1", 0, time.Now()),
 				}
 				go func() {
 					_, _ = io.WriteString(target, event)
-					if rest != "" {
-						_, _ = io.WriteString(target, rest)
+					if rest.text == "" {
+						return
+					}
+					_, err := io.WriteString(target, rest.text)
+					for err == nil && rest.again {
+						time.Sleep(pause)
+						_, err = io.WriteString(target, rest.text)
 					}
 				}()
 				var took time.Duration
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,9 +23,11 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/membership"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/retry"
+	"github.com/threadwall/threadwall/internal/sockets"
 )
 
 // Headers, paths and limits of the protocol between threadwall and targets, and texts of errors
@@ -78,7 +80,7 @@
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            sockets.LimitedDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost:    idleConnsPerEngine,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
@@ -93,8 +95,21 @@
 	Incarnation ids.Incarnation
 	Weights     ids.WeightsVersion
 	Body        io.ReadCloser
+	in          *intake.Reader // below Body
 }
 
+// NewResponse returns a response with the given body, of which a bounded part is read without a use.
+func NewResponse(body io.ReadCloser) *Response {
+	in := intake.NewReader(body)
+	return &Response{Body: struct {
+		io.Reader
+		io.Closer
+	}{in, body}, in: in}
+}
+
+// Used reports that bytes of the body were used, so that more may be read.
+func (r *Response) Used(bytes int) { r.in.Used(bytes) }
+
 // Refusal is the error for a call that the target reported it did not run.
 type Refusal struct {
 	Leaving     bool
@@ -163,11 +178,9 @@
 }
 
 func readResponse(resp *http.Response, call *Call) (*Response, error) {
-	r := &Response{
-		Incarnation: incarnationOf(resp.Header),
-		Weights:     ids.WeightsVersion(resp.Header.Get(HeaderWeights)),
-		Body:        resp.Body,
-	}
+	r := NewResponse(resp.Body)
+	r.Incarnation = incarnationOf(resp.Header)
+	r.Weights = ids.WeightsVersion(resp.Header.Get(HeaderWeights))
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
 		return nil, statusError(resp, r, call)
@@ -215,7 +228,7 @@
 // ReadFull reads the body of a response that is not streamed. A truncated body, or one
 // that belongs to another attempt, is an error.
 func ReadFull(r *Response, call *Call) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxFullResponse+1))
+	body, err := io.ReadAll(io.LimitReader(intake.UsedReader{From: r.Body, Used: r.Used}, maxFullResponse+1))
 	if err == nil && len(body) > maxFullResponse {
 		err = eris.New("the response is larger than 8 MiB")
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/kvcache"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/relay"
@@ -188,7 +189,8 @@
 	if resp.Length() >= 0 {
 		buf.Grow(int(t.limit) + bytes.MinRead) // avoids doubling the buffer
 	}
-	n, err := io.CopyN(&buf, resp.Body, t.limit)
+	body := intake.UsedReader{From: resp.Body, Used: resp.Used}
+	n, err := io.CopyN(&buf, body, t.limit)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
@@ -202,7 +204,7 @@
 	}
 	chunk := make([]byte, chunkBytes)
 	for {
-		n, err := resp.Body.Read(chunk)
+		n, err := body.Read(chunk)
 		if n > 0 && !t.reportAndWait(arrival{kind: arrivedPart, part: chunk[:n], more: true}) {
 			return errUnwanted
 		}
--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 
-	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
@@ -57,7 +56,6 @@
 	case arrivedHead:
 		err = t.onHead(a.head)
 	case arrivedEvent:
-		t.heard = clock.Now()
 		err = t.onEvent(&a)
 	case arrivedPart:
 		err = t.onPart(&a)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -31,6 +31,8 @@
 	t.firstOutput()
 	t.endComputing(true)
 	if !t.r.stream.duplicate(&a.event) {
+		t.heard = clock.Now()
+		t.head.Used(len(a.event.Raw))
 		t.r.keep(t)
 		if err := t.writeEvent(&a.event); err != nil {
 			return t.callerGone(err)
--- a/internal/relay/raw.go
+++ b/internal/relay/raw.go
@@ -10,12 +10,14 @@
 	"github.com/rotisserie/eris"
 )
 
-// RawEvent is one server-sent event. Raw holds its bytes as received, with the blank line that
+// RawEvent is one server-sent event. Raw holds its bytes as received, with comments before it and the blank line that
 // ends it, and is valid until the next call of Next. ID is set if Numbered is true.
 type RawEvent struct {
 	Raw      []byte
 	ID       uint64
 	Numbered bool
+	// something reports whether a line says anything to the caller.
+	something bool
 }
 
 // RawReader splits a stream into complete events without changing their bytes. It is not safe
@@ -36,33 +38,48 @@
 // Buffered reports whether a complete event is buffered, as Reader.Buffered does.
 func (r *RawReader) Buffered() bool { return holdsEvent(r.r) }
 
-// Next returns the next complete event. It returns io.EOF only between events,
-// io.ErrUnexpectedEOF if the input ends within an event, and another error if reading fails, an
-// event is longer than maxEventBytes or its id is not a number.
+// Next returns the next complete event. Blocks that say nothing (saysSomething) are returned with the event that follows, or
+// with the end. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within an event, and
+// another error if reading fails, an event is longer than maxEventBytes or its id is not a number.
 func (r *RawReader) Next() (RawEvent, error) {
 	r.raw = r.raw[:0]
 	var ev RawEvent
+	block := 0 // start of the current block in raw
 	for {
 		start := len(r.raw)
 		if err := r.line(); err != nil {
-			return RawEvent{}, err
+			if errors.Is(err, io.EOF) && start > 0 && block == start {
+				return RawEvent{Raw: r.raw}, nil
+			}
+			return RawEvent{}, r.atEnd(err)
 		}
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
-		if len(line) == 0 {
-			if start == 0 {
-				r.raw = r.raw[:0] // a blank line before an event
-				continue
+		switch {
+		case len(line) > 0:
+			if err := ev.field(line); err != nil {
+				return RawEvent{}, err
 			}
+		case ev.something:
 			ev.Raw = r.raw
 			return ev, nil
+		case block == start:
+			r.raw = r.raw[:start] // a blank line before an event
+		default:
+			block = len(r.raw)
 		}
-		if err := ev.field(line); err != nil {
-			return RawEvent{}, err
-		}
 	}
 }
 
+// atEnd returns the error of an end within an event.
+func (r *RawReader) atEnd(err error) error {
+	if errors.Is(err, io.EOF) && len(r.raw) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 func (ev *RawEvent) field(line []byte) error {
+	ev.something = ev.something || saysSomething(line)
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if string(name) != "id" {
 		return nil
@@ -89,9 +106,6 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(r.raw) > 0 {
-			return io.ErrUnexpectedEOF
-		}
 		return err
 	}
 }
--- a/internal/relay/sse.go
+++ b/internal/relay/sse.go
@@ -43,28 +43,47 @@
 // event is longer than the buffer.
 func holdsEvent(r *bufio.Reader) bool {
 	held, _ := r.Peek(r.Buffered())
-	held = bytes.TrimLeft(held, "\r\n") // blank lines before an event
+	something := false // in the current block
 	for {
-		_, rest, found := bytes.Cut(held, newline)
+		line, rest, found := bytes.Cut(held, newline)
 		if !found {
 			return false
 		}
-		if bytes.HasPrefix(rest, newline) || bytes.HasPrefix(rest, crlf) {
+		line = bytes.TrimSuffix(line, carriageReturn)
+		if len(line) == 0 && something {
 			return true
 		}
+		something = something || saysSomething(line)
 		held = rest
 	}
 }
 
-var newline, crlf = []byte("\n"), []byte("\r\n")
+var newline, carriageReturn = []byte("\n"), []byte("\r")
 
-// Next returns the next event. It returns io.EOF only between events, io.ErrUnexpectedEOF if the
+// saysSomething reports whether a line makes its block an event: blocks of comments, and of types without data, tell the caller
+// nothing, and targets may send any number of them.
+func saysSomething(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data", "id":
+		return true
+	case "event":
+		return string(bytes.TrimPrefix(value, []byte(" "))) == errorType
+	default:
+		return false
+	}
+}
+
+// errorType is the type of an event that says that the target has failed.
+const errorType = "error"
+
+// Next returns the next event, without the blocks before it that say nothing (saysSomething). It returns io.EOF only between events, io.ErrUnexpectedEOF if the
 // input ends within an event, and another error if reading fails, an event is longer than
 // maxEventBytes or its id is not a number.
 func (r *Reader) Next() (Event, error) {
 	r.data = r.data[:0]
 	var ev Event
-	started := false
+	started, something := false, false // the current block has a line; one that makes it an event
 	for {
 		line, err := r.line()
 		if err == io.EOF && started {
@@ -73,14 +92,15 @@
 		if err != nil {
 			return Event{}, err
 		}
-		if len(line) == 0 {
-			if !started {
-				continue
-			}
+		if len(line) == 0 && something {
 			ev.Data = r.data
 			return ev, nil
 		}
-		started = true
+		started = len(line) > 0
+		something = something || saysSomething(line)
+		if !started {
+			continue
+		}
 		if err := r.field(&ev, line); err != nil {
 			return Event{}, err
 		}
@@ -106,7 +126,7 @@
 		}
 		ev.ID = id
 	case "event":
-		ev.Error = string(value) == "error"
+		ev.Error = string(value) == errorType
 	}
 	return nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,7 +10,8 @@
 //     breaks after the write, the outcome is Unknown.
 //   - Connections are pooled by target ID. The caller must call Drop when an incarnation of the
 //     target has ended, so that no request is sent over a connection to that incarnation.
-//   - The head of a response is at most maxHeadBytes long; bodies have the bounds of those who read them.
+//   - The head of a response is at most maxHeadBytes long. Of all that a replica sends, in any form, at most
+//     intake.MaxUnused bytes are read of which the caller uses none (Response.Used).
 //   - A response that does not belong to the request (late or extra) is discarded, and the next
 //     response on the connection is read.
 //   - After an exchange, a connection returns to the pool only if the request was written
@@ -34,8 +35,10 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/links"
 	"github.com/threadwall/threadwall/internal/outcome"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/traffic"
 )
 
@@ -192,13 +195,13 @@
 	cn := &conn{pool: p, heard: clock.Now()}
 	switch raw := nc.(type) {
 	case *net.TCPConn:
-		_ = raw.SetReadBuffer(receiveBufferSize) // on failure the kernel's default applies
+		sockets.LimitReadBuffer(raw)
 	case tunneled:
 		cn.tunnel, cn.via = raw, raw.Via()
 	}
 	cn.nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
-	cn.head = &headLimit{from: cn.nc}
-	cn.br = bufio.NewReaderSize(cn.head, readBufferSize)
+	cn.in = intake.NewReader(cn.nc)
+	cn.br = bufio.NewReaderSize(cn.in, readBufferSize)
 	return cn, nil
 }
 
@@ -216,42 +219,11 @@
 // maxHeadBytes bounds the head of a response, in bytes.
 const maxHeadBytes = 64 << 10
 
-// errLongHead is the error of a response whose head exceeds maxHeadBytes.
-var errLongHead = eris.New("the head of the response exceeds the size limit")
-
-// headLimit reads from a connection and bounds what may be read for a head.
-type headLimit struct {
-	from   io.Reader
-	inHead bool
-	left   int64 // bytes, while inHead is set
-}
-
-// begin starts the bound for a head, and end ends it.
-func (l *headLimit) begin() { l.inHead, l.left = true, maxHeadBytes }
-func (l *headLimit) end()   { l.inHead = false }
-
-// Read implements io.Reader. It returns errLongHead once the bound is used up.
-func (l *headLimit) Read(p []byte) (int, error) {
-	if !l.inHead {
-		return l.from.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errLongHead
-	}
-	n, err := l.from.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
-// receiveBufferSize is the size of the kernel's receive buffer of a connection, in bytes. Data that
-// a replica sends while the caller does not read counts towards the VM's memory.
-const receiveBufferSize = 128 << 10
-
 // conn is one connection to a replica.
 type conn struct {
 	nc          net.Conn
-	br          *bufio.Reader // reads from head
-	head        *headLimit
+	br          *bufio.Reader // reads from in
+	in          *intake.Reader
 	pool        *pool
 	tunnel      tunneled  // nil: the connection uses this VM's own link
 	via         ids.VM    // of tunnel; empty: none
@@ -281,10 +253,11 @@
 	w := cn.write(r)
 	reused := cn.used
 	cn.used = true
+	cn.in.Renew()
 	for stray := 0; ; stray++ {
-		cn.head.begin()
+		cn.in.BeginHead(maxHeadBytes)
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
-		cn.head.end()
+		cn.in.EndHead()
 		if err == nil && resp.StatusCode < http.StatusOK {
 			stray--
 			continue // an interim response (1xx) does not count
@@ -420,6 +393,9 @@
 	return n, err
 }
 
+// Used reports that bytes of the body were used, so that more may be read.
+func (r *Response) Used(bytes int) { r.conn.in.Used(bytes) }
+
 // Framed reports whether the response has a Content-Length or a transfer encoding. The body of an
 // unframed response ends with its connection, which may also mean that the replica crashed.
 func (r *Response) Framed() bool {
