--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -20,10 +20,13 @@
 // operators promise to callers, which is about 15 s.
 const idleTimeout = 60 * time.Second
 
+// maxRequestHead bounds the head of a request, in bytes.
+const maxRequestHead = 256 << 10
+
 // callerServer returns the server for callers. All paths belong to callers, so there is no router
 // in front of the forwarder.
 func (d *Daemon) callerServer() *http.Server {
-	return &http.Server{Handler: d.Forward, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: d.Forward, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHead}
 }
 
 // readyHandler answers the readiness checks of the platform's load balancer.
--- a/internal/engine/probe.go
+++ b/internal/engine/probe.go
@@ -39,7 +39,7 @@
 // Size limits of response bodies in bytes.
 const (
 	maxLoadBody   = 64 << 10
-	maxEventsBody = 4 << 20
+	maxEventsBody = 2 << 20
 )
 
 // Probe reads a target's load. It fails unless the target responds with status 200 within
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -25,6 +25,7 @@
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
 	"github.com/threadwall/threadwall/internal/routing"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/upstream"
 )
@@ -72,7 +73,7 @@
 func (r *Runner) Init(dialTimeout time.Duration) {
 	r.http = &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            sockets.LimitedDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaders,
