Bodies are held in pieces, and get the memory that is free

Cause: bodies could take a quarter of the memory, whatever else the VM held. More wasn't safe: a buffer that doubles reserves up to twice its body (four times while it is copied, until the collector runs), the runtime's limit and the bodies' knew nothing of each other, and a body was held until its call ended, although no send could need it any more.

Bodies on Go's heap: the collector lets garbage grow with what is alive, so pieces would allow the same again for garbage.

Change: package bodies holds a body in pieces of 16 KiB, mapped outside Go's heap, reused, given back, and counted by what is mapped. edge/memory.go divides the memory each 250 ms: bodies get what the runtime holds leaves of 0.85 of it, less what responses may still take, and the runtime's limit follows the bodies. A body goes when its replica has taken the call and no other send may follow. Receive buffers of callers' connections are bounded like those of replicas.

TestChunkedBodiesKeepTheirBound took for granted that 600 KiB need 1 MiB; it now asks for as many calls as fit by their size.

--- a/cmd/threadwalld/edge.go
+++ b/cmd/threadwalld/edge.go
@@ -16,14 +16,9 @@
 	"github.com/threadwall/threadwall/platform"
 )
 
-// heapFraction is the fraction of the configured memory that is set as the Go runtime's memory
-// limit. The rest is for stacks, sockets and other runtime overhead.
-const heapFraction = 0.6
-
 // runEdge runs the daemon of a VM that serves opaque requests. On SIGHUP, the daemon reloads the
 // settings at path.
 func runEdge(s settings.Settings, path string) error {
-	debug.SetMemoryLimit(int64(float64(s.Edge.MemoryMB<<20) * heapFraction))
 	if d := s.Edge.TestSuspension.D(); d > 0 {
 		go simulateSuspensions(d)
 	}
@@ -31,7 +26,8 @@
 		fx.NopLogger,
 		fx.Supply(s, edge.Options{
 			Adapter: platform.New(s), LogTo: os.Stdout, Hangup: hangup.Signals(),
-			Reload: func() (settings.Settings, error) { return settings.Load(path) },
+			LimitHeap: func(bytes int64) { debug.SetMemoryLimit(bytes) },
+			Reload:    func() (settings.Settings, error) { return settings.Load(path) },
 		}),
 		fx.StopTimeout(s.Edge.Grace.D()+shutdownMargin),
 		edge.Module,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	d.Budget.Deposit()
 	r := &run{d: d, p: p, sink: sink}
-	r.guard = d.Guard.Call(p.Request, quarantine.Request{Workspace: p.Workspace, Method: http.MethodPost, URI: p.Path, Body: p.body})
+	r.guard = d.Guard.Call(p.Request, quarantine.Request{Workspace: p.Workspace, Method: http.MethodPost, URI: p.Path, Body: [][]byte{p.body}})
 	for {
 		err := r.attempt(ctx)
 		if err == nil {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -70,6 +70,7 @@
 		"clock":         func(ctx context.Context) { clock.Watch(ctx, d.onSuspension) },
 		"allowances":    every(allowance.SweepEvery, d.allowances.Sweep),
 		"forget":        every(forgetEvery, func() { d.crashes.Sweep(); d.badParts.Sweep() }),
+		"memory":        every(memoryInterval, d.divideMemory()),
 		"log":           every(logEvery, d.Log.ReportDropped),
 		"usage":         every(usageEvery, d.logUsage),
 		"retry-share":   every(retryShareEvery, d.retryShareLog()),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,6 +105,10 @@
 	// Reload. Nil: no reloads.
 	Hangup <-chan os.Signal
 	Reload func() (settings.Settings, error)
+	// RuntimeMemory returns the memory that the runtime has mapped and not given back, in bytes. Nil: it is read from the runtime.
+	RuntimeMemory func() int64
+	// LimitHeap sets the runtime's memory limit, in bytes. Nil: it is left as it is.
+	LimitHeap func(bytes int64)
 }
 
 // Daemon is the daemon of one VM. The caller calls Start once, and then either Stop or Kill once.
@@ -176,8 +180,6 @@
 	// prefillRate is the assumed prefill rate of engines, in tokens/s. It is close to that of
 	// the engines that threadwall is built for.
 	prefillRate = 50_000
-	// bodyShare is the fraction of the memory setting that request bodies may take.
-	bodyShare = 0.25
 	// workspaceResponseShare is the fraction of the memory for responses that one workspace may
 	// take.
 	workspaceResponseShare = 0.5
@@ -269,7 +271,6 @@
 		Versions:             d.Replicas,
 		ObserveWeights:       func(id ids.Target, w ids.WeightsVersion) { d.Replicas.SetWeights(id, w, "answer") },
 		Tuning: forward.Tuning{
-			MaxBodyMemory:     int64(float64(edge.MemoryMB<<20) * bodyShare),
 			MaxInFlight:       int64(s.MaxInFlight),
 			MaxResponseMemory: edge.AnswerMB << 20, MaxResponseMemoryPerWorkspace: int64(float64(edge.AnswerMB<<20) * workspaceResponseShare),
 			ReaderTimeout: edge.ReaderTimeout.D(),
@@ -394,7 +395,7 @@
 			return eris.Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.addr == d.Settings.Listen {
-			listener = sockets.LimitWriteBuffer(listener, callerWriteBuffer)
+			listener = sockets.LimitBuffers(listener, callerWriteBuffer)
 		}
 		d.servers = append(d.servers, l.server)
 		d.run(l.addr, func() error { return l.server.Serve(listener) })
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,28 +16,35 @@
 
 // askChunked makes one call with a body of the given size whose length it does not tell, and returns the status.
 func (tf *testFleet) askChunked(ctx context.Context, size int) (int, error) {
+	resp, err := tf.beginChunked(ctx, size)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// beginChunked makes one call with a body of the given size whose length it does not tell, and returns its response as soon as the head
+// has arrived.
+func (tf *testFleet) beginChunked(ctx context.Context, size int) (*http.Response, error) {
 	body := io.MultiReader(strings.NewReader(strings.Repeat("x", size))) // hides the length
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, tf.url+"/x", body)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	req.Host = "h.example"
 	req.Header.Set("Id", fmt.Sprint("c", callNumber.Add(1)))
 	req.Header.Set("Expect", "100-continue")
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		return 0, err
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, resp.Body.Close()
+	return http.DefaultTransport.RoundTrip(req)
 }
 
 // TestChunkedBodiesKeepTheirBound has callers send bodies without a length, more than fit in the memory for bodies: the calls for which
 // there is none are refused, and those that are taken get their answers. It guards against bodies that counted with a fixed size.
 func TestChunkedBodiesKeepTheirBound(t *testing.T) {
-	const size, calls, room = 600 << 10, 8, 3 << 20 // each body takes 1 MiB
+	const size, calls, room = 600 << 10, 8, 3 << 20
+	const fit = room / size
 	tf := newFleet(t, route(catalog.Idempotent, 1), newFakeReplica(t, "a", after(time.Second, "fine")))
-	tf.f.Tuning.MaxBodyMemory = room
+	tf.f.Bodies.SetLimit(room)
 	statuses := make(chan int, calls)
 	for range calls {
 		go func() {
@@ -49,15 +58,15 @@
 	}
 	most := int64(0)
 	for range 80 {
-		most = max(most, tf.f.bodyBytes.Load())
+		most = max(most, tf.f.Bodies.Held())
 		time.Sleep(10 * time.Millisecond)
 	}
 	count := map[int]int{}
 	for range calls {
 		count[<-statuses]++
 	}
-	if count[http.StatusOK] != room>>20 || count[http.StatusServiceUnavailable] != calls-room>>20 {
-		t.Errorf("statuses %v, want %d calls served and the others refused", count, room>>20)
+	if count[http.StatusOK] != fit || count[http.StatusServiceUnavailable] != calls-fit {
+		t.Errorf("statuses %v, want %d calls served and the others refused", count, fit)
 	}
 	if most > room {
 		t.Errorf("bodies held %d bytes, allowed are %d", most, room)
@@ -65,7 +74,7 @@
 	for tf.f.InFlight() > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if n := tf.f.bodyBytes.Load(); n != 0 {
+	if n := tf.f.Bodies.InUse(); n != 0 {
 		t.Errorf("%d bytes are still held", n)
 	}
 }
@@ -88,3 +97,39 @@
 		}
 	}
 }
+
+// TestBodyIsReleasedWhenNoSendNeedsIt looks at the memory for bodies while a stream is on its way: the body of a call that can't be sent
+// again is gone, that of a stream that may be resumed is still there, and the replica that resumes it gets the whole of it.
+func TestBodyIsReleasedWhenNoSendNeedsIt(t *testing.T) {
+	const size = 900 << 10
+	for attempts, held := range map[int]bool{1: false, 2: true} {
+		goOn := make(chan bool)
+		first := func(c net.Conn, r *http.Request) bool {
+			_, _ = io.WriteString(c, strings.ReplaceAll(chunkedHead, "{id}", r.Header.Get("Id"))+"11\r\nid: 1\ndata: one\n\n\r\n")
+			<-goOn
+			return false
+		}
+		respond := firstOf(first, threeEvents)
+		a, b := newFakeReplica(t, "a", respond), newFakeReplica(t, "b", respond)
+		tf := newFleet(t, route(catalog.Stream, attempts), a, b)
+		resp, err := tf.beginChunked(t.Context(), size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, make([]byte, 5)); err != nil {
+			t.Fatal(err)
+		}
+		if n := tf.f.Bodies.InUse(); (n > 0) != held {
+			t.Errorf("%d attempts: %d bytes of the body are in use after the first event", attempts, n)
+		}
+		close(goOn)
+		rest, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if held && (err != nil || strings.Count(string(rest), "id: ") != 2) {
+			t.Errorf("got %q, %v, want the other two events", rest, err)
+		}
+		if held && !slices.Equal(a.digests, b.digests) {
+			t.Errorf("the replicas got bodies with digests %v and %v, want the same one", a.digests, b.digests)
+		}
+	}
+}
--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -99,6 +99,7 @@
 		return t.brokenResponse(&Refusal{Status: a.Status})
 	}
 	t.head = a
+	r.releaseSentBody()
 	t.streamed = r.route.Kind == streamKind && a.Status < http.StatusMultipleChoices
 	if !t.streamed {
 		t.limit, t.release = r.bufferFor(a.Length())
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/allowance"
+	"github.com/threadwall/threadwall/internal/bodies"
 	"github.com/threadwall/threadwall/internal/canary"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/demand"
@@ -175,6 +176,9 @@
 	// Moves counts sends to another replica while a call's own was silent.
 	Moves MoveCounts
 
+	// Bodies holds the callers' bodies.
+	Bodies bodies.Memory
+
 	// Draining is set when the VM shuts down: responses then ask callers to use another
 	// connection.
 	Draining atomic.Bool
@@ -183,14 +187,11 @@
 	draws     draws
 	calls     activeCalls
 	inFlight  atomic.Int64
-	bodyBytes atomic.Int64
 	responses responseMemory
 }
 
 // Tuning holds the bounds of the request path. Settings fill it.
 type Tuning struct {
-	// MaxBodyMemory bounds the callers' bodies in memory, in bytes.
-	MaxBodyMemory int64
 	// MaxInFlight bounds calls in flight.
 	MaxInFlight int64
 	// MaxResponseMemory bounds the memory of responses that are buffered before they are passed on,
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/threadwall/threadwall/internal/bodies"
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
@@ -26,7 +27,9 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace // nil: the route is public
 	service   string
-	body      []byte
+	body      *bodies.Body // nil: there is none, or no further send needs it
+
+	bodySent bool // the body was released, so the call can't be sent again
 
 	live     []*attempt    // attempts under way, in the order of their sends; at most one has passed on a part of the response
 	arrivals chan arrival  // from the readers of attempts
@@ -79,9 +82,8 @@
 		r.refuse(outcome.New(outcome.NotRun, outcome.CodeOverloaded, "admit", "", "this VM is at its limit of requests in flight").After(vmRetryAfter))
 		return
 	}
-	release, refusal := r.admit()
-	defer release()
-	if refusal != nil {
+	defer r.releaseBody()
+	if refusal := r.admit(); refusal != nil {
 		r.refuse(refusal)
 		return
 	}
@@ -92,26 +94,23 @@
 	r.serve(ctx)
 }
 
-// admit reads the call and decides whether it may be sent at all. The caller must call
-// release when the call ends, also after a refusal.
-func (r *run) admit() (release func(), refusal *outcome.Error) {
-	release = func() {}
+// admit reads the call and decides whether it may be sent at all.
+func (r *run) admit() *outcome.Error {
 	call, err := r.f.Dialect.ReadCall(r.req.Header)
 	r.call = call
 	if err != nil {
-		return release, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", err.Error())
+		return outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "read", "caller", err.Error())
 	}
 	if r.f.Catalog.Get() == nil {
-		return release, outcome.New(outcome.NotRun, outcome.CodeNotReady, "admit", "", "this VM has no configuration yet").After(vmRetryAfter)
+		return outcome.New(outcome.NotRun, outcome.CodeNotReady, "admit", "", "this VM has no configuration yet").After(vmRetryAfter)
 	}
-	release, refusal = r.readBody(r.f.Catalog.Get().Limits.BodyBytes)
-	if refusal != nil {
-		return release, refusal
+	if refusal := r.readBody(r.f.Catalog.Get().Limits.BodyBytes); refusal != nil {
+		return refusal
 	}
 	// Read the configuration after the body: a slow caller may take longer to send its body
 	// than a new version takes to come into force.
 	r.catalog = r.f.Catalog.Get()
-	return release, r.authorize()
+	return r.authorize()
 }
 
 // authorize finds the route and the workspace.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -58,8 +58,10 @@
 		s.Workspace = r.workspace.Name
 	}
 	r.f.Dialect.WriteSend(h, &s)
+	body := r.body
+	body.Hold()
 	return &upstream.Request{
-		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: r.body, Matches: r.isOwnResponse,
+		Method: r.req.Method, URI: r.req.RequestURI, Host: r.req.Host, Header: h, Body: body.Segments(), BodyRead: body.Release, Matches: r.isOwnResponse,
 		BeforeWrite: func() *outcome.Error {
 			r.f.Dialect.WriteRemaining(h, max(clock.Until(r.ends), time.Millisecond)) // connecting may have taken long
 			return t.recheckSend()
@@ -96,4 +98,5 @@
 	}
 	r.closeIfDraining()
 	r.w.WriteHeader(a.Status)
+	r.releaseSentBody()
 }
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -80,6 +82,7 @@
 	stop     func() // closes the listener
 	mu       sync.Mutex
 	received []*http.Request
+	digests  []string // of the bodies
 }
 
 func (s *fakeReplica) requests() []*http.Request {
@@ -118,9 +121,11 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		digest := sha256.New()
+		_, _ = io.Copy(digest, r.Body)
 		s.mu.Lock()
 		s.received = append(s.received, r)
+		s.digests = append(s.digests, hex.EncodeToString(digest.Sum(nil)))
 		s.mu.Unlock()
 		if !s.respond(c, r) {
 			return
@@ -202,8 +207,9 @@
 	f := &Forwarder{
 		Catalog: &catalog.Current{}, Fleet: fl, Upstream: upstream.NewClient(2 * time.Second), Dialect: plainDialect{},
 		Budgets: budgets, KV: &Planner{Cache: fl.Cache}, Weights: noWeights{},
-		ObserveWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxBodyMemory: 1 << 20, MaxInFlight: 100},
+		ObserveWeights: func(ids.Target, ids.WeightsVersion) {}, Tuning: Tuning{MaxInFlight: 100},
 	}
+	f.Bodies.SetLimit(1 << 20)
 	f.Catalog.Adopt(catalog.New(catalog.Declaration{Version: 1, Routes: []catalog.Route{r}}))
 	srv := httptest.NewServer(f)
 	t.Cleanup(srv.Close)
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -105,7 +105,7 @@
 		return stopDeadline
 	case !r.route.Repeatable():
 		return stopNotAgain
-	case !r.repeatable():
+	case r.bodySent, !r.repeatable():
 		return stopAttempts
 	case r.sends >= maxSends:
 		return stopSends
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -15,7 +15,7 @@
 
 // startGuard registers the call with the quarantine guard.
 func (r *run) startGuard() {
-	request := quarantine.Request{Method: r.req.Method, Host: r.req.Host, URI: r.req.RequestURI, Body: r.body}
+	request := quarantine.Request{Method: r.req.Method, Host: r.req.Host, URI: r.req.RequestURI, Body: r.body.Segments()}
 	if r.workspace != nil {
 		request.Workspace = r.workspace.Name
 	}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -30,7 +30,7 @@
 }
 
 // hello is the request that ask sends.
-var hello = quarantine.Request{Method: http.MethodPost, Host: "h.example", URI: "/x?q=1", Body: []byte("hello")}
+var hello = quarantine.Request{Method: http.MethodPost, Host: "h.example", URI: "/x?q=1", Body: [][]byte{[]byte("hello")}}
 
 // maxCrashes bounds the crashes of quarantineHello, which are a second apart.
 const maxCrashes = 5
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -49,6 +49,8 @@
 		return stopDeadline
 	case r.sends >= maxSends:
 		return stopSends
+	case r.bodySent:
+		return stopAttempts
 	case err.Code == outcome.CodeNoTarget:
 		return stopNoTarget
 	case err.Code == outcome.CodeStoreDown:
--- a/internal/news/crashes_test.go
+++ b/internal/news/crashes_test.go
@@ -13,7 +13,7 @@
 // else.
 func TestCrashesOnTheWire(t *testing.T) {
 	sender := quarantine.NewLedger(nil, nil)
-	request := (&quarantine.Request{Body: []byte("fatal")}).Fingerprint()
+	request := (&quarantine.Request{Body: [][]byte{[]byte("fatal")}}).Fingerprint()
 	for i := range 3 {
 		at := time.Now().Add(time.Duration(i-3) * time.Second)
 		sender.Crashed(quarantine.Finding{Request: request, Crash: quarantine.Crash{Replica: quarantine.Replica(i), Sent: at, Ended: at}})
@@ -45,7 +45,7 @@
 	x := newExchange()
 	x.Crashes = quarantine.NewLedger(nil, nil)
 	x.SetPeers([]Peer{{VM: "vm0", Addr: "a:1"}, {VM: "vm1", Addr: "a:2"}})
-	request := (&quarantine.Request{Body: []byte("fatal")}).Fingerprint()
+	request := (&quarantine.Request{Body: [][]byte{[]byte("fatal")}}).Fingerprint()
 	for i := range 3 {
 		at := time.Now().Add(time.Duration(i-3) * time.Second)
 		x.Crashes.Crashed(quarantine.Finding{Request: request, Crash: quarantine.Crash{Replica: quarantine.Replica(i), Sent: at, Ended: at}})
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -26,8 +26,8 @@
 	Workspace ids.Workspace // empty if the route is public
 	Method    string
 	Host      string
-	URI       string // path and query
-	Body      []byte
+	URI       string   // path and query
+	Body      [][]byte // in pieces of any size
 	Model     ids.Model
 	Parts     []string // ids of the parts of its prompt that other requests may share, without the last one
 }
@@ -38,7 +38,9 @@
 	for _, field := range []string{string(r.Workspace), r.Method, r.Host, r.URI} {
 		writeField(h, field)
 	}
-	h.Write(r.Body)
+	for _, piece := range r.Body {
+		h.Write(piece)
+	}
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})]).withShared(len(r.Parts) > 0)
 }
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -32,7 +32,7 @@
 	parts       []Fingerprint // nil until first needed
 }
 
-// Call returns a guarded call. The request's body must not change until the call ends.
+// Call returns a guarded call. The request's body must not change until the call ends, or until ForgetBody.
 func (g *Guard) Call(id ids.Request, r Request) Call { return Call{guard: g, id: id, request: r} }
 
 // ledger returns the guard's ledger, or nil if there is none.
@@ -52,6 +52,14 @@
 	return *c.fingerprint
 }
 
+// ForgetBody makes the call independent of the bytes of its request's body, which may then be used again.
+func (c *Call) ForgetBody() {
+	if c.ledger() != nil {
+		c.Fingerprint()
+	}
+	c.request.Body = nil
+}
+
 // partLedger returns the guard's ledger of parts, or nil if there is none.
 func (c *Call) partLedger() *Ledger {
 	if c.guard == nil || c.guard.Detector == nil {
--- a/internal/quarantine/judge_test.go
+++ b/internal/quarantine/judge_test.go
@@ -11,7 +11,7 @@
 )
 
 // named returns the fingerprint of the request with a name.
-func named(name string) Fingerprint { return (&Request{Body: []byte(name)}).Fingerprint() }
+func named(name string) Fingerprint { return (&Request{Body: [][]byte{[]byte(name)}}).Fingerprint() }
 
 // replicaNamed returns the identifier of the replica with a name.
 func replicaNamed(name string) Replica { return Replica(named(name)[0])<<8 | Replica(named(name)[1]) }
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -34,7 +34,7 @@
 // TestFingerprint checks that requests have the same fingerprint if and only if all their parts
 // are equal.
 func TestFingerprint(t *testing.T) {
-	base := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p?q=1", Body: []byte("body")}
+	base := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p?q=1", Body: [][]byte{[]byte("body")}}
 	same := base
 	same.Body = slices.Clone(base.Body)
 	if base.Fingerprint() != same.Fingerprint() {
@@ -42,12 +42,12 @@
 	}
 	for name, change := range map[string]func(r *Request){
 		"another caller with the same body": func(r *Request) { r.Workspace = "x" },
-		"a byte of the body":                func(r *Request) { r.Body = []byte("bodY") },
+		"a byte of the body":                func(r *Request) { r.Body = [][]byte{[]byte("bodY")} },
 		"the path":                          func(r *Request) { r.URI = "/p?q=2" },
 		"the host":                          func(r *Request) { r.Host = "i" },
 		"the method":                        func(r *Request) { r.Method = "PUT" },
 		"the same bytes in other fields":    func(r *Request) { r.Workspace, r.Method = "wP", "OST" },
-		"a body that was a path":            func(r *Request) { r.URI, r.Body = "", []byte("/p?q=1body") },
+		"a body that was a path":            func(r *Request) { r.URI, r.Body = "", [][]byte{[]byte("/p?q=1body")} },
 	} {
 		other := base
 		change(&other)
@@ -294,7 +294,7 @@
 			now := time.Now()
 			guard := &Guard{Detector: d}
 			for _, q := range []string{"one", "two", "one"} {
-				call := guard.Call("id", Request{Body: []byte(q)})
+				call := guard.Call("id", Request{Body: [][]byte{[]byte(q)}})
 				call.ReportBroken(Send{Target: "r", Incarnation: 1, Sent: now.Add(-time.Second), Broke: now}, false)
 			}
 			close(release)
@@ -316,7 +316,7 @@
 	body := make([]byte, 18<<10)
 	for i := 0; b.Loop(); i++ {
 		binary.BigEndian.PutUint64(body, uint64(i))
-		call := guard.Call("id", Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p", Body: body})
+		call := guard.Call("id", Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{body}})
 		if call.Refusal(true) != nil || call.RefusalAtSend(true) != nil {
 			b.Fatal("refused")
 		}
@@ -332,7 +332,7 @@
 	body := make([]byte, 18<<10)
 	for i := 0; b.Loop(); i++ {
 		binary.BigEndian.PutUint64(body, uint64(i))
-		r := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p", Body: body}
+		r := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{body}}
 		l.Quarantined(r.Fingerprint())
 	}
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -144,7 +144,7 @@
 	if f.newDocuments {
 		document = fmt.Sprint("new", f.now.Sub(f.start)/(500*time.Millisecond))
 	}
-	return Request{Workspace: "w", Model: "m", Body: []byte(fmt.Sprint(f.names)), Parts: append(append([]string{"system"}, parts...), document)}
+	return Request{Workspace: "w", Model: "m", Body: [][]byte{[]byte(fmt.Sprint(f.names))}, Parts: append(append([]string{"system"}, parts...), document)}
 }
 
 func (f *partSim) restart(vm int) {
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -90,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Template.Deadline.D())
 	defer cancel()
 	r.Budget.Deposit()
-	c.guard = r.Guard.Call(c.Request, quarantine.Request{Workspace: c.Workspace, Method: c.Method, URI: c.Template.Service + c.Path, Body: c.Body})
+	c.guard = r.Guard.Call(c.Request, quarantine.Request{Workspace: c.Workspace, Method: c.Method, URI: c.Template.Service + c.Path, Body: [][]byte{c.Body}})
 	if refusal := c.guard.Refusal(true); refusal != nil {
 		return nil, refusal // before the claim, since the call will not run
 	}
--- a/internal/sockets/bounded.go
+++ b/internal/sockets/bounded.go
@@ -5,10 +5,10 @@
 	"net"
 )
 
-// LimitWriteBuffer returns a listener whose TCP connections have a kernel send buffer of about the
-// given size, which bounds the memory that the kernel uses for a peer that reads slowly. The
-// kernel treats the size as a hint.
-func LimitWriteBuffer(l net.Listener, bytes int) net.Listener {
+// LimitBuffers returns a listener whose TCP connections have a kernel send buffer of about the given size, in bytes, and the receive
+// buffer of LimitReadBuffer. They bound the memory that the kernel uses for a peer that reads slowly, or that sends more than is
+// read. The kernel treats the sizes as hints.
+func LimitBuffers(l net.Listener, bytes int) net.Listener {
 	return &limitedListener{Listener: l, bytes: bytes}
 }
 
@@ -22,6 +22,7 @@
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
 		_ = tcp.SetWriteBuffer(l.bytes) // on failure the kernel's default applies
+		LimitReadBuffer(tcp)
 	}
 	return c, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,13 +49,15 @@
 }
 
 // Request is an outgoing request. It must not change after Send is called: a goroutine may still
-// be writing Body when Send returns.
+// be writing Body when Send returns, until BodyRead is called.
 type Request struct {
 	Method string
 	URI    string // path and query, exactly as the caller sent them
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // in pieces of any size
+	// BodyRead, if set, is called once, when Body is not read any more.
+	BodyRead func()
 	// Matches reports whether a response belongs to this request. It must be set.
 	Matches func(status int, h http.Header) bool
 	// BeforeWrite is called right before the first byte is written, since the permission for
@@ -153,11 +155,13 @@
 func (c *Client) Send(ctx context.Context, to Replica, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, to)
 	if err != nil {
+		r.bodyRead()
 		return nil, err
 	}
 	if r.BeforeWrite != nil {
 		if refusal := r.BeforeWrite(); refusal != nil {
 			cn.pool.put(cn, clock.Now())
+			r.bodyRead()
 			return nil, refusal
 		}
 	}
@@ -291,14 +295,36 @@
 func (cn *conn) write(r *Request) *requestWrite {
 	w := &requestWrite{done: make(chan struct{})}
 	head := r.head()
-	if len(r.Body) <= maxInlineBody {
-		w.send(cn.nc, append(head, r.Body...))
+	if r.length() <= maxInlineBody {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		r.bodyRead()
+		w.send(cn.nc, head)
 		return w
 	}
-	go w.send(cn.nc, head, r.Body)
+	go func() {
+		defer r.bodyRead()
+		w.send(cn.nc, append([][]byte{head}, r.Body...)...)
+	}()
 	return w
 }
 
+// length returns the length of the body, in bytes.
+func (r *Request) length() int {
+	n := 0
+	for _, piece := range r.Body {
+		n += len(piece)
+	}
+	return n
+}
+
+func (r *Request) bodyRead() {
+	if r.BodyRead != nil {
+		r.BodyRead()
+	}
+}
+
 // maxInlineBody is the longest body that is written without a goroutine, in bytes. It fits a
 // socket's send buffer, so the write does not block on the replica.
 const maxInlineBody = 16 << 10
@@ -357,9 +383,10 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+	length := r.length()
+	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = strconv.AppendInt(b, int64(length), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -53,7 +53,7 @@
 
 func request(id string, body []byte) *Request {
 	return &Request{
-		Method: http.MethodPost, URI: "/a?b=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: body,
+		Method: http.MethodPost, URI: "/a?b=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: [][]byte{body},
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
