Soak: floods of bytes without an end, large bodies and late readers

It checks what was taken of each flood, that no VM is killed, that no body is refused while half of the memory is free, and all that a soak checks.

Trial with 3 engines: streams refused for want of slots, so there are 9.

--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -105,7 +105,7 @@
 	for attempts, held := range map[int]bool{1: false, 2: true} {
 		goOn := make(chan bool)
 		first := func(c net.Conn, r *http.Request) bool {
-			_, _ = io.WriteString(c, strings.ReplaceAll(chunkedHead, "{id}", r.Header.Get("Id"))+"11\r\nid: 1\ndata: one\n\n\r\n")
+			_, _ = io.WriteString(c, withHeaders(chunkedHead, r)+"11\r\nid: 1\ndata: one\n\n\r\n")
 			<-goOn
 			return false
 		}
--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -106,6 +105,10 @@
 	Break *BreakRule
 	// Bare makes responses come with neither a length nor chunks: they end with their connection.
 	Bare bool
+	// Flood, if set, has bytes without an end take the place of some responses.
+	Flood *FloodRule
+	// LongAnswers makes some responses that are not streamed long (Answer).
+	LongAnswers bool
 	// WarmUp is the remaining warm-up time that the replica reports each time it registers.
 	WarmUp time.Duration
 
@@ -273,6 +276,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if req.URL.Path == "/threadwall/report" || req.URL.Path == "/threadwall/kv-events" {
+		if r.Flood.flood(w, req, false) {
+			return
+		}
+	}
 	switch req.URL.Path {
 	case "/threadwall/report":
 		r.report(w)
@@ -391,7 +399,7 @@
 		defer release()
 	}
 	r.ledger.add(Run{
-		Replica: r.ID, Request: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body),
+		Replica: r.ID, Request: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: Body(string(body)),
 		Workspace: req.Header.Get("X-Tenant-Id"), Key: req.Header.Get("Api-Key"), Salt: req.Header.Get("X-Cache-Salt"), Version: version,
 		Header: req.Header.Clone(), At: time.Now(),
 	})
@@ -405,10 +413,13 @@
 	if f := r.handler.Load(); f != nil && (*f)(w, req) {
 		return
 	}
+	if r.Flood.flood(w, req, r.Chunks > 0) {
+		return
+	}
 	time.Sleep(r.ServiceTime)
 	w.Header().Set("X-Response-Signature", "sig-"+r.ID)
 	if r.Chunks == 0 {
-		_, _ = fmt.Fprintf(w, "answer to %s", req.Header.Get("X-Request-Id"))
+		_, _ = io.WriteString(w, Answer(req.Header.Get("X-Request-Id"), r.LongAnswers))
 		return
 	}
 	r.stream(w, req)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -30,10 +30,12 @@
 	vmFaultFree bool
 	version     int // newest configuration that the store confirmed propagationTime before the call was sent
 	// Streams of engines of several software versions.
-	resumes string // id of the call that brought the first event of the stream that this one takes up; empty: none
-	after   int    // number of the last event before this call
-	leave   int    // the caller leaves after so many events; zero: it stays
-	left    bool   // it has left
+	resumes   string // id of the call that brought the first event of the stream that this one takes up; empty: none
+	after     int    // number of the last event before this call
+	leave     int    // the caller leaves after so many events; zero: it stays
+	left      bool   // it has left
+	sentBody  string // the body as replicas record it
+	bodyBytes int
 }
 
 // Paths of the routes, by kind.
@@ -77,7 +79,7 @@
 
 // pause returns the mean pause between two calls of one caller.
 func (c *callers) pause() time.Duration {
-	if c.h.shortage || c.h.hushes {
+	if c.h.shortage || c.h.hushes || c.h.floods != nil {
 		return shortagePause
 	}
 	return callPause
@@ -101,7 +103,7 @@
 
 // shapeOf returns the shape of streams in a soak.
 func shapeOf(o *Options) streamShape {
-	if o.Hushes {
+	if o.Hushes || o.Floods {
 		return hushedStreams
 	}
 	return usualStreams
@@ -147,13 +149,23 @@
 		spec.Parts = []string{"aa:500", fmt.Sprintf("b%d:400", rng.IntN(20)), out.id + ":100"}
 		spec.Resumes, spec.LastEvent = out.resumes, out.after
 	}
+	if h.floods != nil {
+		spec.Body += strings.Repeat("x", drawBody(rng))
+	}
+	out.sentBody, out.bodyBytes = platformlab.Body(spec.Body), len(spec.Body)
 	req, err := spec.Request(ctx, "http://"+out.vm.listen)
 	if err != nil {
 		panic(err) // addresses of the harness are always valid
 	}
+	if h.floods != nil && rng.IntN(2) == 0 {
+		req.ContentLength = -1 // sent in chunks
+	}
 	resp, err := transport.RoundTrip(req)
 	if err == nil {
 		out.status, out.signed = resp.StatusCode, platformlab.Signed(resp)
+		if h.floods != nil && rng.IntN(lateReaders) == 0 {
+			time.Sleep(rand.N(lateReading))
+		}
 		out.read(resp.Body)
 		_ = resp.Body.Close()
 	}
@@ -174,9 +186,9 @@
 }
 
 // wantBody returns the body of a complete response to the call. A stream has the given number of events.
-func (c *call) wantBody(chunks int) string {
+func (c *call) wantBody(chunks int, longAnswers bool) string {
 	if c.path != pathStream {
-		return "answer to " + c.id
+		return platformlab.Answer(c.id, longAnswers)
 	}
 	var b strings.Builder
 	for n := c.after + 1; n <= chunks; n++ {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -70,6 +70,7 @@
 	c.keys(k, runs)
 	c.routeFound(k)
 	c.silentReplicas(k)
+	c.largeBody(k)
 	c.replicas(k, runs)
 	if c.h.checkTiming && k.faultFree && !k.left && k.resumes == "" && !c.acceptable(k) && !c.withoutWeights(k) {
 		c.report("call %s on %s to %s failed without a fault: status %d, broken %v, after %v", k.id, k.path, k.vm.name, k.status, k.broken, k.ended.Sub(k.sent))
@@ -88,6 +89,9 @@
 	_, revoked := c.h.revoked[k.key]
 	issuedAt, replaced := c.h.issued[k.key]
 	early := replaced && k.sent.Before(issuedAt.Add(propagationTime))
+	if c.h.floods.excuses(k) {
+		return true
+	}
 	if c.h.hushes && k.path == pathStream && (k.status == http.StatusServiceUnavailable || c.outOfTime(k)) {
 		return true // an engine that is silent now may not answer in time
 	}
@@ -123,10 +127,10 @@
 	switch {
 	case !k.signed:
 		c.report("call %s got a successful response without a signature", k.id)
-	case !k.broken && k.body != k.wantBody(c.h.streams.chunks):
-		c.report("call %s on %s got %q as a complete response, want %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks))
-	case k.broken && !strings.HasPrefix(k.wantBody(c.h.streams.chunks), k.body):
-		c.report("call %s on %s got a cut-off response %q, want a prefix of %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks))
+	case !k.broken && k.body != k.wantBody(c.h.streams.chunks, c.h.floods != nil):
+		c.report("call %s on %s got %q as a complete response, want %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks, c.h.floods != nil))
+	case k.broken && !strings.HasPrefix(k.wantBody(c.h.streams.chunks, c.h.floods != nil), k.body):
+		c.report("call %s on %s got a cut-off response %q, want a prefix of %q", k.id, k.path, k.body, k.wantBody(c.h.streams.chunks, c.h.floods != nil))
 	}
 }
 
@@ -140,8 +144,8 @@
 		if r.Workspace == "" || r.Key != "" {
 			c.report("call %s reached a replica with workspace %q and key %q, want a workspace and no key", k.id, r.Workspace, r.Key)
 		}
-		if r.Body != "body of "+k.id || r.URI != k.path+"x" {
-			c.report("call %s reached a replica as %s with body %q, want %s and %q", k.id, r.URI, r.Body, k.path+"x", "body of "+k.id)
+		if r.Body != k.sentBody || r.URI != k.path+"x" {
+			c.report("call %s reached a replica as %s with body %q, want %s and %q", k.id, r.URI, r.Body, k.path+"x", k.sentBody)
 		}
 	}
 	if revoked && len(runs) > 0 && k.sent.After(revokedAt.Add(keyTTL)) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -27,6 +27,7 @@
 	ready        string
 	store        *Proxy
 	links        *links // nil: the VM connects to the replicas' published addresses
+	memory       memorySamples
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
@@ -41,7 +42,7 @@
 // newProcess writes the settings of a VM and starts its process, which reaches the store at
 // storeAddr through a proxy. In fleets of more than directFleet VMs, one VM reads the store for
 // the others.
-func newProcess(dir, program, name, storeAddr string, directFleet int, retries retryBounds, own *links) (*process, error) {
+func newProcess(dir, program, name, storeAddr string, directFleet int, retries retryBounds, own *links, memoryMB int) (*process, error) {
 	store, err := NewProxy(storeAddr)
 	if err != nil {
 		return nil, err
@@ -62,7 +63,7 @@
 		"edge": map[string]any{
 			"ready_listen": p.ready, "key_ttl": keyTTL.String(), "weights_within": "6s", "order_turn": "1s",
 			"retry_ratio": retries.ratio, "retry_burst": retries.burst, "retry_window": retries.window.String(), "grace": grace.String(), "direct_fleet": directFleet, "fair_shares": true, "test_suspension": suspension.String(),
-			"allowance_window": limitedWindow.String(), "allowance_excess": limitedExcess, "allowance_slack": limitedSlack,
+			"memory_mb": memoryMB, "allowance_window": limitedWindow.String(), "allowance_excess": limitedExcess, "allowance_slack": limitedSlack,
 		},
 	}
 	data, err := json.Marshal(s)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,6 +36,9 @@
 	Shortage bool
 	// Hushes states that engines fall silent and go on while configurations change, and that retries are short.
 	Hushes bool
+	// Floods states that replicas send bytes without an end in place of some responses, that callers send large bodies, that some
+	// read late, and that a VM that exceeds its memory is killed.
+	Floods bool
 	// Keep states that settings and logs are kept even if the soak finds no violation.
 	Keep bool
 }
@@ -51,6 +54,7 @@
 	WentOn     int            `json:"went_on"`  // of these, streams of which a further event came
 	Retries    RetryWindow    `json:"retries"`
 	Hushed     HushedStreams  `json:"hushed"`
+	Floods     FloodReport    `json:"floods"`
 	Violations []string       `json:"broken,omitempty"` // of the guarantees
 	Logs       []string       `json:"logs,omitempty"`   // paths of files that were kept
 }
@@ -78,13 +82,14 @@
 	}
 	h, err := newHarness(dir, directFleet(o.Seed), &o)
 	defer h.close()
-	h.checkTiming, h.storeFaults = !o.Busy, !o.Shortage && !o.Hushes || o.Seed/4%2 == 1
+	h.checkTiming, h.storeFaults = !o.Busy, !o.Shortage && !o.Hushes && !o.Floods || o.Seed/4%2 == 1
 	if err != nil {
 		return report, err
 	}
 	if !await(recoverTime, h.readyAll) {
 		return report, fmt.Errorf("not all VMs became ready within %v of their start, see logs in %s", recoverTime, dir)
 	}
+	stopWatching := h.watchMemory()
 	c := &callers{h: h}
 	callCtx, stopCalls := context.WithCancel(ctx)
 	c.run(callCtx, o.Callers, o.Seed)
@@ -129,7 +134,9 @@
 	time.Sleep(afterTime)
 	stopCalls()
 	c.wg.Wait()
+	stopWatching()
 	report.Hushed = h.countHushed(c.all())
+	h.reportFloods(c.all(), &report)
 	h.evaluate(c.all(), &report)
 	h.evaluateStreams(c.allStreams(), &report)
 	if len(report.Violations) > 0 || o.Keep {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// floodSeeds are seeds that are run with floods. Before bytes without a use were bounded and bodies had the memory that is free, VMs took
+// all of some floods with 1, and refused a body with half of the memory free.
+var floodSeeds = []uint64{1, 2, 6}
+
+// TestSoakWithFloods runs daemon processes while replicas send bytes without an end and callers send large bodies, for 6 s with each
+// seed.
+func TestSoakWithFloods(t *testing.T) {
+	program := build(t)
+	for _, seed := range floodSeeds {
+		report, err := Run(t.Context(), Options{Program: program, Seed: seed, VMs: 4, Callers: 60, FaultDuration: 6 * time.Second, Busy: true, Floods: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Violations) > 0 || report.Floods.Floods == 0 || report.Floods.LargeBodies == 0 {
+			t.Errorf("seed %d: %d of %d calls served, %+v, %v, logs %v", seed, report.Served, report.Calls, report.Floods, report.Violations, report.Logs)
+		}
+	}
+}
+
 // partSeeds are seeds that are run with parts of prompts that crash engines.
 var partSeeds = []uint64{5501, 5502, 5503}
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -74,8 +74,9 @@
 	entryRemoved  map[string]time.Time    // when the entry of a replica was removed that had not said that it leaves, by its id
 	suspended     bool                    // a VM was suspended
 	worstRetries  RetryWindow
-	storeFaults   bool // faults of VMs, replicas and the store are drawn
-	hushes        bool // engines fall silent and go on
+	storeFaults   bool    // faults of VMs, replicas and the store are drawn
+	hushes        bool    // engines fall silent and go on
+	floods        *floods // nil: it is a soak without floods
 	streams       streamShape
 	drills        []time.Time // ends of drills: what the store lost has been written again
 	lastFault     time.Time   // start or end of the last fault outside the VMs
@@ -121,7 +122,7 @@
 // newHarness starts the store, three replicas of each service and the VMs' processes. The caller
 // must close the returned harness, also after an error.
 func newHarness(dir string, directFleet int, o *Options) (*harness, error) {
-	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, entryRemoved: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: o.Cuts, versions: o.Versions, parts: o.Parts, shortage: o.Shortage, hushes: o.Hushes, streams: shapeOf(o), failing: o.Shortage, badPrompts: map[string][]fatalCall{}}
+	h := &harness{dir: dir, store: platformlab.NewStore(), ledger: &platformlab.Ledger{}, revoked: map[string]time.Time{}, issued: map[string]time.Time{}, drainStart: map[string]time.Time{}, entryRemoved: map[string]time.Time{}, fatal: map[string][]fatalCall{}, weights: 1, cuts: o.Cuts, versions: o.Versions, parts: o.Parts, shortage: o.Shortage, hushes: o.Hushes, floods: newFloods(o), streams: shapeOf(o), failing: o.Shortage, badPrompts: map[string][]fatalCall{}}
 	h.config = config{
 		Version: 1,
 		Routes: []map[string]any{
@@ -129,7 +130,7 @@
 			route(pathStream, "streaming", "llm", 2, true),
 		},
 		Services: []map[string]any{{"name": "svc"}, {"name": "llm"}},
-		Limits:   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		Limits:   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	h.setTimeouts(h.streams.deadline - timeoutMargin)
 	for i := range keyCount {
@@ -141,7 +142,7 @@
 	})
 	h.writeConfig()
 	h.store.Put("versions", model, map[string]any{"model": model, "version": h.weights})
-	if o.Versions {
+	if o.Versions || o.Floods {
 		for range 6 {
 			if err := h.addReplica("llm"); err != nil {
 				return h, err
@@ -166,7 +167,7 @@
 				}
 			}
 		}
-		p, err := newProcess(dir, o.Program, fmt.Sprint("vm", i), strings.TrimPrefix(h.store.URL(), "http://"), directFleet, h.retryBounds(), own)
+		p, err := newProcess(dir, o.Program, fmt.Sprint("vm", i), strings.TrimPrefix(h.store.URL(), "http://"), directFleet, h.retryBounds(), own, h.memoryMB())
 		if err != nil {
 			return h, err
 		}
@@ -204,6 +205,7 @@
 	if service == "svc" && h.failing {
 		h.failMost(r)
 	}
+	h.setFloods(r)
 	r.CrashOn = &platformlab.CrashRule{Body: fatalBody, Delay: fatalWork, OnCrash: func(*platformlab.Replica) { h.onFatalCrash(r) }}
 	if h.parts && service == "llm" {
 		h.partRule(r.CrashOn)
