A stream that ends with its connection before any event is no answer

Cause: onEnd took a clean end of the connection for the end of the response, also of a stream without any event, and keep then cancelled the silent replica that went on. Ruled out: only while another attempt is under way; a stream that is resumed after a break would then still end as complete by a crash of the second replica, and a first attempt's crash would be a success without a single event.

Change: such an end is that of a broken response; the call stays with its replica, or is sent again where it may be. Comments alone are no event there either.

--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -109,7 +109,7 @@
 
 // onEnd handles the end of a response.
 func (t *attempt) onEnd(err error) (complete bool, failure *outcome.Error) {
-	if errors.Is(err, io.EOF) && t.head != nil {
+	if errors.Is(err, io.EOF) && t.head != nil && !t.endedBare() {
 		return true, t.complete()
 	}
 	if t.unflushed {
@@ -121,6 +121,11 @@
 	return false, t.brokenResponse(err)
 }
 
+// endedBare reports whether the response is a stream that ended with its connection before any event that could be passed on. So
+// ends what a replica has begun when it crashes, and no stream that says anything; it must not end a begun stream, nor take the
+// call from a replica that is silent.
+func (t *attempt) endedBare() bool { return t.streamed && !t.framed && t.events == 0 }
+
 // keep gives the call to the attempt from which something arrived that can be passed on, and cancels the others.
 func (r *run) keep(t *attempt) {
 	if r.via = t.via; len(r.live) == 1 {
--- a/internal/relay/raw.go
+++ b/internal/relay/raw.go
@@ -23,8 +23,9 @@
 // RawReader splits a stream into complete events without changing their bytes. It is not safe
 // for concurrent use.
 type RawReader struct {
-	r   *bufio.Reader
-	raw []byte
+	r     *bufio.Reader
+	raw   []byte
+	begun bool // Next has returned an event
 }
 
 // NewRawReader returns a RawReader that reads from r.
@@ -38,9 +39,9 @@
 // Buffered reports whether a complete event is buffered, as Reader.Buffered does.
 func (r *RawReader) Buffered() bool { return holdsEvent(r.r) }
 
-// Next returns the next complete event. Blocks that say nothing (saysSomething) are returned with the event that follows, or
-// with the end. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within an event, and
-// another error if reading fails, an event is longer than maxEventBytes or its id is not a number.
+// Next returns the next complete event. Blocks that say nothing (saysSomething) are returned with the event that follows; those after
+// the last event are returned by themselves. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within
+// an event, and another error if reading fails, an event is longer than maxEventBytes or its id is not a number.
 func (r *RawReader) Next() (RawEvent, error) {
 	r.raw = r.raw[:0]
 	var ev RawEvent
@@ -48,10 +49,7 @@
 	for {
 		start := len(r.raw)
 		if err := r.line(); err != nil {
-			if errors.Is(err, io.EOF) && start > 0 && block == start {
-				return RawEvent{Raw: r.raw}, nil
-			}
-			return RawEvent{}, r.atEnd(err)
+			return r.end(err, len(r.raw) == block)
 		}
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
 		switch {
@@ -60,7 +58,7 @@
 				return RawEvent{}, err
 			}
 		case ev.something:
-			ev.Raw = r.raw
+			ev.Raw, r.begun = r.raw, true
 			return ev, nil
 		case block == start:
 			r.raw = r.raw[:start] // a blank line before an event
@@ -70,12 +68,18 @@
 	}
 }
 
-// atEnd returns the error of an end within an event.
-func (r *RawReader) atEnd(err error) error {
-	if errors.Is(err, io.EOF) && len(r.raw) > 0 {
-		return io.ErrUnexpectedEOF
+// end returns what Next returns when reading has failed. betweenBlocks states that no block has begun.
+func (r *RawReader) end(err error, betweenBlocks bool) (RawEvent, error) {
+	switch {
+	case !errors.Is(err, io.EOF) || len(r.raw) == 0:
+		return RawEvent{}, err
+	case !betweenBlocks:
+		return RawEvent{}, io.ErrUnexpectedEOF
+	case !r.begun:
+		return RawEvent{}, io.EOF
+	default:
+		return RawEvent{Raw: r.raw}, nil
 	}
-	return err
 }
 
 func (ev *RawEvent) field(line []byte) error {
