--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -91,6 +91,8 @@
 	BudgetEmpty   int64                     `json:"retry_budget_empty"`
 	Unread        int64                     `json:"unread"`       // calls aborted because their callers did not read
 	ResponseBytes int64                     `json:"answer_bytes"` // memory of responses that are buffered completely
+	BodyBytes     int64                     `json:"body_bytes"`   // memory that callers' bodies use
+	BodyLimit     int64                     `json:"body_limit"`   // what they may use at present
 	Withdrawn     int64                     `json:"withdrawn"`    // sends not yet started when their target's weights became too old
 	OffPool       int64                     `json:"off_pool"`     // sends to an engine of the other pool than the route's
 	Events        int64                     `json:"stream_events"`
@@ -200,7 +202,7 @@
 	return Metrics{
 		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
 		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(),
-		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(),
+		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(), BodyBytes: f.Bodies.InUse(), BodyLimit: f.Bodies.Limit(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
 		ProofAgeMs: d.Catalog.ProofAge(clock.Now()).Milliseconds(), Latency: &f.Latency, Prediction: &f.Prediction, Rollout: d.rolloutMetrics(),
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,51 @@
 	}
 	return false
 }
+
+// TestPartsWithoutAnEndAreCutAtTheDeadline has a replica send a whole answer of which parts can be passed on, without an end: the caller gets them until the
+// call's deadline, and the response does not look complete.
+func TestPartsWithoutAnEndAreCutAtTheDeadline(t *testing.T) {
+	const timeout = time.Second
+	rt := route(catalog.Idempotent, 1)
+	rt.Timeout = timeout
+	for name, length := range map[string]string{"until the close": "", "with a length": "Content-Length: 1000000000\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\n" + endless.Headers + length + "\r\n"
+			tf := newFleet(t, rt, newFakeReplica(t, "a", trickle(head, strings.Repeat("x", 64<<10))))
+			began := time.Now()
+			resp, err := tf.begin(t)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			n, err := io.Copy(io.Discard, resp.Body)
+			if took := time.Since(began); err == nil || resp.StatusCode == http.StatusOK && n == 0 || took > timeout+500*time.Millisecond {
+				t.Errorf("status %d, %d bytes, %v after %v, want a cut response at the deadline", resp.StatusCode, n, err, took)
+			}
+		})
+	}
+}
+
+// TestBytesAfterAnAnswerWithoutAnEnd has a replica go on sending after a complete answer: the VM leaves what the kernel holds unread, and
+// sends the next call over another connection.
+func TestBytesAfterAnAnswerWithoutAnEnd(t *testing.T) {
+	sent := make(chan int64, 2)
+	var first atomic.Bool
+	tf := newFleet(t, route(catalog.Idempotent, 1), newFakeReplica(t, "a", func(c net.Conn, r *http.Request) bool {
+		if !first.CompareAndSwap(false, true) {
+			return ok("fine")(c, r)
+		}
+		head := "HTTP/1.1 200 OK\r\n" + endless.Headers + "Content-Length: 4\r\n\r\nfine"
+		sent <- endless.Write(c, withHeaders(head, r), "x", endless.Limit)
+		return false
+	}))
+	for range 2 {
+		if _, body, err := tf.ask(t); err != nil || body != "fine" {
+			t.Fatalf("got %q, %v, want fine", body, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if n := <-sent; n > mostUnusedBytes {
+		t.Errorf("the replica could send %d bytes, want %d at most", n, mostUnusedBytes)
+	}
+}
