--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -15,8 +15,8 @@
 	// usableShare is the fraction of the memory for the runtime and bodies together. The rest is for what the kernel holds, and
 	// for what is taken between two divisions.
 	usableShare = 0.85
-	// leastBodyShare is the fraction of the memory that bodies may take whatever else the VM holds.
-	leastBodyShare = 0.1
+	// leastShare is the fraction of the memory that bodies may take whatever the runtime holds, and the runtime whatever bodies hold.
+	leastShare = 0.1
 	// heapStep is the change of the runtime's limit below which it stays as it is, in bytes: setting it stops the process for
 	// a moment.
 	heapStep = 4 << 20
@@ -38,9 +38,9 @@
 // divide divides the memory. answers is what responses may take at most: what they don't take yet is kept for them.
 func divide(memory, answers int64, u usage) division {
 	usable := int64(float64(memory) * usableShare)
-	least := int64(float64(memory) * leastBodyShare)
+	least := int64(float64(memory) * leastShare)
 	bodies := max(usable-u.runtime-max(answers-u.answers, 0), least)
-	return division{bodies: bodies, runtime: usable - max(u.bodies, least)}
+	return division{bodies: bodies, runtime: max(usable-max(u.bodies, least), least)}
 }
 
 // runtimeMemory returns the memory that the Go runtime has mapped and not given back, in bytes.
