Soak: the proxies hold little of a flood

Cause, by the kernel's limits and a run with one thing changed: the proxy's receive buffer grows to 32 MB here (tcp_rmem), so the replica could send what no VM had read.

--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -25,8 +25,8 @@
 	// floodEvery is the number of responses of a replica of which it floods one, and floodBytes the most that it sends then, in bytes.
 	floodEvery, floodBytes = 40, 32 << 20
 	// mostFloodBytes is how much of a flood may be taken, in bytes: the VM's bound of 1.5 MiB (polls: 2 MiB and their chunks), and
-	// what the kernel holds for the proxy on both sides, some 10 MiB at most.
-	mostFloodBytes = 14 << 20
+	// what the kernels of VM, proxy and replica hold.
+	mostFloodBytes = 4 << 20
 	// One in lateReaders callers reads its response up to lateReading later.
 	lateReaders = 8
 	lateReading = 2 * time.Second
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -97,12 +97,18 @@
 	}
 	p.track(client, server)
 	var both sync.WaitGroup
+	// The kernel would hold tens of MB of what a replica sends for a VM that does not read.
+	_ = server.(*net.TCPConn).SetReadBuffer(proxyBuffer)
+	_ = client.(*net.TCPConn).SetWriteBuffer(proxyBuffer)
 	both.Go(func() { p.copy(server, client, false) })
 	both.Go(func() { p.copy(client, server, true) })
 	both.Wait()
 	p.drop(client, server)
 }
 
+// proxyBuffer is the size of the kernel's buffers between a replica and a VM, in bytes.
+const proxyBuffer = 64 << 10
+
 func (p *Proxy) track(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
