--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -225,6 +225,8 @@
 // WorkOf implements TargetStatus. Where requests wait, every engine always has non-resumable
 // ones.
 func (sim *simulation) WorkOf(ids.Target) (loadview.TargetWork, time.Duration) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	if sim.wait == 0 {
 		return loadview.TargetWork{InFlight: 5}, 0
 	}
