--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -112,18 +112,19 @@
 	return k.status == http.StatusServiceUnavailable && strings.Contains(k.body, noMemory)
 }
 
-// largeBody checks that no body is refused while half of its VM's memory was free before and after.
+// largeBody checks that no body is refused while half of its VM's memory was free, shortly before and after: bodies with a length have
+// their memory before they arrive.
 func (c *checker) largeBody(k *call) {
 	if c.h.floods == nil || !k.refusedForMemory() {
 		return
 	}
-	if most := k.vm.memory.mostBetween(k.sent.Add(-memoryLag), k.ended); most < floodedMemoryMB<<20/2 {
-		c.report("call %s with a body of %d bytes was refused by %s, which used %d MiB at most of %d", k.id, k.bodyBytes, k.vm.name, most>>20, floodedMemoryMB)
+	if most, age, ok := k.vm.memory.mostBetween(k.sent.Add(-memoryLag), k.ended.Add(memoryLag)); ok && most < floodedMemoryMB<<20/2 {
+		c.report("call %s with a body of %d bytes was refused by %s after %v, which used %d MiB at most of %d (last sample %v before %v after it)", k.id, k.bodyBytes, k.vm.name, k.ended.Sub(k.sent), most>>20, floodedMemoryMB, age, memoryLag)
 	}
 }
 
-// memoryLag is how long before a call the use of memory may have been high, so that the call is refused: VMs divide their memory at
-// intervals.
+// memoryLag is how long before or after a call the use of memory may have been high, so that the call is refused: VMs divide their
+// memory at intervals, and bodies that have their memory arrive.
 const memoryLag = time.Second
 
 // drawBody draws the size of a body, in bytes, without its first words: most are small, some near the limit.
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -29,20 +29,17 @@
 // unreadInterval is the interval at which the sockets of a process are looked at.
 const unreadInterval = 100 * time.Millisecond
 
-// mostBetween returns the largest sample between two times, in bytes; without a sample, the largest number.
-func (m *memorySamples) mostBetween(from, to time.Time) int64 {
+// mostBetween returns the largest sample between two times, in bytes, and the age of the last one at the later time; false: there is
+// none.
+func (m *memorySamples) mostBetween(from, to time.Time) (most int64, age time.Duration, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	most := int64(-1)
 	for _, s := range m.samples {
 		if !s.at.Before(from) && !s.at.After(to) {
-			most = max(most, s.bytes)
+			most, age, ok = max(most, s.bytes), to.Sub(s.at), true
 		}
 	}
-	if most < 0 {
-		return 1 << 62
-	}
-	return most
+	return most, age, ok
 }
 
 // sampleMemory samples the memory of the process, in bytes; false: it isn't running.
