Streams without an event keep their bytes

Cause: blocks that say nothing are held back for the event that follows, and at the end they were dropped if there had been none, so that comments before a bare end begin no response. Change: the end always brings them, marked as no event (RawEvent.Empty), and the call passes them on unless they are all that came before a bare end.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,6 +28,9 @@
 
 // onEvent passes an event of a stream on. It flushes written events before the reader waits for the next one, so none is delayed.
 func (t *attempt) onEvent(a *arrival) *outcome.Error {
+	if a.event.Empty {
+		return t.onRemainder(a.event.Raw)
+	}
 	t.firstOutput()
 	t.endComputing(true)
 	if !t.r.stream.duplicate(&a.event) {
@@ -49,6 +52,23 @@
 	return nil
 }
 
+// onRemainder passes on what follows the last event of a stream and is no event itself. It is no answer if it is all that came before a
+// bare end.
+func (t *attempt) onRemainder(raw []byte) *outcome.Error {
+	if t.endedBare() {
+		return nil
+	}
+	t.r.keep(t)
+	if !t.r.begun {
+		t.beginStream()
+		t.r.writeHead(t.head, unknownLength)
+	}
+	if err := t.write(raw); err != nil {
+		return t.callerGone(err)
+	}
+	return nil
+}
+
 // eventsOfBegunAnswer is the number of complete events of one replica that show that it survives the beginning of the answer.
 const eventsOfBegunAnswer = 2
 
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
+	"github.com/threadwall/threadwall/internal/lab/endless"
 )
 
 // events responds with the events after the one named by After, up to last. It breaks off before
@@ -233,3 +234,36 @@
 		}
 	}
 }
+
+// TestStreamWithoutAnEventIsPassedOn has a replica respond to a call for a stream with bytes that hold no event, and mark their end: the caller
+// gets them unchanged. It guards against a complete response that comes out empty.
+func TestStreamWithoutAnEventIsPassedOn(t *testing.T) {
+	for _, text := range []string{": nothing found\n\n", "event: done\n\n", ": a\n\ndata: x\n\n: b\n\n", "retry: 10\n\n: b\n\n"} {
+		for name, form := range map[string]string{
+			"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text),
+			"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text),
+		} {
+			tf := newFleet(t, route(catalog.Stream, 2), newFakeReplica(t, "a", func(c net.Conn, r *http.Request) bool {
+				_, _ = io.WriteString(c, withHeaders("HTTP/1.1 200 OK\r\n"+endless.Headers+"Content-Type: text/event-stream\r\n"+form, r))
+				return true
+			}))
+			resp, body, err := tf.ask(t)
+			if err != nil || resp.StatusCode != http.StatusOK || body != text {
+				t.Errorf("%s, %q: got %q, %v", name, text, body, err)
+			}
+		}
+	}
+}
+
+// TestCommentsBeforeBareEndAreNoAnswer has a replica send comments and end an unframed response, as when it crashes while it works: the
+// call is sent to another replica.
+func TestCommentsBeforeBareEndAreNoAnswer(t *testing.T) {
+	respond := firstOf(func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, withHeaders(streamHead, r)+": ping\n\n: ping\n\n")
+		return false
+	}, threeEvents)
+	tf := newFleet(t, route(catalog.Stream, 2), newFakeReplica(t, "a", respond), newFakeReplica(t, "b", respond))
+	if _, body, err := tf.ask(t); err != nil || strings.Count(body, "data: one") != 3 {
+		t.Errorf("got %q, %v, want three events", body, err)
+	}
+}
--- a/internal/relay/raw.go
+++ b/internal/relay/raw.go
@@ -16,6 +16,8 @@
 	Raw      []byte
 	ID       uint64
 	Numbered bool
+	// Empty marks blocks that say nothing to the caller, at the end of a stream: they are no event, but a part of its bytes.
+	Empty bool
 	// something reports whether a line says anything to the caller.
 	something bool
 }
@@ -23,9 +25,8 @@
 // RawReader splits a stream into complete events without changing their bytes. It is not safe
 // for concurrent use.
 type RawReader struct {
-	r     *bufio.Reader
-	raw   []byte
-	begun bool // Next has returned an event
+	r   *bufio.Reader
+	raw []byte
 }
 
 // NewRawReader returns a RawReader that reads from r.
@@ -40,7 +41,7 @@
 func (r *RawReader) Buffered() bool { return holdsEvent(r.r) }
 
 // Next returns the next complete event. Blocks that say nothing (saysSomething) are returned with the event that follows; those after
-// the last event are returned by themselves. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within
+// the last event are returned by themselves, marked as Empty. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within
 // an event, and another error if reading fails, an event is longer than maxEventBytes or its id is not a number.
 func (r *RawReader) Next() (RawEvent, error) {
 	r.raw = r.raw[:0]
@@ -58,7 +59,7 @@
 				return RawEvent{}, err
 			}
 		case ev.something:
-			ev.Raw, r.begun = r.raw, true
+			ev.Raw = r.raw
 			return ev, nil
 		case block == start:
 			r.raw = r.raw[:start] // a blank line before an event
@@ -75,10 +76,8 @@
 		return RawEvent{}, err
 	case !betweenBlocks:
 		return RawEvent{}, io.ErrUnexpectedEOF
-	case !r.begun:
-		return RawEvent{}, io.EOF
 	default:
-		return RawEvent{Raw: r.raw}, nil
+		return RawEvent{Raw: r.raw, Empty: true}, nil
 	}
 }
 
--- a/internal/relay/raw_test.go
+++ b/internal/relay/raw_test.go
@@ -17,8 +17,8 @@
 	}{
 		"":                            {nil, io.EOF},
 		event:                         {[]string{event}, io.EOF},
-		comment:                       {nil, io.EOF},
-		comment + kind:                {nil, io.EOF},
+		comment:                       {[]string{comment}, io.EOF},
+		comment + kind:                {[]string{comment + kind}, io.EOF},
 		comment + event:               {[]string{comment + event}, io.EOF},
 		"\n\n" + event + "\n":         {[]string{event}, io.EOF},
 		event + comment + event:       {[]string{event, comment + event}, io.EOF},
