--- /dev/null
+++ b/review/cmd-2/wirelab/extra.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// copyEvery is after how many answers a faulty replica sends a copy of the last one: 3 of 100.
+const copyEvery = 34
+
+// loadTime is how long bookings are sent.
+const loadTime = 45 * time.Second
+
+// extraCase has half of the replicas send a late copy of some of their answers, and counts the bookings that ran more than once, and those that were answered
+// as not run and have run. Many bookings come at the same time, so that replicas are full at times.
+func extraCase(w *world, program string, trouble bool) (broken int, err error) {
+	for n := range 4 {
+		r, err := w.addReplica(fmt.Sprint("i-book", n), 60*time.Millisecond)
+		if err != nil {
+			return 0, err
+		}
+		if trouble && n < 2 {
+			r.copyEvery = copyEvery
+		}
+	}
+	if err := w.startVMs(program, 3); err != nil {
+		return 0, err
+	}
+	var loads sync.WaitGroup
+	loads.Go(func() { w.load(w.vms, "burst", 60, 600*time.Millisecond, loadTime) })
+	loads.Go(func() { w.load(w.vms, "steady", 1, 15*time.Millisecond, loadTime) })
+	loads.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	served := 0
+	for id, events := range w.events {
+		runs, refused := 0, false
+		for _, e := range events {
+			switch {
+			case e.what == "run":
+				runs++
+			case e.what == "answered" && (e.status == 503 || e.status == 429):
+				refused = true
+			case e.what == "answered" && e.status == 200:
+				served++
+			}
+		}
+		if runs > 1 || runs > 0 && refused {
+			broken++
+			w.noteLocked("broken: %s ran %d times, answered as not run: %v", id, runs, refused)
+		}
+	}
+	w.noteLocked("%d bookings sent, %d answered with 200", len(w.events), served)
+	if served < len(w.events)/2 {
+		return 0, fmt.Errorf("only %d of %d bookings were served", served, len(w.events))
+	}
+	return broken, nil
+}
+
+// startVMs starts VMs and waits until they are ready and have been so for the time in which they find each other.
+func (w *world) startVMs(program string, n int) error {
+	for i := range n {
+		if _, err := w.startVM(program, fmt.Sprint("front-", i+1)); err != nil {
+			return err
+		}
+	}
+	for _, v := range w.vms {
+		if err := v.awaitReady(10 * time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
