review: a small fleet with thirteen entries goes by an old configuration (case 6)

Seen: eight machines, of which five were replaced. When four of them lose power, the one that reads the store among them, and the route is moved, bookings that machines to which nothing happened are sent over 2 s after the confirmation are still run by the old service.

Code: internal/edge/store.go, upstreamPeers, counts entries of VMs that are gone against direct_fleet; they are never removed (internal/edge/vms.go). internal/mirror/reader.go then takes longer than configApplyMs to find another way to the store.

--- a/review/cmd-2/wirelab/extra.go
+++ b/review/cmd-2/wirelab/extra.go
@@ -16,7 +16,7 @@
 // as not run and have run. Many bookings come at the same time, so that replicas are full at times.
 func extraCase(w *world, program string, trouble bool) (broken int, err error) {
 	for n := range 4 {
-		r, err := w.addReplica(fmt.Sprint("i-book", n), 60*time.Millisecond)
+		r, err := w.addReplica(fmt.Sprint("i-book", n), service, 60*time.Millisecond)
 		if err != nil {
 			return 0, err
 		}
@@ -61,7 +61,7 @@
 // startVMs starts VMs and waits until they are ready and have been so for the time in which they find each other.
 func (w *world) startVMs(program string, n int) error {
 	for i := range n {
-		if _, err := w.startVM(program, fmt.Sprint("front-", i+1)); err != nil {
+		if _, err := w.startVM(program, fmt.Sprint("front-", i+1), "sala-heredia"); err != nil {
 			return err
 		}
 	}
--- a/review/cmd-2/wirelab/main.go
+++ b/review/cmd-2/wirelab/main.go
@@ -9,13 +9,14 @@
 
 // cases are the cases by name. Each returns how often its rule was broken; trouble says whether the disruption takes place.
 var cases = map[string]func(w *world, program string, trouble bool) (broken int, err error){
-	"extra":  extraCase,
-	"silent": silentCase,
+	"extra":    extraCase,
+	"silent":   silentCase,
+	"replaced": replacedCase,
 }
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: wirelab CASE PROGRAM RECORD, with CASE extra or silent")
+		fmt.Fprintln(os.Stderr, "usage: wirelab CASE PROGRAM RECORD, with CASE extra, silent or replaced")
 		os.Exit(2)
 	}
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
--- a/review/cmd-2/wirelab/proxy.go
+++ b/review/cmd-2/wirelab/proxy.go
@@ -15,6 +15,8 @@
 	// silenceOn, if set, is a text in a request that makes its connection silent from then on, once.
 	silenceOn atomic.Pointer[string]
 	silenced  chan time.Time // when that happened
+	// configCalls counts the calls about the configuration.
+	configCalls atomic.Int64
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -73,6 +75,9 @@
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
+		if requests && bytes.Contains(buf[:n], []byte("objects/config?")) {
+			p.configCalls.Add(1)
+		}
 		if requests && n > 0 {
 			if text := p.silenceOn.Load(); text != nil && bytes.Contains(buf[:n], []byte(*text)) && p.silenceOn.CompareAndSwap(text, nil) {
 				silent.Store(true)
--- a/review/cmd-2/wirelab/silent.go
+++ b/review/cmd-2/wirelab/silent.go
@@ -18,7 +18,7 @@
 // reach the replica later than drainMs after the store's confirmation, and those that were accepted and lost with it.
 func silentCase(w *world, program string, trouble bool) (broken int, err error) {
 	for n := range 4 {
-		if _, err := w.addReplica(fmt.Sprint("i-book", n), 60*time.Millisecond); err != nil {
+		if _, err := w.addReplica(fmt.Sprint("i-book", n), service, 60*time.Millisecond); err != nil {
 			return 0, err
 		}
 	}
--- a/review/cmd-2/wirelab/world.go
+++ b/review/cmd-2/wirelab/world.go
@@ -24,10 +24,12 @@
 
 // Names of the small deployment.
 const (
-	host    = "solano.example"
-	key     = "key-1"
-	tenant  = "tenant-1"
-	service = "booking-app"
+	host         = "solano.example"
+	key          = "key-1"
+	tenant       = "tenant-1"
+	service      = "booking-app"
+	otherService = "booking-next" // to which a configuration may move the route
+	firstVersion = 3              // of the configuration
 	// slots and queue are how many requests a replica runs and lets wait at once.
 	slots = 6
 	queue = 6
@@ -65,17 +67,22 @@
 		return nil, err
 	}
 	w := &world{dir: dir, store: platformlab.NewStore(), record: f, began: time.Now(), events: map[string][]event{}}
+	w.configure(firstVersion, service)
+	return w, nil
+}
+
+// configure writes a version of the configuration in which the route leads to a service; its return is the store's confirmation.
+func (w *world) configure(version int, to string) {
 	w.store.Put("config", "main", map[string]any{
-		"version": 3,
+		"version": version,
 		"routes": []any{map[string]any{
 			"name": "drum-booking", "host": host, "pathPrefix": "/book/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 300,
-			"priority": 2, "service": service, "maxAttempts": 1,
+			"priority": 2, "service": to, "maxAttempts": 1,
 		}},
-		"services": []any{map[string]any{"name": service, "maxConns": 110}},
+		"services": []any{map[string]any{"name": service, "maxConns": 110}, map[string]any{"name": otherService, "maxConns": 110}},
 		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{key}}},
 	})
-	return w, nil
 }
 
 // note writes a line to the record.
@@ -99,9 +106,11 @@
 
 // close ends all that the case has started.
 func (w *world) close() {
+	var ends sync.WaitGroup
 	for _, v := range w.vms {
-		v.end()
+		ends.Go(v.end)
 	}
+	ends.Wait()
 	for _, r := range w.replicas {
 		r.end()
 	}
@@ -112,21 +121,24 @@
 
 // vm is one entry VM.
 type vm struct {
-	name, listen, ready string
-	proxy               *storeProxy
-	cmd                 *exec.Cmd
-	done                chan struct{}
+	name, zone, listen, ready string
+	peer                      string      // address for other VMs
+	silent                    []io.Closer // what stands in the place of a VM that is gone
+	proxy                     *storeProxy
+	start                     func() error // starts the process, which must not run
+	cmd                       *exec.Cmd
+	done                      chan struct{} // closed when the process has ended
 }
 
-// startVM starts the deploy file's program with settings as its template renders them for a small deployment.
-func (w *world) startVM(program, name string) (*vm, error) {
+// startVM starts the deploy file's program in a zone, with settings as its template renders them for a small deployment.
+func (w *world) startVM(program, name, zone string) (*vm, error) {
 	proxy, err := newStoreProxy(strings.TrimPrefix(w.store.URL(), "http://"))
 	if err != nil {
 		return nil, err
 	}
-	v := &vm{name: name, listen: loopback.Addr(), ready: loopback.Addr(), proxy: proxy, done: make(chan struct{})}
+	v := &vm{name: name, zone: zone, listen: loopback.Addr(), ready: loopback.Addr(), peer: loopback.Addr(), proxy: proxy}
 	settings, err := json.MarshalIndent(map[string]any{
-		"vm": name, "failure_domain": "sala-heredia", "listen": v.listen, "peer_listen": loopback.Addr(), "admin_listen": loopback.Addr(),
+		"vm": name, "failure_domain": zone, "listen": v.listen, "peer_listen": v.peer, "admin_listen": loopback.Addr(),
 		"store": "http://" + proxy.addr(), "store_timeout": "1s", "dial_timeout": "400ms",
 		"edge": map[string]any{
 			"ready_listen": v.ready, "key_ttl": "5000ms", "weights_within": "10000ms", "weights_all_within": "14000ms", "order_turn": "3000ms",
@@ -140,24 +152,68 @@
 	if err := os.WriteFile(file, settings, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.dir, name+".log"))
-	if err != nil {
-		return nil, err
+	v.start = func() error {
+		log, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = log.Close() }() // the process has its own descriptor
+		cmd, done := exec.Command(program, "run", "-s", file), make(chan struct{})
+		cmd.Stdout, cmd.Stderr = log, log
+		if err := cmd.Start(); err != nil {
+			return err
+		}
+		go func() {
+			_ = cmd.Wait()
+			close(done)
+		}()
+		v.cmd, v.done = cmd, done
+		return nil
 	}
-	defer func() { _ = log.Close() }() // the process has its own descriptor
-	v.cmd = exec.Command(program, "run", "-s", file)
-	v.cmd.Stdout, v.cmd.Stderr = log, log
-	if err := v.cmd.Start(); err != nil {
+	if err := v.start(); err != nil {
 		return nil, err
 	}
-	go func() {
-		_ = v.cmd.Wait()
-		close(v.done)
-	}()
 	w.vms = append(w.vms, v)
 	return v, nil
 }
 
+// kill ends the process at once, also a stopped one.
+func (v *vm) kill() {
+	_ = v.cmd.Process.Kill()
+	<-v.done
+}
+
+// remove ends the process for good. As a machine without power it does not refuse the connections of other VMs from then on: they hang.
+func (v *vm) remove() error {
+	v.kill()
+	addr, err := net.ResolveTCPAddr("tcp4", v.peer)
+	if err != nil {
+		return err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	v.silent = append(v.silent, os.NewFile(uintptr(fd), v.peer))
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}); err != nil {
+		return err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return err
+	}
+	for range 2 { // fill the queue, from which nobody accepts
+		c, err := net.DialTimeout("tcp", v.peer, 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		v.silent = append(v.silent, c)
+	}
+	return nil
+}
+
 // awaitReady waits until the VM says that it is ready.
 func (v *vm) awaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
@@ -176,6 +232,7 @@
 
 // end stops the process.
 func (v *vm) end() {
+	_ = v.cmd.Process.Signal(syscall.SIGCONT)
 	_ = v.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-v.done:
@@ -184,18 +241,21 @@
 		<-v.done
 	}
 	v.proxy.close()
+	for _, c := range v.silent {
+		_ = c.Close()
+	}
 }
 
 // replica is a replica of the service, and a sound one unless copyEvery is set.
 type replica struct {
-	id, address string
-	work        time.Duration
-	w           *world
-	l           net.Listener
-	leaving     atomic.Bool
-	slots       chan struct{} // one element for each request that runs
-	room        chan struct{} // one element for each request that runs or waits
-	answers     atomic.Int64
+	id, service, address string
+	work                 time.Duration
+	w                    *world
+	l                    net.Listener
+	leaving              atomic.Bool
+	slots                chan struct{} // one element for each request that runs
+	room                 chan struct{} // one element for each request that runs or waits
+	answers              atomic.Int64
 	// copyEvery, if set, says after how many answers the replica sends a copy of the last one on its connection. The copy is late: it
 	// arrives where the next response is expected.
 	copyEvery int64
@@ -205,8 +265,8 @@
 	ended bool
 }
 
-func (w *world) addReplica(id string, work time.Duration) (*replica, error) {
-	r := &replica{id: id, address: loopback.Addr(), work: work, w: w, slots: make(chan struct{}, slots), room: make(chan struct{}, slots+queue), conns: map[net.Conn]bool{}}
+func (w *world) addReplica(id, service string, work time.Duration) (*replica, error) {
+	r := &replica{id: id, service: service, address: loopback.Addr(), work: work, w: w, slots: make(chan struct{}, slots), room: make(chan struct{}, slots+queue), conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return nil, err
@@ -221,7 +281,7 @@
 // register writes the replica's entry; the return of Put is the store's confirmation.
 func (r *replica) register(state string) {
 	r.w.store.Put("servers", r.id, map[string]any{
-		"service": service, "address": r.address, "zone": "sala-heredia", "version": "v1", "coldLeftMs": 0, "slots": slots, "state": state, "seq": 1,
+		"service": r.service, "address": r.address, "zone": "sala-heredia", "version": "v1", "coldLeftMs": 0, "slots": slots, "state": state, "seq": 1,
 	})
 }
 
