--- a/review/cmd-2/wirelab/main.go
+++ b/review/cmd-2/wirelab/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by name. Each returns how often its rule was broken; trouble says whether the disruption takes place.
@@ -30,6 +32,13 @@
 		return 2
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[name](w, program, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
