--- a/review/cmd-2/wirelab/extra.go
+++ b/review/cmd-2/wirelab/extra.go
@@ -2,18 +2,17 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 )
 
-// copyEvery is after how many answers a faulty replica sends a copy of the last one: 3 of 100.
-const copyEvery = 34
+// extraEvery is after how many answers a faulty replica sends additional bytes: 3 of 100.
+const extraEvery = 34
 
 // loadTime is how long bookings are sent.
-const loadTime = 45 * time.Second
+const loadTime = 30 * time.Second
 
-// extraCase has half of the replicas send a late copy of some of their answers, and counts the bookings that ran more than once, and those that were answered
-// as not run and have run. Many bookings come at the same time, so that replicas are full at times.
+// extraCase has half of the replicas send additional bytes after some of their complete answers, and counts the bookings that ran more than once, and those
+// that were answered as not run and have run.
 func extraCase(w *world, program string, trouble bool) (broken int, err error) {
 	for n := range 4 {
 		r, err := w.addReplica(fmt.Sprint("i-book", n), service, 60*time.Millisecond)
@@ -21,16 +20,13 @@
 			return 0, err
 		}
 		if trouble && n < 2 {
-			r.copyEvery = copyEvery
+			r.extraEvery = extraEvery
 		}
 	}
 	if err := w.startVMs(program, 3); err != nil {
 		return 0, err
 	}
-	var loads sync.WaitGroup
-	loads.Go(func() { w.load(w.vms, "burst", 60, 600*time.Millisecond, loadTime) })
-	loads.Go(func() { w.load(w.vms, "steady", 1, 15*time.Millisecond, loadTime) })
-	loads.Wait()
+	w.load(w.vms, "q", 1, 20*time.Millisecond, loadTime)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	served := 0
--- a/review/cmd-2/wirelab/world.go
+++ b/review/cmd-2/wirelab/world.go
@@ -246,7 +246,7 @@
 	}
 }
 
-// replica is a replica of the service, and a sound one unless copyEvery is set.
+// replica is a replica of a service, and a sound one unless extraEvery is set.
 type replica struct {
 	id, service, address string
 	work                 time.Duration
@@ -256,9 +256,9 @@
 	slots                chan struct{} // one element for each request that runs
 	room                 chan struct{} // one element for each request that runs or waits
 	answers              atomic.Int64
-	// copyEvery, if set, says after how many answers the replica sends a copy of the last one on its connection. The copy is late: it
-	// arrives where the next response is expected.
-	copyEvery int64
+	// extraEvery, if set, says after how many answers the replica sends extraBytes on a connection. They are late: they arrive where
+	// the next response is expected.
+	extraEvery int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -339,7 +339,7 @@
 			continue
 		}
 		if len(late) > 0 {
-			r.w.note("%s sends the copy of an answer, on the connection that brought %s: %q", r.id, id, late)
+			r.w.note("%s sends bytes that belong to no request, on the connection that brought %s: %q", r.id, id, late)
 			if _, err := c.Write(late); err != nil {
 				return
 			}
@@ -349,14 +349,14 @@
 		if _, err := c.Write(answer); err != nil || r.leaving.Load() {
 			return
 		}
-		if n := r.answers.Add(1); r.copyEvery > 0 && n%r.copyEvery == 0 {
-			late = answer
+		if n := r.answers.Add(1); r.extraEvery > 0 && n%r.extraEvery == 0 {
+			late = []byte(extraBytes)
 		}
 	}
 }
 
-// shed is the answer of a full replica, as the pages show it.
-const shed = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+// extraBytes are what a faulty replica sends after a complete response: a refusal as the pages show it ("a server sheds"), which names no request.
+const extraBytes = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 // answer runs a request and returns the response, or that of a full replica.
 func (r *replica) answer(id string, body []byte) []byte {
@@ -365,7 +365,7 @@
 		defer func() { <-r.room }()
 	default:
 		r.w.add(id, "shed", r.id, http.StatusServiceUnavailable)
-		return []byte(shed)
+		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
 	r.slots <- struct{}{}
 	defer func() { <-r.slots }()
