Forward: starts at old weights that withdrawal should have prevented are counted and logged

The metric late_starts and the line late-start tell it, with how far over and how long before the call was sent. No change of behaviour.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -119,8 +119,9 @@
 	BodyLimit     int64                     `json:"body_limit"`   // what they may use at present
 	Connections   map[string]ingress.Stats  `json:"connections"`  // by listener
 	PeerConns     PeerConnMetrics           `json:"peer_connections"`
-	Withdrawn     int64                     `json:"withdrawn"` // sends not yet started when their target's weights became too old
-	OffPool       int64                     `json:"off_pool"`  // sends to an engine of the other pool than the route's
+	Withdrawn     int64                     `json:"withdrawn"`   // sends not yet started when their target's weights became too old
+	LateStarts    int64                     `json:"late_starts"` // calls that began at a target whose weights had become too old
+	OffPool       int64                     `json:"off_pool"`    // sends to an engine of the other pool than the route's
 	Events        int64                     `json:"stream_events"`
 	Fetches       int64                     `json:"kv_fetches"`
 	Saves         int64                     `json:"kv_saves"`
@@ -227,7 +228,7 @@
 	f, s := d.Forward, &d.Forward.Stats
 	return Metrics{
 		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
-		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(),
+		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(), LateStarts: s.LateStarts.Load(),
 		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(), BodyBytes: f.Bodies.InUse(), BodyLimit: f.Bodies.Limit(),
 		Connections: d.connectionMetrics(), PeerConns: d.peerConnMetrics(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -117,6 +117,8 @@
 	// Withdrawn counts sends that were cancelled because the replica had not begun them when
 	// its weights became too old.
 	Withdrawn atomic.Int64
+	// LateStarts counts calls whose first output came from a replica whose weights had become too old by then.
+	LateStarts atomic.Int64
 	// Unread counts calls that were aborted because their callers did not read.
 	Unread atomic.Int64
 	// OffPool counts decisions for an engine of the other pool than the route's.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -132,6 +132,7 @@
 	}
 	t.responded = true
 	t.stopWeightsWatch()
+	t.recordStart()
 	t.r.progress.sent, t.r.progress.work = t.sent, seconds(float32(t.c.work)/max(t.c.rate, 1))
 	now := clock.Now()
 	t.work.FirstToken()
--- a/internal/forward/withdraw.go
+++ b/internal/forward/withdraw.go
@@ -65,6 +65,21 @@
 	t.cancel(errOldWeights)
 }
 
+// recordStart logs and counts a call that has begun at a replica after its weights had become too old, which
+// withdrawal should have prevented.
+func (t *attempt) recordStart() {
+	if t.r.call.Prompt == nil || !t.r.route.Prompts {
+		return
+	}
+	left, behind := t.r.f.Weights.Left(t.r.call.Prompt.Model, t.c.target.Weights, clock.Now())
+	if !behind || left >= 0 {
+		return
+	}
+	t.r.f.Stats.LateStarts.Add(1)
+	t.r.f.Log.State("late-start").Str("request", string(t.r.call.ID)).Str("target", string(t.c.target.ID)).Str("weights", string(t.c.target.Weights)).
+		Int64("over_ms", -left.Milliseconds()).Int64("sent_ms", clock.Since(t.sent).Milliseconds()).Send()
+}
+
 // stopWeightsWatch stops the watch, because the call has begun or ended.
 func (t *attempt) stopWeightsWatch() {
 	t.weights.mu.Lock()
