--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -43,6 +43,8 @@
 	late    time.Duration // delay after which lost orders are carried out; zero: never
 	gap     time.Duration // how long no VM holds the lease, from gapAt on
 	gapAt   time.Duration
+	// namings are when versions 2, 3 and so on are declared. Empty: version 2 at the beginning.
+	namings []time.Duration
 	// The last engine asks to get no requests (a rest) from rests.from to rests.to.
 	rests struct{ from, to time.Duration }
 }
@@ -64,6 +66,13 @@
 	previous   State
 	dropFirst  bool
 	acceptedAt time.Time // when it first accepted an order: from then on it starts no request on old weights
+	accepted   []acceptance
+}
+
+// acceptance is when an engine accepted an order for a version.
+type acceptance struct {
+	weights ids.WeightsVersion
+	at      time.Duration // since the beginning
 }
 
 // simulation fakes all dependencies of a rollout. Safe for concurrent use.
@@ -149,6 +158,7 @@
 	if e.acceptedAt.IsZero() {
 		e.acceptedAt = time.Now()
 	}
+	e.accepted = append(e.accepted, acceptance{c.Weights, time.Since(sim.began)})
 	runs := sim.runs
 	if c.Method != Finish {
 		runs = 0
@@ -233,18 +243,42 @@
 	return loadview.TargetWork{InFlight: 30, NotResumable: 3}, sim.wait
 }
 
-// Newest implements DesiredWeights: version 2 was set when the simulation began.
-func (sim *simulation) Newest(ids.Model) ids.WeightsVersion { return "2" }
+// declared returns when versions 2, 3 and so on are declared, as far as they are by now.
+func (sim *simulation) declared(now time.Time) []time.Time {
+	if len(sim.namings) == 0 {
+		return []time.Time{sim.began}
+	}
+	var out []time.Time
+	for _, at := range sim.namings {
+		if t := sim.began.Add(at); !t.After(now) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// Newest implements DesiredWeights.
+func (sim *simulation) Newest(ids.Model) ids.WeightsVersion {
+	return versionAt(len(sim.declared(time.Now())) - 1)
+}
+
+// versionAt returns the version with an index in simulation.declared. It has one digit, so that versions compare as strings.
+func versionAt(i int) ids.WeightsVersion { return ids.WeightsVersion(rune('2' + i)) }
 
 // Since implements DesiredWeights.
-func (sim *simulation) Since(_ ids.Model, now time.Time) time.Duration { return now.Sub(sim.began) }
+func (sim *simulation) Since(_ ids.Model, now time.Time) time.Duration {
+	all := sim.declared(now)
+	return now.Sub(all[len(all)-1])
+}
 
 // Left implements DesiredWeights.
 func (sim *simulation) Left(_ ids.Model, has ids.WeightsVersion, now time.Time) (time.Duration, bool) {
-	if has >= "2" {
-		return 0, false
+	for i, at := range sim.declared(now) {
+		if has < versionAt(i) {
+			return within - now.Sub(at), true
+		}
 	}
-	return within - now.Sub(sim.began), true
+	return 0, false
 }
 
 // holder is one VM that may send orders, with its lease.
