--- a/internal/rollout/overlapping_test.go
+++ b/internal/rollout/overlapping_test.go
@@ -73,3 +73,18 @@
 	}
 	return last, never
 }
+
+// TestOrderDoesNotFailForNextVersion declares a version while engines load the one before it: what they carry out in time has not failed.
+func TestOrderDoesNotFailForNextVersion(t *testing.T) {
+	for _, runs := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(scenario{engines: 9, wait: time.Second, runs: runs, namings: []time.Duration{0, 2 * time.Second}})
+			sim.run(t, 2*time.Second+loadedWithin)
+			for _, r := range sim.rollouts {
+				if failed := r.Stats.Failed.Load(); failed > 0 {
+					t.Errorf("requests of %v: %d of %d orders failed", runs, failed, r.Stats.Orders.Load())
+				}
+			}
+		})
+	}
+}
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -83,6 +83,7 @@
 	unresponsiveFor time.Duration // how long all engines seem unresponsive
 	sent            []Command     // all orders
 	engines         map[ids.Target]*simEngine
+	rollouts        []*Rollout // of all holders
 	loading         int
 	maxOut          int // most live engines out of service at a time
 	cutNonResumable int // orders that cut off non-resumable requests
@@ -293,6 +294,7 @@
 		VM: vm, Lease: l, Replicas: sim, Weights: sim, Client: sim, Targets: sim, ThrottleFor: within / 3, LoadGrace: loadGrace,
 		OnOrder: sim.onOrder, OnGone: func(ids.Target, ids.Incarnation) {},
 	}
+	sim.rollouts = append(sim.rollouts, r)
 	return &holder{lease: l, orders: newReconciler(r)}
 }
 
