Rollout: engines whose update has not ended count as under way when the last orders are due

Cause: requiredConcurrent says how many orders must be under way, and left out the engines that have their weights already while their update hasn't ended (its next read of the state is up to 0.2 s away, reports lag by 0.3 s); orders.Plan counts these as under way. The last engines waited for as many slots as others were just ending, though all had to start at once. Class: a sum whose parts are counted differently by the two that use it. Change: every engine with an update under way counts. Evidence: trace of the case (60 engines, requests of 3 s, versions at 0, 3, 7 and 11 s): an engine free from 9.93 s on gets its order at 16.4 s, others up to 15.2 s. TestUpdatedEngineHoldsNoSlotOfLateOne: 0 of 5 orders before, 5 now.

--- a/internal/rollout/unavailable.go
+++ b/internal/rollout/unavailable.go
@@ -91,9 +91,10 @@
 	for _, e := range engines {
 		left, _ := r.Weights.Left(m, e.Weights, now)
 		switch {
-		case e.Model != m || !r.isBehind(m, e.Weights, now) || e.State < routing.Joining && !e.Busy:
+		case e.Model != m:
 		case e.Busy:
-			busy++
+			busy++ // also if it has its weights already: it holds its slot until its update has ended
+		case !r.isBehind(m, e.Weights, now) || e.State < routing.Joining:
 		default:
 			timesLeft = append(timesLeft, left)
 		}
