Rollout: an update ends with its own order, also if a newer version was declared meanwhile

What callers saw: engines out of service for longer than their orders take, and orders late in overlapping rollouts. Cause: one update went on with the next version's order, within the timeout of the first (9 s). It ended as failed while the engine carried the second order out: the engine counted as down for a second and as in service while it loaded, and the failure as a sample of 6 s that makes all further orders look slow. Class: a bound in seconds to whose steps nobody adds the next. Change: the update ends when its order is carried out; the engine serves on its weights' time, and the plan orders the next version.

--- a/internal/rollout/update.go
+++ b/internal/rollout/update.go
@@ -75,7 +75,9 @@
 // only one that accepts requests.
 var errLastServing = errors.New("no other replica of the model accepts requests")
 
-// update brings a replica to the newest weights, and reports whether it sent an order.
+// update brings a replica to the newest weights, and reports whether it sent an order. It ends when the replica has
+// carried out its order, also if a newer version was declared meanwhile: that is another update, with a slot, a drain
+// and a timeout of its own.
 //
 // An order whose response is lost may have been accepted, or be carried out seconds
 // later. Therefore update reads the replica's state before it sends the order again, and
@@ -125,6 +127,11 @@
 		if err != nil || !r.behind(&c, state) {
 			return ordered, err
 		}
+		if c.carriedOut(state) {
+			r.Replicas.SetWeights(c.Target, c.Weights, "report")
+			r.announce(c.Target, c.Weights, true)
+			return ordered, nil
+		}
 		c.Method = r.methodAfterDrain(&c, state.Weights[c.Model]) // requests and the remaining time may have changed
 	}
 }
@@ -134,7 +141,12 @@
 	return r.isBehind(c.Model, s.Weights[c.Model], clock.Now())
 }
 
-// await waits until the replica has the newest weights, or until maxIdleReads reads have found
+// carriedOut reports whether a replica has loaded the weights of the command.
+func (c *Command) carriedOut(s State) bool {
+	return c.Weights != "" && !s.Busy && s.Weights[c.Model] == c.Weights
+}
+
+// await waits until the replica has the newest weights or those of the command, or until maxIdleReads reads have found
 // the replica idle. Every notifyInterval it announces to the VMs that the replica accepts no
 // requests. It returns an error if the replica has ended, if maxFailedReads consecutive reads
 // fail, or if ctx ends.
@@ -157,7 +169,7 @@
 			return s, err
 		case err != nil:
 			failed++
-		case !r.behind(c, s):
+		case !r.behind(c, s), c.carriedOut(s):
 			return s, nil
 		case !s.Busy:
 			idle++
