Follow: a version that was read after a pause counts as declared since the pause began, and no report makes it younger than known

What callers saw: VERSION on ltvr: calls began on old weights up to 12,207 ms after a newer version was confirmed, 12,000 allowed. Cause: Weights.Changed dates a version by the arrival of the change at the process. A VM that stood still (frozen for 2.8 s, the version named meanwhile) reads the waiting answer when it goes on, takes the version for new and reports that as exact; ApplyPeerAge lets it replace the estimates of all others, which had listed the version seconds before. Change: clock.Pauses detects pauses by late timers; a change counts as declared at the earliest time at which it may have been made (begin of the pause; the peer's answer before, for a copy of a peer), then as an estimate that isn't reported; no report makes a version younger than this VM has known it; one that arrived during a pause tells only that the version exists. Why it holds: each date is now bounded by a moment at which the version is proven not to have been declared.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -68,6 +68,7 @@
 		"trim":          every(trimEvery, func() { d.Forward.Upstream.Trim(clock.Now()) }),
 		"sweep":         d.Replicas.Run,
 		"clock":         func(ctx context.Context) { clock.Watch(ctx, d.onSuspension) },
+		"pauses":        d.Weights.Pauses.Run,
 		"allowances":    every(allowance.SweepEvery, d.allowances.Sweep),
 		"forget":        every(forgetEvery, func() { d.crashes.Sweep(); d.badParts.Sweep() }),
 		"memory":        every(memoryInterval, d.divideMemory()),
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -28,6 +28,8 @@
 	// Clock narrows the age of the objects of a list. If nil, only the responses of this key
 	// space bound it.
 	Clock *Clock
+	// Pauses detects that this process has not run. If nil, it is taken to run all the time.
+	Pauses *clock.Pauses
 	// SettleTime is how long after the return of a store that has lost writes operators may take to
 	// write them again.
 	SettleTime time.Duration
@@ -52,9 +54,12 @@
 
 // version is one version and when it was declared, as far as this VM knows.
 type version struct {
-	number    uint64
-	at        time.Time
-	estimated bool // it came with a list, and no peer has reported its age
+	number uint64
+	at     time.Time
+	// estimated: the version was declared at this time or later. It came with a list, from a peer's copy of the store, or
+	// after a pause, and no peer has reported its age.
+	estimated bool
+	knownAt   time.Time // when this VM learned of it: it was declared by then
 	// fromPeerAt is when a peer reported it; zero once the store has returned it. A version
 	// that only a peer has reported bounds the use of older weights for peerVersionTTL; only
 	// the store determines the newest version.
@@ -117,20 +122,38 @@
 	w.started, w.provenAt = true, at.Sent
 }
 
-// Changed implements Handler. The store sends a change as soon as it is made, so the versions in it
-// count as declared now, unless operators may write versions again that the store has lost.
+// Changed implements Handler. The store sends a change as soon as it is made, so the versions in it count as declared
+// when they may first have arrived, unless operators may write versions again that the store has lost.
 func (w *Weights) Changed(events []objectapi.Object, at At) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
-	again := !at.EraSince.IsZero() && now.Before(at.EraSince.Add(w.SettleTime))
-	if again {
-		now = w.completeUntil
+	if !at.EraSince.IsZero() && now.Before(at.EraSince.Add(w.SettleTime)) {
+		w.apply(events, func(objectapi.Revision) time.Time { return w.completeUntil }, true)
+	} else {
+		since := w.changedSince(at, now)
+		w.apply(events, func(rev objectapi.Revision) time.Time { return later(since, w.Clock.Before(rev)) }, since.Before(now))
 	}
-	w.apply(events, func(objectapi.Revision) time.Time { return now }, again)
 	w.provenAt = at.Sent
 }
 
+// changedSince returns the earliest time at which a change that this VM receives at now may have been made: this process
+// or the peer from which the change comes may have paused.
+func (w *Weights) changedSince(at At, now time.Time) time.Time {
+	since := w.Pauses.ArrivedSince(now)
+	if !at.PeerAnswered.IsZero() && at.PeerAnswered.Before(since) {
+		since = at.PeerAnswered
+	}
+	return since
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Unchanged implements Handler.
 func (w *Weights) Unchanged(at At) {
 	w.mu.Lock()
@@ -176,6 +199,7 @@
 		}
 		return confirmed
 	}
+	n.knownAt = clock.Now()
 	all = slices.Insert(all, i, n)
 	all = all[max(0, len(all)-maxVersions):]
 	w.models[m] = all
@@ -256,23 +280,33 @@
 
 // ApplyPeerAge applies a peer's report on a version. A VM that has just started or had lost the
 // store can't know the version's age, and one whose watch is unresponsive does not know the
-// version. Of two reports the one with the greater age counts.
+// version. Of two reports the one with the greater age counts, and none makes a version younger than this VM knows it.
+// A report that arrived during a pause of this process tells no more than that the version exists.
 func (w *Weights) ApplyPeerAge(a VersionAge, now time.Time) {
-	at := now.Add(-a.Age)
+	arrived := w.Pauses.ArrivedSince(now)
+	paused := arrived.Before(now)
+	at := arrived.Add(-a.Age)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.models == nil {
 		w.models = map[ids.Model][]version{}
 	}
 	w.models[a.Model] = slices.DeleteFunc(w.models[a.Model], func(v version) bool { return !v.valid(now) })
-	if w.add(a.Model, version{number: a.Version, at: at, fromPeerAt: now}) {
-		w.Log.State("weights-named").Str("model", string(a.Model)).Uint64("version", a.Version).Int64("age_ms", a.Age.Milliseconds()).Str("from", "peer").Send()
+	if w.add(a.Model, version{number: a.Version, at: at, estimated: paused, fromPeerAt: now}) {
+		w.Log.State("weights-named").Str("model", string(a.Model)).Uint64("version", a.Version).Int64("age_ms", now.Sub(at).Milliseconds()).Str("from", "peer").Bool("guessed", paused).Send()
+		return
+	}
+	if paused {
 		return
 	}
 	all := w.models[a.Model]
 	for i := range all {
-		if all[i].number == a.Version && (all[i].estimated || at.Before(all[i].at)) {
-			all[i].at, all[i].estimated = at, false
+		v := &all[i]
+		if v.number != a.Version || !v.estimated && !at.Before(v.at) {
+			continue
+		}
+		if v.at, v.estimated = at, false; v.knownAt.Before(at) {
+			v.at = v.knownAt
 		}
 	}
 	makeMonotonic(all)
