A stopping VM takes only calls that end before its process does

A stopping VM took every call until min(2.3 s, grace/2) on new connections and still later on open ones, and compared none with what was left of its grace: with grace 3 s a call of 1.2 s that came 1.4 s after the signal ran and was cut at 2.5 s. The wait for the balancer also began only after the last orders and the release of the lease (up to 0.9 s), so that it could end that much later.

Now the times of a stop are one sum from the signal on (edge.timesOf, with a table), and each call is compared with it once its body is whole: it is taken if its deadline or its route's timeout lies before the end; one that may be repeated is also taken if the longest of its route's calls of the last 30 to 60 s, and a quarter more, fit. Others are refused as not run, at once. A call that may not be repeated and was taken before is not sent again by the same rule. A call that is at work at the end without any part of its response fails with 502 0.2 s before the connections are closed, so that its caller hears of it.

Ruled out: a second signal and SIGHUP: by reading, fx broadcasts the first signal only, a reload touches no times, and readiness is not evaluated while the VM stops (not played).

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -73,7 +73,7 @@
 			return
 		case <-tick.C:
 		}
-		if d.Forward.Draining.Load() {
+		if d.Forward.Draining() {
 			continue
 		}
 		reason := d.notReadyReason()
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -14,17 +14,33 @@
 	readyNotice = 2300 * time.Millisecond
 	// killMargin is the time between the end of the drain and the kill of the process.
 	killMargin = 500 * time.Millisecond
+	// writeMargin is the time for writing the responses of the calls that end last.
+	writeMargin = 200 * time.Millisecond
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = 300 * time.Millisecond
 )
 
+// shutdownTimes are the times of a shutdown, from its beginning.
+type shutdownTimes struct {
+	accepts time.Duration // until then, connections are accepted
+	calls   time.Duration // until then, calls must have ended
+	drain   time.Duration // then the remaining connections are cut
+}
+
+// timesOf divides the grace period, at whose end the process is killed. The release of the lease takes place before accepts ends, and
+// tunnels of peers are served until the end of the drain.
+func timesOf(grace time.Duration) shutdownTimes {
+	drain := max(grace-killMargin, 0)
+	return shutdownTimes{accepts: min(readyNotice, grace/2, drain), calls: max(drain-writeMargin, 0), drain: drain}
+}
+
 // Stop shuts down gracefully. The VM becomes not ready, and responses close their connections.
 // Once the load balancer has noticed, the VM stops accepting connections and finishes the calls in
-// flight, until the grace period of the settings ends. Stop does not use its context, and always
-// returns nil.
+// flight, until the grace period of the settings ends. It takes only calls that end in that time.
+// Stop always returns nil.
 func (d *Daemon) Stop(ctx context.Context) error {
-	began := clock.Now()
-	d.Forward.Draining.Store(true)
+	began, times := clock.Now(), timesOf(d.Settings.Edge.Grace.D())
+	d.Forward.Drain(began.Add(times.calls))
 	d.tunnels.Leave()
 	d.ready.set(false, "shutting down")
 	d.Log.State("stop").Int64("in_flight", d.Forward.InFlight()).Send()
@@ -34,9 +50,8 @@
 		d.Log.State("lease-not-released").Str("error", err.Error()).Send()
 	}
 	cancel()
-	timer := time.NewTimer(min(readyNotice, d.Settings.Edge.Grace.D()/2))
-	<-timer.C
-	drain, cancel := context.WithTimeout(ctx, d.Settings.Edge.Grace.D()-killMargin-clock.Since(began))
+	time.Sleep(times.accepts - clock.Since(began))
+	drain, cancel := context.WithTimeout(ctx, times.drain-clock.Since(began))
 	defer cancel()
 	err := d.servers[0].Shutdown(drain)
 	if err != nil {
--- a/internal/forward/cut.go
+++ b/internal/forward/cut.go
@@ -17,7 +17,7 @@
 const (
 	cutByReplica  cutter = "replica"
 	cutByDeadline cutter = "deadline"
-	cutByVM       cutter = "vm" // this VM gave the replica up
+	cutByVM       cutter = "vm" // this VM gave the replica up, or shuts down
 )
 
 // CutCounts counts answers that were ended early, by who ended them and why nothing replaced them. Safe for concurrent use.
@@ -42,7 +42,7 @@
 	switch {
 	case final.Code == outcome.CodeDeadline:
 		return cutByDeadline
-	case r.gaveUp.target != "" && !r.gaveUp.replaced, errors.Is(final, errNotAllowed):
+	case r.gaveUp.target != "" && !r.gaveUp.replaced, errors.Is(final, errNotAllowed), errors.Is(final, errDrainEnded):
 		return cutByVM
 	}
 	return cutByReplica
--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -17,8 +17,9 @@
 // fail, leaves the call where it is. An attempt that fails while others are under way is not the end of the call.
 
 // follow passes on what the attempts under way bring. It returns nil when the response is complete, and the last error
-// when none of them is left.
+// when none of them is left. At the end of a shutdown's drain it returns an error if no part of a response was passed on.
 func (r *run) follow(ctx context.Context) *outcome.Error {
+	drainEnd := r.f.drain.end()
 	for {
 		select {
 		case a := <-r.arrivals:
@@ -36,6 +37,11 @@
 			}
 		case t := <-r.stalls:
 			r.onStall(ctx, t)
+		case <-drainEnd:
+			if !r.begun {
+				return r.drainEnded()
+			}
+			drainEnd = nil // the rest may still come
 		}
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 //   - A call with an API key is sent only if this VM has proof, not older than KeyTTL, that
 //     its catalog was the newest one. This holds across suspensions of the VM.
 //   - Workspaces keep to their allowances summed over all VMs (package allowance).
+//   - A VM that shuts down takes only calls that end before its drain does (drain.go).
 //   - A request that repeatedly crashes replicas is kept from further replicas,
 //     whichever VM receives it (package quarantine).
 //
@@ -179,10 +180,8 @@
 	// Bodies holds the callers' bodies.
 	Bodies bodies.Memory
 
-	// Draining is set when the VM shuts down: responses then ask callers to use another
-	// connection.
-	Draining atomic.Bool
-
+	drain     drain
+	durations durations
 	usual     usualWork
 	draws     draws
 	calls     activeCalls
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -118,6 +118,9 @@
 	}
 	r.service = r.route.Pick(r.f.Fleet.Seed() * weightStride)
 	r.ends = r.end()
+	if refusal := r.refuseInDrain(); refusal != nil {
+		return refusal
+	}
 	return r.chargeAllowance()
 }
 
@@ -167,8 +170,8 @@
 		"this VM can't prove that its configuration is the newest").After(vmRetryAfter)
 }
 
-// recheckAdmission refuses a send if the call's deadline has passed or, for a call with an API key,
-// the catalog's proof has expired. Neither was so when the call was admitted, but the call may have
+// recheckAdmission refuses a send if the call's deadline has passed, if it would not end in the drain of a
+// VM that shuts down or, for a call with an API key, if the catalog's proof has expired. None of it was so when the call was admitted, but the call may have
 // waited since, and the VM may have been suspended.
 func (r *run) recheckAdmission() *outcome.Error {
 	switch {
@@ -178,7 +181,7 @@
 		e := r.unprovenCatalog()
 		return outcome.Wrap(errNotAllowed, e.Outcome, e.Code, e.Step, e.Peer, e.Message).After(e.RetryAfter)
 	}
-	return nil
+	return r.recheckDrain()
 }
 
 // recheckSend refuses a send that is no longer allowed. Since the decision, connecting may have
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -59,13 +59,6 @@
 // lasts.
 const minRetryAfter = 20 * time.Millisecond
 
-// closeIfDraining asks the caller to use another connection next time.
-func (r *run) closeIfDraining() {
-	if r.f.Draining.Load() {
-		r.w.Header().Set("Connection", "close")
-	}
-}
-
 // logEnd logs the end of a call and records its latency.
 func (r *run) logEnd(status int, e *outcome.Error) {
 	took := clock.Since(r.received)
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -27,6 +27,7 @@
 	stopUnproven   stopReason = "configuration not proven"
 	stopShed       stopReason = "would be late"
 	stopQuarantine stopReason = "quarantined or suspected"
+	stopDrain      stopReason = "this VM shuts down"
 )
 
 // mayRetry returns why the call may not be sent again after a failed send; empty: it may. In that case it takes the retry
@@ -55,6 +56,8 @@
 		return stopNoTarget
 	case err.Code == outcome.CodeStoreDown:
 		return stopUnproven
+	case err.Step == stepDrain:
+		return stopDrain
 	case err.Step == stepShed:
 		return stopShed
 	case err.Step == quarantine.Step:
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -45,6 +45,7 @@
 		if err == nil {
 			r.f.Late.counts[r.lateCause()].Add(1)
 			r.countEnd()
+			r.f.durations.observe(r.route.Name, clock.Since(r.received), clock.Now())
 			r.logEnd(r.status, nil)
 			return
 		}
@@ -72,7 +73,7 @@
 // fail ends a call that failed and is not retried.
 func (r *run) fail(ctx context.Context, err *outcome.Error) {
 	e := r.finalError(ctx, err)
-	if r.begun || r.gaveUp.target != "" {
+	if r.begun || r.gaveUp.target != "" || errors.Is(err, errDrainEnded) {
 		r.recordCut(err, e)
 	}
 	if !r.begun {
