Own form: a stopping VM takes only calls whose deadline lies before the end of its drain

Now a call is taken if its template's deadline lies 0.2 s before the end, and refused as not run otherwise; responses close their connections from the signal on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -232,11 +232,12 @@
 }
 
 // Stop shuts down gracefully. It reports "not ready" and notifies peers, gives the load
-// balancer time to notice, closes the listener for callers, waits for requests in flight up to
+// balancer time to notice, in which it takes only calls that end before the drain does, closes the listener for callers, waits for requests in flight up to
 // the drain timeout and for pending claims up to settleTimeout, and then ends the background
 // tasks. It always returns nil.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ready.set(false, "shutting down")
+	d.Gateway.Drain(clock.Now().Add(d.Settings.ReadyNotice.D() + d.Settings.DrainTimeout.D() - writeMargin))
 	d.Node.Leaving.Store(true)
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "leaving"}, nil)
 	d.Log.Info().Str("step", "stop").Int("in_flight", d.Limiter.InFlight()).Msg("shutting down; reporting not ready")
@@ -261,6 +262,9 @@
 	return nil
 }
 
+// writeMargin is the time for writing the responses of the calls that end last in a shutdown.
+const writeMargin = 200 * time.Millisecond
+
 // settleTimeout limits how long a shutdown waits for pending claims to be settled.
 const settleTimeout = 5 * time.Second
 
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -62,6 +62,7 @@
 	h.Set(HeaderRequestID, string(req))
 	h.Set(HeaderOutcome, o.String())
 	h.Set(HeaderVM, string(g.VM))
+	g.closeIfDraining(c)
 }
 
 // fail responds with an error and aborts the request. If the head of a response was
@@ -157,6 +158,7 @@
 	h.Set("Trailer", HeaderOutcome)
 	h.Set(HeaderRequestID, string(s.request))
 	h.Set(HeaderVM, string(s.g.VM))
+	s.g.closeIfDraining(s.c)
 	s.c.Writer.WriteHeader(http.StatusOK)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	Requests   atomic.Int64 // received under /v1
 	Refused    atomic.Int64 // ended with an error, those in Broken included
 	Broken     atomic.Int64 // ended with an error after the response had begun
+
+	drainEnds atomic.Pointer[time.Time] // when calls that are taken must have ended; nil: no shutdown
 }
 
 // Handler returns the HTTP handler.
@@ -168,6 +170,10 @@
 			g.fail(c, req, promptError(err))
 			return
 		}
+		if refusal := g.refuseInDrain(p.Template.Deadline.D()); refusal != nil {
+			g.fail(c, req, refusal)
+			return
+		}
 		s := &sink{g: g, c: c, request: req, ctl: http.NewResponseController(c.Writer)}
 		if err := g.Dispatcher.Run(c.Request.Context(), p, s); err != nil {
 			s.fail(outcome.Of(err))
@@ -209,6 +215,10 @@
 		g.fail(c, req, refusal)
 		return
 	}
+	if refusal := g.refuseInDrain(t.Deadline.D()); refusal != nil {
+		g.fail(c, req, refusal)
+		return
+	}
 	path := c.Param("path")
 	if c.Request.URL.RawQuery != "" {
 		path += "?" + c.Request.URL.RawQuery
