Shutdown: few known calls widen the margin instead of telling nothing

A VM that stops refused each call of a route with a timeout longer than its grace of which it had served fewer than 20 lately. The margin now grows as calls get fewer: 10 divided by their number, at least a quarter of the longest.

--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -92,10 +92,10 @@
 const (
 	// durationWindow is the time in which durations are collected. The longest one counts for one to two windows.
 	durationWindow = 30 * time.Second
-	// leastDurations is the number of calls from which on the longest tells how long others take.
-	leastDurations = 20
-	// durationMargin is what the next calls may take, as a multiple of the longest lately.
-	durationMargin = 1.25
+	// durationMargin is by which fraction of the longest call lately the next ones may take longer, if many calls are known.
+	durationMargin = 0.25
+	// fewDurations divided by the number of known calls is the margin if few are known.
+	fewDurations = 10
 	// maxDurationRoutes is the number of routes at which all durations are dropped.
 	maxDurationRoutes = 4096
 )
@@ -146,7 +146,7 @@
 	of.current.calls++
 }
 
-// usual returns a time in which nearly all calls of a route end, as far as is known from the latest ones; zero: there were few.
+// usual returns a time in which nearly all calls of a route end, as far as is known from the latest ones; zero: there were none.
 func (d *durations) usual(route string, now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -155,8 +155,10 @@
 		return 0
 	}
 	of.advance(now)
-	if of.current.calls+of.last.calls < leastDurations {
+	calls := of.current.calls + of.last.calls
+	if calls == 0 {
 		return 0
 	}
-	return time.Duration(float64(max(of.current.longest, of.last.longest)) * durationMargin)
+	margin := max(durationMargin, fewDurations/float64(calls))
+	return time.Duration(float64(max(of.current.longest, of.last.longest)) * (1 + margin))
 }
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -32,15 +32,20 @@
 	}
 }
 
-// TestUsualDuration checks that the longest of the latest calls counts, and few calls do not.
+// TestUsualDuration checks that the longest of the latest calls counts, with a margin that is larger if there were few.
 func TestUsualDuration(t *testing.T) {
 	var d durations
 	now := time.Unix(1000, 0)
-	for range leastDurations - 1 {
-		d.observe("r", time.Second, now)
-	}
-	if got := d.usual("r", now); got != 0 {
-		t.Errorf("%d calls tell %v", leastDurations-1, got)
+	for _, c := range []struct {
+		calls int
+		want  time.Duration
+	}{{1, 11 * time.Second}, {4, 3 * time.Second}, {5, 2 * time.Second}, {30, 1250 * time.Millisecond}} {
+		for range c.calls {
+			d.observe("r", time.Second, now)
+		}
+		if got := d.usual("r", now); got != c.want {
+			t.Errorf("after %d more calls: got %v, want %v", c.calls, got, c.want)
+		}
 	}
 	d.observe("r", 2*time.Second, now)
 	for _, c := range []struct{ after, want time.Duration }{
