A stopping VM serves what has come on a connection before it closes it

Shutdown also takes a connection for idle until a whole head has been passed up, so that it closed kept connections in the middle of a head, and may close one between the reading of a head and its request.

The listener now drains itself (ingress.Listener.Drain): it knows what each connection has read. Idle ones are closed under the lock under which a whole head is taken, so that a head is either served or was never passed on; one with a part of a head, or a new one, is given 1 s; responses announce the close only if nothing more has come on the connection. Both forms use it in place of Shutdown.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -245,11 +245,10 @@
 	timing.Sleep(ctx, d.Settings.ReadyNotice.D())
 	drainCtx, cancel := context.WithTimeout(ctx, d.Settings.DrainTimeout.D())
 	defer cancel()
-	err := d.callerSrv.Shutdown(drainCtx)
-	if err != nil {
+	if err := d.callers.Drain(drainCtx); err != nil {
 		d.Log.Warn().Err(err).Str("step", "drain").Int("in_flight", d.Limiter.InFlight()).Msg("drain timeout reached; closing connections of requests in flight")
-		_ = d.callerSrv.Close()
 	}
+	_ = d.callerSrv.Close()
 	d.awaitSettled(ctx)
 	d.cancel()
 	d.Orders.Wait()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -149,9 +149,9 @@
 	links         *links.Table
 	tunnels       *tunnel.Server
 	ready         readiness
-	connections   *ingress.Budget // of callers
-	listeners     []*ingress.Listener
-	servers       []*http.Server // of listeners; the first is for callers
+	connections   *ingress.Budget     // of callers
+	listeners     []*ingress.Listener // the first is for callers
+	servers       []*http.Server      // of listeners
 	peerListener  *ingress.PeerListener
 	// peerServer serves reads of the store, and tunnels to targets, to other entry VMs.
 	peerServer *grpc.Server
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -53,8 +53,7 @@
 	time.Sleep(times.accepts - clock.Since(began))
 	drain, cancel := context.WithTimeout(ctx, times.drain-clock.Since(began))
 	defer cancel()
-	err := d.servers[0].Shutdown(drain)
-	if err != nil {
+	if err := d.listeners[0].Drain(drain); err != nil {
 		d.Log.State("drain-ended").Int64("in_flight", d.Forward.InFlight()).Str("error", err.Error()).Send()
 	}
 	d.tunnels.Drain(drain)
--- a/internal/forward/drain.go
+++ b/internal/forward/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ingress"
 	"github.com/threadwall/threadwall/internal/outcome"
 )
 
@@ -82,9 +83,9 @@
 	return outcome.Wrap(errDrainEnded, outcome.Unknown, outcome.CodeUpstream, stepDrain, r.lastTarget(), errDrainEnded.Error())
 }
 
-// closeIfDraining asks the caller to use another connection next time.
+// closeIfDraining asks the caller to use another connection next time, unless a further request has come on this one.
 func (r *run) closeIfDraining() {
-	if r.f.Draining() {
+	if r.f.Draining() && !ingress.Followed(r.req.Context()) {
 		r.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -6,6 +6,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/ingress"
 	"github.com/threadwall/threadwall/internal/outcome"
 )
 
@@ -25,9 +26,9 @@
 	return outcome.New(outcome.NotRun, outcome.CodeNotReady, "drain", "", "this VM shuts down, and the call may take longer than that").After(drainRetryAfter)
 }
 
-// closeIfDraining asks the caller to use another connection next time.
+// closeIfDraining asks the caller to use another connection next time, unless a further request has come on this one.
 func (g *Gateway) closeIfDraining(c *gin.Context) {
-	if g.drainEnds.Load() != nil {
+	if g.drainEnds.Load() != nil && !ingress.Followed(c.Request.Context()) {
 		c.Header("Connection", "close")
 	}
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -25,6 +25,7 @@
 	// Guarded by l.mu.
 	class   class
 	place   *list.Element // in the list of the class
+	entered time.Time     // the class
 	charged int64         // bytes
 	kept    int64         // bytes of it, beyond ConnBytes, that stay charged between requests
 
@@ -45,6 +46,8 @@
 	large    bool      // the receive buffer is the one for long bodies
 	answered bool      // a request was served
 
+	followed atomic.Bool // a part of a request has come after the last one whose head was whole
+
 	// writing is when the server began the write that goes on, in nanoseconds since the process's start. Zero: none does.
 	writing atomic.Int64
 }
@@ -108,7 +111,9 @@
 		if whole {
 			c.inHead = len(c.head) - (len(part) - n)
 			c.rest, c.head = c.head, nil
-			return 0, c.headWhole(c.rest[:c.inHead])
+			err := c.headWhole(c.rest[:c.inHead])
+			c.noteFollower()
+			return 0, err
 		}
 	}
 }
@@ -120,9 +125,11 @@
 	}
 	if &part[0] != &p[0] {
 		c.rest, c.inHead = append([]byte(nil), part...), n
+		c.noteFollower()
 		return 0, nil
 	}
 	c.rest = append([]byte(nil), part[n:]...)
+	c.noteFollower()
 	return n, nil
 }
 
@@ -185,6 +192,7 @@
 	if !c.l.move(c, to) {
 		return net.ErrClosed
 	}
+	c.followed.Store(false) // not before, since a drain closes idle connections that have no follower
 	c.awaiting, c.bodyEnds = false, time.Now().Add(c.l.config.Limits().BodyTimeout)
 	if f.kind == withLength && f.length > longBody || f.kind == inChunks {
 		c.enlarge()
@@ -219,6 +227,7 @@
 		c.rest = append(append([]byte(nil), p[of:n]...), c.rest...)
 		n = of
 	}
+	c.noteFollower()
 	if c.body.ended && !c.l.move(c, serving) {
 		return n, net.ErrClosed
 	}
@@ -241,6 +250,9 @@
 	if n > 0 {
 		c.nextByte = p[0]
 		c.next.add(p[:n])
+		if c.nextByte != '\r' && c.nextByte != '\n' {
+			c.followed.Store(true)
+		}
 	}
 	return n, err
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -102,5 +102,5 @@
 
 // Server returns a server for connections of the Listener.
 func (l *Listener) Server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ConnState: l.connState, MaxHeaderBytes: maxServerHead}
+	return &http.Server{Handler: h, ConnState: l.connState, ConnContext: withConn, MaxHeaderBytes: maxServerHead}
 }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -58,11 +58,15 @@
 	open      int
 	fullSince time.Time     // when a connection first found no room since the last one that did; zero: it did
 	room      chan struct{} // there may be room for the connection that waits for it
+	draining  bool
+
+	done      chan struct{} // closed by Close
+	closeOnce sync.Once
 }
 
 // Limit returns a Listener for the connections of l.
 func Limit(l net.Listener, c Config) *Listener {
-	limited := &Listener{Listener: l, config: c, room: make(chan struct{}, 1)}
+	limited := &Listener{Listener: l, config: c, room: make(chan struct{}, 1), done: make(chan struct{})}
 	limitBuffer(l)
 	return limited
 }
@@ -88,7 +92,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, l.acceptFailed(err)
 		}
 		tcp, ok := c.(*net.TCPConn)
 		if !ok {
@@ -192,7 +196,7 @@
 	if c.place != nil {
 		l.lists[c.class].Remove(c.place)
 	}
-	c.class, c.place = to, l.lists[to].PushBack(c)
+	c.class, c.place, c.entered = to, l.lists[to].PushBack(c), time.Now()
 	if to < serving {
 		l.signalRoom()
 	}
