--- a/internal/e2e/stopping_test.go
+++ b/internal/e2e/stopping_test.go
@@ -67,3 +67,35 @@
 	}
 	h.vms.Daemons = h.vms.Daemons[1:]
 }
+
+// TestVMStoppedWhileItStartsIsNotReady guards against a VM that becomes ready while it stops.
+func TestVMStoppedWhileItStartsIsNotReady(t *testing.T) {
+	h := start(t, 1)
+	if err := h.vms.Daemons[0].Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	s := h.vms.Daemons[0].Settings
+	s.ReadyNotice, s.Peers = durations.Duration(3*time.Second), nil
+	h.s.Store.SetFaults(lab.StoreFaults{Down: true})
+	d, err := daemon.New(s, daemon.Options{LogTo: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	h.vms.Daemons = h.vms.Daemons[1:]
+	stopped := make(chan error)
+	go func() { stopped <- d.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	h.s.Store.SetFaults(lab.StoreFaults{})
+	for ends := time.Now().Add(2500 * time.Millisecond); time.Now().Before(ends); time.Sleep(20 * time.Millisecond) {
+		if d.Status().Ready {
+			t.Error("the VM is ready while it stops")
+			break
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+}
