A VM that stops is not made ready again

A VM of the own form that got the signal while it started became ready as soon as its bootstrap ended, and stayed so until its process did: balancers sent it calls until then. The edge form had the same race, between the check of whether the VM shuts down and the setting of its readiness (by reading; no play showed it). In both, readiness now knows that the VM leaves, and stays what it is.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -236,7 +236,7 @@
 // the drain timeout and for pending claims up to settleTimeout, and then ends the background
 // tasks. It always returns nil.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.ready.set(false, "shutting down")
+	d.ready.leave()
 	d.Gateway.Drain(clock.Now().Add(d.Settings.ReadyNotice.D() + d.Settings.DrainTimeout.D() - writeMargin))
 	d.Node.Leaving.Store(true)
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "leaving"}, nil)
@@ -279,6 +279,7 @@
 	mu       sync.Mutex
 	ok       bool
 	wasReady bool // whether the VM has ever been ready
+	leaving  bool // the VM shuts down, and is never ready again
 	reason   string
 }
 
@@ -287,7 +288,16 @@
 func (r *readiness) set(ok bool, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ok, r.reason, r.wasReady = ok, reason, r.wasReady || ok
+	if !r.leaving {
+		r.ok, r.reason, r.wasReady = ok, reason, r.wasReady || ok
+	}
+}
+
+// leave sets the readiness of a VM that shuts down, for good.
+func (r *readiness) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ok, r.reason, r.leaving = false, "shutting down", true
 }
 
 // Ready implements gateway.Readiness.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -39,20 +39,31 @@
 
 // readiness records whether this VM accepts requests and, if not, the reason.
 type readiness struct {
-	mu     sync.Mutex
-	ok     bool
-	reason string
+	mu      sync.Mutex
+	ok      bool
+	reason  string
+	leaving bool // the VM shuts down, and is never ready again
 }
 
 // set sets the readiness and reports whether ok changed.
 func (r *readiness) set(ok bool, reason string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.leaving {
+		return false
+	}
 	changed := r.ok != ok
 	r.ok, r.reason = ok, reason
 	return changed
 }
 
+// leave sets the readiness of a VM that shuts down, for good.
+func (r *readiness) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ok, r.reason, r.leaving = false, "shutting down", true
+}
+
 // Ready reports whether this VM accepts requests and, if not, the reason.
 func (r *readiness) Ready() (bool, string) {
 	r.mu.Lock()
@@ -73,9 +84,6 @@
 			return
 		case <-tick.C:
 		}
-		if d.Forward.Draining() {
-			continue
-		}
 		reason := d.notReadyReason()
 		if d.ready.set(reason == "", reason) {
 			d.Log.State("ready").Bool("ready", reason == "").Str("reason", reason).
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -42,7 +42,7 @@
 	began, times := clock.Now(), timesOf(d.Settings.Edge.Grace.D())
 	d.Forward.Drain(began.Add(times.calls))
 	d.tunnels.Leave()
-	d.ready.set(false, "shutting down")
+	d.ready.leave()
 	d.Log.State("stop").Int64("in_flight", d.Forward.InFlight()).Send()
 	d.Rollout.Quiesce()
 	release, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -24,3 +24,16 @@
 		}
 	}
 }
+
+// TestReadinessEndsWithLeave evaluates the readiness once more after the shutdown has begun.
+func TestReadinessEndsWithLeave(t *testing.T) {
+	var r readiness
+	r.set(true, "")
+	r.leave()
+	if changed := r.set(true, ""); changed {
+		t.Error("the readiness changed after the shutdown had begun")
+	}
+	if ok, reason := r.Ready(); ok || reason != "shutting down" {
+		t.Errorf("got %v %q", ok, reason)
+	}
+}
