--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -232,11 +232,12 @@
 }
 
 // Stop shuts down gracefully. It reports "not ready" and notifies peers, gives the load
-// balancer time to notice, closes the listener for callers, waits for requests in flight up to
+// balancer time to notice, in which it takes only calls that end before the drain does, closes the listener for callers, waits for requests in flight up to
 // the drain timeout and for pending claims up to settleTimeout, and then ends the background
 // tasks. It always returns nil.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.ready.set(false, "shutting down")
+	d.ready.leave()
+	d.Gateway.Drain(clock.Now().Add(d.Settings.ReadyNotice.D() + d.Settings.DrainTimeout.D() - writeMargin))
 	d.Node.Leaving.Store(true)
 	d.Events.Record(timeline.Event{Kind: timeline.KindLifecycle, Text: "leaving"}, nil)
 	d.Log.Info().Str("step", "stop").Int("in_flight", d.Limiter.InFlight()).Msg("shutting down; reporting not ready")
@@ -244,11 +245,10 @@
 	timing.Sleep(ctx, d.Settings.ReadyNotice.D())
 	drainCtx, cancel := context.WithTimeout(ctx, d.Settings.DrainTimeout.D())
 	defer cancel()
-	err := d.callerSrv.Shutdown(drainCtx)
-	if err != nil {
+	if err := d.callers.Drain(drainCtx); err != nil {
 		d.Log.Warn().Err(err).Str("step", "drain").Int("in_flight", d.Limiter.InFlight()).Msg("drain timeout reached; closing connections of requests in flight")
-		_ = d.callerSrv.Close()
 	}
+	_ = d.callerSrv.Close()
 	d.awaitSettled(ctx)
 	d.cancel()
 	d.Orders.Wait()
@@ -261,6 +261,9 @@
 	return nil
 }
 
+// writeMargin is the time for writing the responses of the calls that end last in a shutdown.
+const writeMargin = 200 * time.Millisecond
+
 // settleTimeout limits how long a shutdown waits for pending claims to be settled.
 const settleTimeout = 5 * time.Second
 
@@ -276,6 +279,7 @@
 	mu       sync.Mutex
 	ok       bool
 	wasReady bool // whether the VM has ever been ready
+	leaving  bool // the VM shuts down, and is never ready again
 	reason   string
 }
 
@@ -284,7 +288,16 @@
 func (r *readiness) set(ok bool, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ok, r.reason, r.wasReady = ok, reason, r.wasReady || ok
+	if !r.leaving {
+		r.ok, r.reason, r.wasReady = ok, reason, r.wasReady || ok
+	}
+}
+
+// leave sets the readiness of a VM that shuts down, for good.
+func (r *readiness) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ok, r.reason, r.leaving = false, "shutting down", true
 }
 
 // Ready implements gateway.Readiness.
