--- a/internal/versionlog/write.go
+++ b/internal/versionlog/write.go
@@ -18,8 +18,9 @@
 	// still counts: a suspended VM sees nothing.
 	roundEvery = time.Second
 	maxPause   = 5 * roundEvery
-	// unusedFor is how long a version must have been unused before it is removed.
-	unusedFor = streams.RecordTTL
+	// unusedFor is how long a version must have been unused before it is removed: until no VM lets streams begin there unless it
+	// is listed, also one that has heard of the version's end and return later than this VM.
+	unusedFor = streams.RecordTTL + 10*time.Second
 	// firstWriters is the number of VMs that write at once; the others wait for them for lateWriters and a random time up to
 	// lateSpread.
 	firstWriters = 3
