--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -87,6 +87,7 @@
 		"orders":        d.sendOrders,
 		"links":         d.links.Run,
 		"streams":       d.streams.Run,
+		"archive":       d.archive.Run,
 		"versions":      d.versions.Run,
 		"canaries":      d.runCanaries,
 		"tell-canaries": d.sendCanaryReports,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -136,6 +136,7 @@
 	badParts   *quarantine.Ledger // parts of prompts under which replicas crashed
 	allowances *allowance.Limiter
 	streams    *streams.Directory
+	archive    *streams.Archive
 	versions   *versionlog.Log // of the software at which streams may have begun
 	keeperList keeperList
 	demand     *demand.Tracker
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// streamKeepers is the name by which VMs are ranked that keep in the store the versions at which streams began.
+	// streamKeepers is the name by which VMs are ranked that keep in the store what outlives all processes: the versions at which
+	// streams began, and the records of streams.
 	streamKeepers = ids.Target("stream keepers")
+	// maxCollectors is the number of VMs that save records of streams. Each makes at most five writes a second.
+	maxCollectors = 2
+	// maxLoaders is the number of VMs that read the saved records when they start. The others ask them.
+	maxLoaders = 16
 	// keepersEvery is the interval at which the VMs that do this are determined again.
 	keepersEvery = 200 * time.Millisecond
 	// versionsWait bounds how long a starting VM waits for the list of versions before it is ready.
@@ -32,10 +37,16 @@
 	}
 	d.Replicas.StreamVersions, d.Replicas.HasStreams = d.versions, d.hasStreams
 	d.streams = &streams.Directory{
-		VM: s.VM, FailureDomain: s.FailureDomain, Peers: d.vms.streamPeers,
+		VM: s.VM, FailureDomain: s.FailureDomain, Peers: d.vms.streamPeers, Collectors: d.collectors,
 		Sole: d.Replicas.SoleVersion, Send: d.sendStreams, Now: clock.Now,
 	}
 	d.Replicas.OnNewSoftware = d.streams.VersionsChanged
+	d.archive = &streams.Archive{
+		VM: s.VM, Store: d.store, Directory: d.streams, Log: d.Log,
+		Needed: func() (needed, known bool) { return d.versions.Several(), d.versions.Ready() },
+		Loads:  func() bool { return d.keeperRank() < maxLoaders },
+		Tidies: func() bool { return d.keeperRank() == 0 },
+	}
 }
 
 // hasStreams reports whether a route leads to the service whose streams callers may take up; known is false without a
@@ -99,6 +110,12 @@
 // keeperRank returns the number of VMs that precede this one among the keepers.
 func (d *Daemon) keeperRank() int { return slices.Index(d.keepers(), d.Settings.VM) }
 
+// collectors returns the VMs that save records of streams.
+func (d *Daemon) collectors() []ids.VM {
+	all := d.keepers()
+	return all[:min(len(all), maxCollectors)]
+}
+
 // allListVersions reports whether each VM that is or was part of the fleet lists software versions before streams begin there.
 func (c *vmList) allListVersions() bool {
 	c.mu.Lock()
--- a/internal/streams/holders.go
+++ b/internal/streams/holders.go
@@ -26,8 +26,8 @@
 // number returns a number derived from the key, for rendezvous hashing.
 func (k Key) number() uint64 { return binary.BigEndian.Uint64(k[:]) }
 
-// candidates returns the peers in the order in which they are chosen as holders: the first one of each failure domain by
-// rendezvous weight, then the second of each, and so on, so that the holders are in different domains. The first one
+// candidates returns the peers in the order in which they are chosen as holders: the collector that saves the record, then
+// the first one of each failure domain by rendezvous weight, then the second of each, and so on, so that the holders are in different domains. The first one
 // of this VM's own domain leads, since a domain may be cut off from the others. VMs with the same list agree on the
 // rest of the order.
 func (d *Directory) candidates(k Key) []Peer {
@@ -47,6 +47,11 @@
 			out = append(out, all[i].Peer)
 		}
 	}
+	collector := d.collectorOf(k)
+	if i := slices.IndexFunc(out, func(p Peer) bool { return p.VM == collector }); i > 0 {
+		first := out[i]
+		out = slices.Insert(slices.Delete(out, i, i+1), 0, first)
+	}
 	return out
 }
 
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -129,6 +129,9 @@
 	// Sole returns the only version at which streams of a service that may still go on have begun; Several: there may be several;
 	// zero: it is not known. serviceHash is that of ServiceHash. Sole must not call methods of the Directory.
 	Sole func(serviceHash uint64) Version
+	// Collectors returns the VMs that save records in the store, this one included if it is one of them, in an order on which VMs
+	// agree. Nil: records are not saved.
+	Collectors func() []ids.VM
 	// Send sends a message to a VM. It must not block and may lose the message.
 	Send func(to ids.VM, m Message)
 	// Now returns the current time.
@@ -141,10 +144,13 @@
 	acks    map[ids.VM][]Key  // not yet sent
 	lookups map[Key][]*lookup // in progress
 	started map[ids.VM]bool   // VMs that have started, and lack the records that they should hold
+	unsaved []saved           // records that this VM is to save, not yet taken by its Archive
 
 	changed  atomic.Bool // VersionsChanged was called
 	wakeOnce sync.Once
 	wake     chan struct{} // has a value if Run has something to do
+	saveOnce sync.Once
+	save     chan struct{} // has a value if there are unsaved records
 
 	// Begun counts the records that this VM made, Kept those that it received, Repeated the records that it sent again, and
 	// Dropped those that it dropped before they expired.
@@ -160,6 +166,7 @@
 	conflicting bool      // VMs sent records with different versions
 	private     uint64    // this VM made it and has not sent it, since the service with this hash had one version; zero: no
 	at          time.Time // when the stream began or was last taken up
+	savedAt     time.Time // when this VM last took it up for saving; zero: never
 }
 
 // queued is the time of a record at which it was put into the queue.
@@ -256,6 +263,7 @@
 	}
 	d.Kept.Add(1)
 	d.put(r.Key, r.Version, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
+	d.saveFor(from, r.Key, now)
 	if d.acks == nil {
 		d.acks = map[ids.VM][]Key{}
 	}
--- a/internal/streams/transfer.go
+++ b/internal/streams/transfer.go
@@ -31,7 +31,7 @@
 // startTransfer sends a record to its holders. The caller holds d.mu.
 func (d *Directory) startTransfer(k Key, now time.Time) {
 	peers := d.candidates(k)
-	t := d.newTransfer(k, len(peers))
+	t := d.newTransfer(k, len(peers), now)
 	r := d.records[k].record(k, now)
 	for _, vm := range t.receivers(peers) {
 		d.Send(vm, Message{Records: []Record{r}})
@@ -40,9 +40,12 @@
 	d.wakeUp()
 }
 
-// newTransfer adds a record to those that too few holders have acknowledged. The caller holds d.mu.
-func (d *Directory) newTransfer(k Key, peers int) *transfer {
+// newTransfer adds a record to those that too few holders have acknowledged, and to those to be saved. The caller holds d.mu.
+func (d *Directory) newTransfer(k Key, peers int, now time.Time) *transfer {
 	t := &transfer{acked: map[ids.VM]bool{}, copies: copiesAmong(peers)}
+	if d.saveOwn(k, now) {
+		t.copies++
+	}
 	if d.unacked == nil {
 		d.unacked = map[Key]*transfer{}
 	}
@@ -75,7 +78,7 @@
 	for k, e := range d.records {
 		if e.private != 0 && d.Sole(e.private) != e.version {
 			e.private = 0
-			d.newTransfer(k, peers).due = now
+			d.newTransfer(k, peers, now).due = now
 		}
 	}
 }
