Streams: a lookup ends when the record arrives at the VM itself

A caller would get 503 and ask again.

Cause: a VM that is itself a holder, asked while the record is on its way to it, goes on asking others and never looks at its own records again. Where the other holder is not among the ten that it asks (380 VMs in 17 domains) nobody has it.

Change: a record that arrives ends the lookups for it. TestRecordThatArrivesDuringLookupIsFound failed before (not found).

--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -264,6 +264,13 @@
 	d.Kept.Add(1)
 	d.put(r.Key, r.Version, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
 	d.saveFor(from, r.Key, now)
+	switch e := d.records[r.Key]; {
+	case e == nil: // it has expired at once
+	case e.conflicting:
+		d.finish(r.Key, 0, Conflict)
+	default:
+		d.finish(r.Key, e.version, Found)
+	}
 	if d.acks == nil {
 		d.acks = map[ids.VM][]Key{}
 	}
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
@@ -79,3 +80,20 @@
 		}
 	})
 }
+
+// TestRecordThatArrivesDuringLookupIsFound guards against a holder that is asked before its record has arrived, and looks at others only.
+func TestRecordThatArrivesDuringLookupIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := alone()
+		d.Now = time.Now
+		d.Peers = func() []Peer { return []Peer{{VM: "vm1", Alive: true}} }
+		k := KeyOf("t1", "h", "q1")
+		time.AfterFunc(2*time.Millisecond, func() {
+			d.Receive("vm2", &Message{Records: []Record{{Key: k, Version: VersionOf("llm", "v1")}}})
+			d.Receive("vm1", &Message{Missing: []Absence{{Key: k}}})
+		})
+		if v, r := d.Lookup(t.Context(), k, "llm"); r != Found || v != VersionOf("llm", "v1") {
+			t.Errorf("got %v %v, want the record", v, r)
+		}
+	})
+}
