--- a/internal/follow/software_test.go
+++ b/internal/follow/software_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/objectapi"
@@ -80,3 +82,77 @@
 		t.Error("a version counts as the only one although streams of another may go on")
 	}
 }
+
+// listedVersions is a StreamVersions with fixed contents.
+type listedVersions struct {
+	listed []ids.SoftwareVersion
+	count  Count
+	woken  int
+}
+
+func (l *listedVersions) Lists(_ string, v ids.SoftwareVersion) bool {
+	return slices.Contains(l.listed, v)
+}
+
+func (l *listedVersions) Sole(string) (ids.SoftwareVersion, Count) {
+	if l.count == OneVersion {
+		return l.listed[0], OneVersion
+	}
+	return "", l.count
+}
+
+func (l *listedVersions) Wake() { l.woken++ }
+
+// published returns the versions of the replicas that decisions may pick.
+func published(r *Replicas) (out []ids.SoftwareVersion) {
+	for _, rec := range r.directory.published {
+		out = append(out, rec.Software)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestUnlistedVersionBeginsNoStreams guards against streams at a version of which nobody knows after a kill of all VMs.
+func TestUnlistedVersionBeginsNoStreams(t *testing.T) {
+	r, _ := newReplicas(t)
+	l := &listedVersions{listed: []ids.SoftwareVersion{"v1"}, count: OneVersion}
+	r.StreamVersions, r.HasStreams = l, func(service string) (has, known bool) { return service == "llm", true }
+	r.Listed([]objectapi.Object{softwareEntry("1", "v1"), softwareEntry("2", "v2")}, At{}, false)
+	if got := published(r); !slices.Equal(got, l.listed) || l.woken == 0 {
+		t.Errorf("published %v, woken %d times", got, l.woken)
+	}
+	time.Sleep(unlistedWait + 2*sweepInterval)
+	r.Sweep()
+	if got := published(r); !slices.Equal(got, l.listed) {
+		t.Errorf("published %v while a listed version serves", got)
+	}
+	r.Changed([]objectapi.Object{{Key: "servers/1", Deleted: true}}, At{})
+	if got := published(r); !slices.Equal(got, []ids.SoftwareVersion{"v2"}) {
+		t.Errorf("published %v when no listed version serves", got)
+	}
+}
+
+// TestSoleVersionGoesByWhatIsListed guards against guesses from what a VM has seen since it started.
+func TestSoleVersionGoesByWhatIsListed(t *testing.T) {
+	for name, c := range map[string]struct {
+		l    listedVersions
+		want streams.Version
+	}{
+		"the same":         {listedVersions{listed: []ids.SoftwareVersion{"v2"}, count: OneVersion}, streams.VersionOf("llm", "v2")},
+		"another":          {listedVersions{listed: []ids.SoftwareVersion{"v1"}, count: OneVersion}, streams.Several},
+		"several":          {listedVersions{listed: []ids.SoftwareVersion{"v1", "v2"}, count: SeveralVersions}, streams.Several},
+		"nobody knows yet": {listedVersions{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newReplicas(t)
+			r.StreamVersions, r.HasStreams = &c.l, func(string) (has, known bool) { return true, true }
+			r.Listed([]objectapi.Object{softwareEntry("1", "v2")}, At{}, false)
+			if got := r.SoleVersion(streams.ServiceHash("llm")); got != c.want {
+				t.Errorf("got %x, want %x", got, c.want)
+			}
+			if _, ok := r.SoleSoftware("llm"); ok != (c.want == streams.VersionOf("llm", "v2")) {
+				t.Errorf("a call that names no stream: %v", ok)
+			}
+		})
+	}
+}
