--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -28,6 +28,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,9 +58,12 @@
 // Version identifies a software version of a service by a hash, which is equal on all VMs.
 type Version uint64
 
-// VersionOf returns the identifier of a software version of a service. It is never zero.
+// Several takes the place of a version where streams may have begun at one of several.
+const Several = Version(math.MaxUint64)
+
+// VersionOf returns the identifier of a software version of a service. It is neither zero nor Several.
 func VersionOf(service string, v ids.SoftwareVersion) Version {
-	return max(Version(xxh3.HashStringSeed(string(v), ServiceHash(service))), 1)
+	return min(max(Version(xxh3.HashStringSeed(string(v), ServiceHash(service))), 1), Several-1)
 }
 
 // ServiceHash returns the hash by which VMs name a service.
@@ -97,8 +101,8 @@
 type Absence struct {
 	_   struct{} `cbor:",toarray"`
 	Key Key
-	// Sole is the only version of the service that the sender has seen for RecordTTL. Zero: there are several, or it
-	// has not seen them for so long.
+	// Sole is the only version at which streams of the service that may still go on have begun; Several: there may be several;
+	// zero: the sender doesn't know.
 	Sole Version
 }
 
@@ -122,9 +126,12 @@
 	FailureDomain ids.FailureDomain
 	// Peers returns the listed VMs without this one, in any order.
 	Peers func() []Peer
-	// Sole returns the only version of a service that this VM has seen for RecordTTL; zero: there is none. serviceHash is that of
-	// ServiceHash. Sole must not call methods of the Directory.
+	// Sole returns the only version at which streams of a service that may still go on have begun; Several: there may be several;
+	// zero: it is not known. serviceHash is that of ServiceHash. Sole must not call methods of the Directory.
 	Sole func(serviceHash uint64) Version
+	// Collectors returns the VMs that save records in the store, this one included if it is one of them, in an order on which VMs
+	// agree. Nil: records are not saved.
+	Collectors func() []ids.VM
 	// Send sends a message to a VM. It must not block and may lose the message.
 	Send func(to ids.VM, m Message)
 	// Now returns the current time.
@@ -137,10 +144,13 @@
 	acks    map[ids.VM][]Key  // not yet sent
 	lookups map[Key][]*lookup // in progress
 	started map[ids.VM]bool   // VMs that have started, and lack the records that they should hold
+	unsaved []saved           // records that this VM is to save, not yet taken by its Archive
 
 	changed  atomic.Bool // VersionsChanged was called
 	wakeOnce sync.Once
 	wake     chan struct{} // has a value if Run has something to do
+	saveOnce sync.Once
+	save     chan struct{} // has a value if there are unsaved records
 
 	// Begun counts the records that this VM made, Kept those that it received, Repeated the records that it sent again, and
 	// Dropped those that it dropped before they expired.
@@ -156,6 +166,7 @@
 	conflicting bool      // VMs sent records with different versions
 	private     uint64    // this VM made it and has not sent it, since the service with this hash had one version; zero: no
 	at          time.Time // when the stream began or was last taken up
+	savedAt     time.Time // when this VM last took it up for saving; zero: never
 }
 
 // queued is the time of a record at which it was put into the queue.
@@ -252,6 +263,14 @@
 	}
 	d.Kept.Add(1)
 	d.put(r.Key, r.Version, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
+	d.saveFor(from, r.Key, now)
+	switch e := d.records[r.Key]; {
+	case e == nil: // it has expired at once
+	case e.conflicting:
+		d.finish(r.Key, 0, Conflict)
+	default:
+		d.finish(r.Key, e.version, Found)
+	}
 	if d.acks == nil {
 		d.acks = map[ids.VM][]Key{}
 	}
