--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -140,7 +140,11 @@
 
 // send sends all of a form but Drip.
 func (f Form) send(w io.Writer) error {
-	if _, err := w.Write(f.Start); err != nil {
+	start := f.Start
+	if f.Fresh != nil {
+		start = f.Fresh()
+	}
+	if _, err := w.Write(start); err != nil {
 		return err
 	}
 	for sent := 0; len(f.Part) > 0 && (f.Limit == 0 || sent < f.Limit); {
--- a/internal/lab/crowd/forms.go
+++ b/internal/lab/crowd/forms.go
@@ -11,6 +11,8 @@
 type Form struct {
 	// Start is sent once, and Part again and again after it until Limit bytes of it are sent; empty: nothing comes after Start.
 	Start, Part []byte
+	// Fresh, if set, returns what each connection sends in place of Start.
+	Fresh func() []byte
 	// Limit bounds what is sent of Part, in bytes. Zero: it is sent without an end.
 	Limit int
 	// End is sent after that, and then Drip, a byte each dripInterval.
--- a/internal/lab/crowd/vm_test.go
+++ b/internal/lab/crowd/vm_test.go
@@ -204,13 +204,29 @@
 
 // startEdge starts a VM that serves opaque calls, with a store and two replicas.
 func startEdge(t *testing.T, memoryMB, maxDescriptors int) *vm {
+	t.Helper()
+	store := newEdgeStore(t)
+	v := &vm{t: t, listen: loopback.Addr(), ready: loopback.Addr(), peers: loopback.Addr(), admin: loopback.Addr()}
+	v.ordinary = func(ctx context.Context) string { return ordinaryCall(ctx, v.listen, string(ids.NewRequest())) }
+	v.start(v.edgeSettings(store, memoryMB), maxDescriptors, "http://"+v.ready+"/threadwall/ready")
+	return v
+}
+
+// newEdgeStore starts a store with a configuration whose ordinary calls are served by two replicas. Further routes and their services may be
+// added to it.
+func newEdgeStore(t *testing.T, further ...map[string]any) *platformlab.Store {
 	t.Helper()
 	store, ledger := platformlab.NewStore(), &platformlab.Ledger{}
 	t.Cleanup(store.Close)
+	routes := []map[string]any{{"name": "book", "host": edgeHost, "pathPrefix": edgePath, "kind": "idempotent", "timeoutMs": 10_000, "targetLatencyMs": 5_000, "service": "svc", "maxAttempts": 2}}
+	services := []map[string]any{{"name": "svc"}}
+	for _, r := range further {
+		routes, services = append(routes, r), append(services, map[string]any{"name": r["service"]})
+	}
 	store.Put("config", "main", map[string]any{
 		"version":  1,
-		"routes":   []map[string]any{{"name": "book", "host": edgeHost, "pathPrefix": edgePath, "kind": "idempotent", "timeoutMs": 10_000, "targetLatencyMs": 5_000, "service": "svc", "maxAttempts": 2}},
-		"services": []map[string]any{{"name": "svc"}},
+		"routes":   routes,
+		"services": services,
 		"limits":   map[string]int{"maxHeaderBytes": 16_384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
 		"tenants":  []map[string]any{{"name": "t1", "apiKeys": []string{edgeKey}}},
 	})
@@ -221,14 +237,16 @@
 		}
 		t.Cleanup(r.Crash)
 	}
-	v := &vm{t: t, listen: loopback.Addr(), ready: loopback.Addr(), peers: loopback.Addr(), admin: loopback.Addr()}
-	v.ordinary = func(ctx context.Context) string { return ordinaryCall(ctx, v.listen, string(ids.NewRequest())) }
-	v.start(map[string]any{
+	return store
+}
+
+// edgeSettings are the settings of a VM that serves opaque calls.
+func (v *vm) edgeSettings(store *platformlab.Store, memoryMB int) map[string]any {
+	return map[string]any{
 		"vm": "vm0", "failure_domain": "z1", "listen": v.listen, "peer_listen": v.peers, "admin_listen": v.admin,
 		"store": store.URL(), "store_timeout": "1s", "dial_timeout": "400ms",
 		"edge": map[string]any{"ready_listen": v.ready, "key_ttl": "5s", "memory_mb": memoryMB, "grace": "4s"},
-	}, maxDescriptors, "http://"+v.ready+"/threadwall/ready")
-	return v
+	}
 }
 
 // edgeTarget is how a crowd's calls to the edge form look. They have one id, which callers that behave don't.
