Intake: one account for what all replicas have sent and nobody has used

Callers saw their requests end with a machine that kept bytes without an end. Cause: each answer had a bound (1.5 MiB, 64 KiB a head), and the sum over the calls of a VM had none: heads of small fields hold 14 times their bytes in net/http's map, events in the making 1.2 times theirs and more while a buffer grows, and the kernel 140 KiB a connection. Ruled out by the plays: chunk extensions, trailers, status lines, bytes after a whole answer.

intake.Account is shared by all reads of replicas' answers. Small answers are free; over the bound (an eighth of the memory) the one that holds the most ends as a failed attempt and the others go on. A whole head is charged by its fields until its attempt ends, an event until it is written. Receive buffers beyond a twentieth of the memory are small. RawReader lets go of long buffers. Metrics unused_bytes and evicted.

--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -115,6 +115,8 @@
 	BudgetEmpty   int64                     `json:"retry_budget_empty"`
 	Unread        int64                     `json:"unread"`       // calls aborted because their callers did not read
 	ResponseBytes int64                     `json:"answer_bytes"` // memory of responses that are buffered completely
+	UnusedBytes   int64                     `json:"unused_bytes"` // memory of what replicas have sent and nobody has used yet
+	Evicted       int64                     `json:"evicted"`      // responses ended because others needed that memory
 	BodyBytes     int64                     `json:"body_bytes"`   // memory that callers' bodies use
 	BodyLimit     int64                     `json:"body_limit"`   // what they may use at present
 	Connections   map[string]ingress.Stats  `json:"connections"`  // by listener
@@ -228,7 +230,8 @@
 	return Metrics{
 		Requests: s.Requests.Load(), Refused: s.Refused.Load(), Shed: s.Shed.Load(), Failed: s.Failed.Load(), Broken: s.Broken.Load(),
 		InFlight: f.InFlight(), Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), BudgetEmpty: s.BudgetEmpty.Load(), Withdrawn: s.Withdrawn.Load(),
-		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(), BodyBytes: f.Bodies.InUse(), BodyLimit: f.Bodies.Limit(),
+		Unread: s.Unread.Load(), OffPool: s.OffPool.Load(), ResponseBytes: f.ResponseBytes(), UnusedBytes: f.Upstream.Memory.Held(), Evicted: f.Upstream.Memory.Evictions(),
+		BodyBytes: f.Bodies.InUse(), BodyLimit: f.Bodies.Limit(),
 		Connections: d.connectionMetrics(), PeerConns: d.peerConnMetrics(),
 		Events: s.Events.Load(), Fetches: s.Fetches.Load(), Saves: s.Saves.Load(),
 		Dials: f.Upstream.Dials.Load(), Reuses: f.Upstream.Reuses.Load(), Strays: f.Upstream.Strays.Load(),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,6 +49,7 @@
 	"github.com/threadwall/threadwall/internal/hlc"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/ingress"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/kvfeed"
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/links"
@@ -64,6 +65,7 @@
 	"github.com/threadwall/threadwall/internal/rollout"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/settings"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/traffic"
@@ -255,6 +257,8 @@
 	s, edge := d.Settings, d.Settings.Edge
 	client := upstream.NewClient(s.DialTimeout.D())
 	client.Meter = d.adapter.Meter
+	client.Memory = intake.NewAccount(int64(float64(edge.MemoryMB<<20) * intakeShare))
+	client.Buffers = sockets.NewBuffers(int64(float64(edge.MemoryMB<<20) * replicaKernelShare))
 	d.buildLinks(client)
 	if d.adapter.Meter != nil {
 		d.adapter.Meter.CrossDomain = d.crossDomain
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -21,6 +21,10 @@
 	leastShare = 0.1
 	// connectionShare is the fraction of the memory that connections and their heads may take at most.
 	connectionShare = 0.25
+	// intakeShare is the fraction of the memory for what replicas have sent and nobody has used yet.
+	intakeShare = 0.125
+	// replicaKernelShare is the fraction of the memory for large receive buffers of connections to replicas.
+	replicaKernelShare = 0.05
 	// heapStep is the change of the runtime's limit below which it stays as it is, in bytes: setting it stops the process for
 	// a moment.
 	heapStep = 4 << 20
@@ -29,7 +33,7 @@
 // usage is what the VM's memory holds, in bytes.
 type usage struct {
 	runtime int64 // mapped by the Go runtime and not given back
-	answers int64 // part of it: responses in memory
+	answers int64 // part of it: responses in memory, whole or being read
 	conns   int64 // part of it: callers' connections and their heads, as they are charged
 	bodies  int64
 }
@@ -65,10 +69,10 @@
 	if read == nil {
 		read = runtimeMemory
 	}
-	heap := int64(0)
+	heap, answers := int64(0), f.Tuning.MaxResponseMemory+f.Upstream.Memory.Limit()
 	divideNow := func() {
-		to := divide(memory, f.Tuning.MaxResponseMemory, usage{
-			runtime: read(), answers: f.ResponseBytes(), conns: d.connections.Used(), bodies: f.Bodies.Held(),
+		to := divide(memory, answers, usage{
+			runtime: read(), answers: f.ResponseBytes() + f.Upstream.Memory.Held(), conns: d.connections.Used(), bodies: f.Bodies.Held(),
 		})
 		f.Bodies.SetLimit(to.bodies)
 		d.connections.SetLimit(to.conns)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -177,6 +177,7 @@
 		if err != nil {
 			return err
 		}
+		resp.PinBody()
 		if !t.reportAndWait(arrival{kind: arrivedEvent, event: ev, more: in.Buffered()}) {
 			return errUnwanted
 		}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -83,6 +83,7 @@
 // negative means unknown.
 func (r *run) writeHead(a *upstream.Response, length int) {
 	r.begun, r.status = true, a.Status
+	a.PinHead()
 	out := r.w.Header()
 	in := maps.Clone(a.Header)
 	removeHopHeaders(in)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,11 +35,11 @@
 	t.endComputing(true)
 	if !t.r.stream.duplicate(&a.event) {
 		t.heard = clock.Now()
-		t.head.Used(len(a.event.Raw))
 		t.r.keep(t)
 		if err := t.writeEvent(&a.event); err != nil {
 			return t.callerGone(err)
 		}
+		t.head.Used(len(a.event.Raw)) // after the write, since the event is held until then
 		t.unflushed = true
 	}
 	if t.unflushed && !a.more {
--- a/internal/relay/raw.go
+++ b/internal/relay/raw.go
@@ -37,6 +37,9 @@
 // rawBuffer is the size of the read buffer in bytes, enough for several events.
 const rawBuffer = 4 << 10
 
+// keptBytes is the largest buffer of an event that is kept for the next one, in bytes.
+const keptBytes = 16 << 10
+
 // Buffered reports whether a complete event is buffered, as Reader.Buffered does.
 func (r *RawReader) Buffered() bool { return holdsEvent(r.r) }
 
@@ -44,6 +47,9 @@
 // the last event are returned by themselves, marked as Empty. Next returns io.EOF only between events, io.ErrUnexpectedEOF if the input ends within
 // an event, and another error if reading fails, an event is longer than maxEventBytes or its id is not a number.
 func (r *RawReader) Next() (RawEvent, error) {
+	if cap(r.raw) > keptBytes {
+		r.raw = nil
+	}
 	r.raw = r.raw[:0]
 	var ev RawEvent
 	block := 0 // start of the current block in raw
--- a/internal/sockets/bounded.go
+++ b/internal/sockets/bounded.go
@@ -3,10 +3,55 @@
 import (
 	"context"
 	"net"
+	"sync"
 )
 
-// receiveBuffer is the size of the kernel's receive buffer of a connection that LimitReadBuffer bounds, in bytes. The kernel doubles it.
-const receiveBuffer = 128 << 10
+const (
+	// receiveBuffer is the size of the kernel's receive buffer of a connection that LimitReadBuffer bounds, in bytes. The kernel doubles it.
+	receiveBuffer = 128 << 10
+	// smallReceiveBuffer is the size for connections beyond Buffers, in bytes. With less, the kernel drops what the peer was allowed to send.
+	smallReceiveBuffer = 32 << 10
+)
+
+// Buffers bounds the sum of the kernel's large receive buffers. Connections beyond it have small ones. The bound of a nil pointer
+// is infinite. Safe for concurrent use.
+type Buffers struct {
+	mu   sync.Mutex
+	left int // connections that may still have a large buffer
+}
+
+// NewBuffers returns a bound by what the kernel may hold in large receive buffers, in bytes.
+func NewBuffers(bytes int64) *Buffers { return &Buffers{left: int(bytes / receiveBuffer)} }
+
+// Limit bounds the receive buffer of a TCP connection. The function that it returns must be called once, when the connection is closed.
+func (b *Buffers) Limit(c *net.TCPConn) (closed func()) {
+	if b == nil {
+		LimitReadBuffer(c)
+		return func() {}
+	}
+	if !b.take() {
+		_ = c.SetReadBuffer(smallReceiveBuffer) // on failure the kernel's default applies
+		return func() {}
+	}
+	LimitReadBuffer(c)
+	return b.giveBack
+}
+
+func (b *Buffers) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left <= 0 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+func (b *Buffers) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left++
+}
 
 // LimitReadBuffer bounds the kernel's receive buffer of a TCP connection, which otherwise grows to several MB: what a peer sends and
 // nobody has read counts towards the VM's memory. Other connections are left as they are.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -12,6 +12,7 @@
 
 	"github.com/threadwall/threadwall/internal/clock"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/intake"
 )
 
 // Response is the head of a response and its body. The caller must call Close. Not safe for
@@ -24,6 +25,7 @@
 	// Via is the VM through which the connection leads; empty: this VM's own link.
 	Via  ids.VM
 	conn *conn
+	head *intake.Share // what Header holds
 }
 
 // body reads the body of a response and records whether it was read to its end.
@@ -51,6 +53,12 @@
 // Used reports that bytes of the body were used, so that more may be read.
 func (r *Response) Used(bytes int) { r.conn.in.Used(bytes) }
 
+// PinHead states that the head is being passed on, so that closing the connection does not free its memory.
+func (r *Response) PinHead() { r.head.Pin() }
+
+// PinBody states the same of what was read of the body, until it is used or more is read.
+func (r *Response) PinBody() { r.conn.in.Pin() }
+
 // Framed reports whether the response has a Content-Length or a transfer encoding. The body of an
 // unframed response ends with its connection, which may also mean that the replica crashed.
 func (r *Response) Framed() bool {
@@ -69,6 +77,8 @@
 		return
 	}
 	b.closed = true
+	b.conn.in.Close()
+	r.head.Pin() // the connection may carry another request
 	if !b.stop() {
 		b.conn.close() // the context has ended; the function set by AfterFunc may still run
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 //     breaks after the write, the outcome is Unknown.
 //   - Connections are pooled by target ID. The caller must call Drop when an incarnation of the
 //     target has ended, so that no request is sent over a connection to that incarnation.
+//   - What all responses hold comes out of one account (Client.Memory).
 //   - The head of a response is at most maxHeadBytes long. Of all that a replica sends, in any form, at most
 //     intake.MaxUnused bytes are read of which the caller uses none (Response.Used).
 //   - A response that does not belong to the request (late or extra) is discarded, and the next
@@ -71,6 +72,12 @@
 	// Meter counts the bytes of calls; nil disables counting. It must be set before the first
 	// Send.
 	Meter *traffic.Meter
+	// Memory is what all that replicas send may hold together until it is used; nil: it has no bound. It must be set before
+	// the first Send.
+	Memory *intake.Account
+	// Buffers bounds what the kernel may receive for connections with a large buffer; nil: all have one. It must be set before the
+	// first Send.
+	Buffers *sockets.Buffers
 
 	mu    sync.Mutex
 	pools map[ids.Target]*pool
@@ -137,7 +144,7 @@
 
 // Send writes a request to a replica and reads the head of its response. The error is an
 // *outcome.Error. When ctx ends, the connection is closed, even while the body of the response
-// is read, which signals to the replica that the call is cancelled.
+// is read, which signals to the replica that the call is cancelled. The head counts as held until then.
 func (c *Client) Send(ctx context.Context, to Replica, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, to)
 	if err != nil {
@@ -158,6 +165,7 @@
 	resp, err := cn.exchange(ctx, to, r, &c.Strays)
 	if err != nil {
 		cn.close()
+		cn.in.Close()
 		if first && cn.via == "" && ClosedByReplica(err) {
 			c.Links.Broken(links.Target{ID: to.ID, Addr: to.Addr}, cn.heard)
 		}
@@ -182,15 +190,16 @@
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "dial", string(to.ID), "could not connect to the replica")
 	}
-	cn := &conn{pool: p, heard: clock.Now()}
+	cn := &conn{pool: p, heard: clock.Now(), memory: c.Memory, bufferClosed: func() {}}
 	switch raw := nc.(type) {
 	case *net.TCPConn:
-		sockets.LimitReadBuffer(raw)
+		cn.bufferClosed = c.Buffers.Limit(raw)
 	case tunneled:
 		cn.tunnel, cn.via = raw, raw.Via()
 	}
 	cn.nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
 	cn.in = intake.NewReader(cn.nc)
+	cn.in.Count(c.Memory.Share(cn.close))
 	cn.br = bufio.NewReaderSize(cn.in, readBufferSize)
 	return cn, nil
 }
@@ -211,23 +220,26 @@
 
 // conn is one connection to a replica.
 type conn struct {
-	nc          net.Conn
-	br          *bufio.Reader // reads from in
-	in          *intake.Reader
-	pool        *pool
-	tunnel      tunneled  // nil: the connection uses this VM's own link
-	via         ids.VM    // of tunnel; empty: none
-	heard       time.Time // when the connection was established, or last brought the head of a response
-	used        bool      // has carried a request
-	idleSince   time.Time
-	idleTimeout time.Duration // announced by the replica; zero: unspecified
-	closed      atomic.Bool
+	nc           net.Conn
+	br           *bufio.Reader // reads from in
+	in           *intake.Reader
+	pool         *pool
+	tunnel       tunneled  // nil: the connection uses this VM's own link
+	via          ids.VM    // of tunnel; empty: none
+	heard        time.Time // when the connection was established, or last brought the head of a response
+	used         bool      // has carried a request
+	idleSince    time.Time
+	idleTimeout  time.Duration // announced by the replica; zero: unspecified
+	closed       atomic.Bool
+	memory       *intake.Account
+	bufferClosed func() // gives the room for its receive buffer back
 }
 
 // close closes the connection once; further calls do nothing.
 func (cn *conn) close() {
 	if cn.closed.CompareAndSwap(false, true) {
 		_ = cn.nc.Close()
+		cn.bufferClosed()
 	}
 }
 
@@ -257,8 +269,16 @@
 			return nil, w.failure(ctx, err, to)
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
+			head := cn.memory.Share(cn.close)
+			if err := head.Set(headBytes(resp.Header)); err != nil {
+				stop()
+				return nil, w.failure(ctx, err, to)
+			}
+			if head.Counted() {
+				context.AfterFunc(ctx, func() { _ = head.Set(0) }) // fails only if the share was evicted
+			}
 			body := &body{conn: cn, resp: resp, write: w, stop: stop}
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: reused, Via: cn.via, conn: cn}, nil
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: reused, Via: cn.via, conn: cn, head: head}, nil
 		}
 		strays.Add(1)
 		n, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes)
@@ -269,6 +289,17 @@
 	}
 }
 
+// headBytes returns what a head holds, in bytes.
+func headBytes(h http.Header) int64 {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += intake.FieldBytes + len(name) + len(v)
+		}
+	}
+	return int64(n)
+}
+
 // requestWrite is the write of one request, in progress or done.
 type requestWrite struct {
 	done    chan struct{}
