--- a/internal/lab/platformlab/replica.go
+++ b/internal/lab/platformlab/replica.go
@@ -107,6 +107,8 @@
 	Bare bool
 	// Flood, if set, has bytes without an end take the place of some responses.
 	Flood *FloodRule
+	// OnPoll, if set, may respond to reads of the replica's report and feed in place of the default response.
+	OnPoll func(w http.ResponseWriter, req *http.Request) bool
 	// LongAnswers makes some responses that are not streamed long (Answer).
 	LongAnswers bool
 	// WarmUp is the remaining warm-up time that the replica reports each time it registers.
@@ -277,7 +279,7 @@
 		return
 	}
 	if req.URL.Path == "/threadwall/report" || req.URL.Path == "/threadwall/kv-events" {
-		if r.Flood.flood(w, req, false) {
+		if r.Flood.flood(w, req, false) || r.OnPoll != nil && r.OnPoll(w, req) {
 			return
 		}
 	}
