Polls: feeds and reports share the account of replicas' answers

Callers would have seen their requests end with a VM that runs out of memory without a call to these engines. Cause: each feed may have 2 MiB, 128 are read at a time, and decoding whole takes many times that (2 MB of empty events: 48 times three bytes each). Ruled out: interim responses.

TestDecodeFeed, TestPollWithoutAnEnd, TestOrderRequestAndStatuses and platform tests of reports and weights pass with -race.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,6 +82,8 @@
 	// SetFeedDial and SetOrderDial replace the functions by which Feeds and Engines connect to an address. Nil: they can't
 	// be replaced.
 	SetFeedDial, SetOrderDial func(dial func(ctx context.Context, addr string) (net.Conn, error))
+	// SetMemory gives Feeds and Engines the account for what they read. Nil: they have none.
+	SetMemory func(*intake.Account)
 	// Meter counts the bytes of Engines and Feeds, and of all other traffic with targets and
 	// peers. Nil disables counting.
 	Meter *traffic.Meter
@@ -258,6 +260,9 @@
 	client := upstream.NewClient(s.DialTimeout.D())
 	client.Meter = d.adapter.Meter
 	client.Memory = intake.NewAccount(int64(float64(edge.MemoryMB<<20) * intakeShare))
+	if d.adapter.SetMemory != nil {
+		d.adapter.SetMemory(client.Memory)
+	}
 	client.Buffers = sockets.NewBuffers(int64(float64(edge.MemoryMB<<20) * replicaKernelShare))
 	d.buildLinks(client)
 	if d.adapter.Meter != nil {
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"sync"
 	"sync/atomic"
 
@@ -144,3 +145,21 @@
 	}
 	return most
 }
+
+// CountedReader has a share hold a multiple of all that was read, for bodies that are decoded into memory.
+type CountedReader struct {
+	From   io.Reader
+	Share  *Share
+	Factor int64 // what a byte costs once it is decoded, in bytes
+	read   int64
+}
+
+// Read implements io.Reader. It returns ErrCrowded if the account has no room.
+func (c *CountedReader) Read(p []byte) (int, error) {
+	n, err := c.From.Read(p)
+	c.read += int64(n)
+	if crowded := c.Share.Set(c.Factor * c.read); crowded != nil {
+		return 0, crowded
+	}
+	return n, err
+}
--- a/internal/sockets/bounded.go
+++ b/internal/sockets/bounded.go
@@ -9,7 +9,7 @@
 const (
 	// receiveBuffer is the size of the kernel's receive buffer of a connection that LimitReadBuffer bounds, in bytes. The kernel doubles it.
 	receiveBuffer = 128 << 10
-	// smallReceiveBuffer is the size for connections beyond Buffers, in bytes. With less, the kernel drops what the peer was allowed to send.
+	// smallReceiveBuffer is the size that LimitSmallReadBuffer sets, in bytes. With less, the kernel drops what the peer was allowed to send.
 	smallReceiveBuffer = 32 << 10
 )
 
@@ -30,7 +30,7 @@
 		return func() {}
 	}
 	if !b.take() {
-		_ = c.SetReadBuffer(smallReceiveBuffer) // on failure the kernel's default applies
+		LimitSmallReadBuffer(c)
 		return func() {}
 	}
 	LimitReadBuffer(c)
@@ -61,6 +61,13 @@
 	}
 }
 
+// LimitSmallReadBuffer does the same for connections that bring short responses, of which there may be many.
+func LimitSmallReadBuffer(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(smallReceiveBuffer) // on failure the kernel's default applies
+	}
+}
+
 // LimitedDial returns a dial function whose connections LimitReadBuffer bounds.
 func LimitedDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
