--- a/internal/lab/crowd/replicas_test.go
+++ b/internal/lab/crowd/replicas_test.go
@@ -110,6 +110,12 @@
 func endureReplicas(t *testing.T, f Form, caller Form) {
 	t.Helper()
 	v, s := startSpoilt(t, f)
+	endureSpoilt(t, v, s, caller, spoiltCalls, crowdMemoryMB)
+}
+
+// endureSpoilt does the same at a VM that runs already and has the given memory.
+func endureSpoilt(t *testing.T, v *vm, s *spoilt, caller Form, calls, memoryMB int) {
+	t.Helper()
 	if wrong := v.ordinary(t.Context()); wrong != "" {
 		t.Fatalf("an ordinary call before the crowd: %s", wrong)
 	}
@@ -120,7 +126,7 @@
 		defer close(watched)
 		v.watch(ctx)
 	}()
-	c := Start(ctx, v.listen, caller, spoiltCalls)
+	c := Start(ctx, v.listen, caller, calls)
 	beside := ""
 	for began := time.Now(); beside == "" && time.Since(began) < crowdTime; pause(ctx, 20*time.Millisecond) {
 		beside = v.insist(ctx)
@@ -139,8 +145,8 @@
 	if after != "" {
 		t.Errorf("an ordinary call after the spoilt ones: %s", after)
 	}
-	if most := v.most.memory; most > crowdMemoryMB<<20 {
-		t.Errorf("the VM held %d MiB, it has %d", most>>20, crowdMemoryMB)
+	if most := v.most.memory; most > int64(memoryMB)<<20 {
+		t.Errorf("the VM held %d MiB, it has %d", most>>20, memoryMB)
 	}
 }
 
--- a/internal/lab/crowd/vm_test.go
+++ b/internal/lab/crowd/vm_test.go
@@ -269,12 +269,19 @@
 
 // startGateway starts a VM with the daemon's own interface, with the stand-ins of the example.
 func startGateway(t *testing.T, maxDescriptors int) *vm {
+	t.Helper()
+	return startGatewayWith(t, maxDescriptors, lab.StartOptions{})
+}
+
+// startGatewayWith does the same with further options of the stand-ins.
+func startGatewayWith(t *testing.T, maxDescriptors int, o lab.StartOptions) *vm {
 	t.Helper()
 	ex, err := lab.ReadExample("../../../examples/solano")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := lab.Start(t.Context(), ex, lab.StartOptions{Domains: []ids.FailureDomain{"sala-heredia"}, Engine: lab.DefaultEngine})
+	o.Domains, o.Engine = []ids.FailureDomain{"sala-heredia"}, lab.DefaultEngine
+	s, err := lab.Start(t.Context(), ex, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	// incarnation at the same address. Empty: no crashes.
 	CrashText    string
 	RestartDelay time.Duration
+	// OnCall, if set, may respond to calls of all engines in place of the default response.
+	OnCall func(w http.ResponseWriter, r *http.Request) bool
 	// RunsFile is the file to which services append the key of each executed call; empty: none.
 	RunsFile string
 }
@@ -66,6 +69,18 @@
 	return len(o.Only) == 0 || slices.Contains(o.Only, name)
 }
 
+// interpose returns an engine's handler before which OnCall comes.
+func (o StartOptions) interpose(engine http.Handler) http.Handler {
+	if o.OnCall == nil {
+		return engine
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/v1/") || !o.OnCall(w, r) {
+			engine.ServeHTTP(w, r)
+		}
+	})
+}
+
 // Start starts the object API, engines and services of an example, adds the VMs to the
 // platform's list and applies the example's objects.
 func Start(ctx context.Context, ex *Example, o StartOptions) (*StandIns, error) {
@@ -132,7 +147,7 @@
 			if current != inc {
 				e = NewEngine(spec, current)
 			}
-			return e.Handler()
+			return o.interpose(e.Handler())
 		}
 	case platform.RoleService:
 		svc := NewService(r.Service, inc, serviceDelay)
