Own interface: one account for what all engines and services have sent

Callers saw their requests end with a machine that kept bytes without an end. Cause: a whole response of an engine may have 8 MiB (of a service 512 KiB), and nothing bounded the sum over the calls under way. Event streams and heads alone did not exceed the memory with 150 calls.

engine.Client and services.Runner share an account of a quarter of the memory; whole responses are charged twice their bytes until they are delivered, events until they are passed on. Over it the call that holds the most ends as a failed one. relay.Reader lets go of long buffers.

Responses of services were not played.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/threadwall/threadwall/internal/hlc"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/ingress"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/loadview"
 	"github.com/threadwall/threadwall/internal/membership"
@@ -148,8 +149,10 @@
 	}}
 	d.Node.Platform = confsync.New(d.Node.AdoptPlatform)
 	d.Node.Init()
+	d.Engine.Memory = intake.NewAccount(int64(float64(s.MemoryMB<<20) * intakeShare))
 	runner := &services.Runner{
-		Fleet: d.Fleet, Ledger: claims.NewLedger(d.Store, s.VM, d.Settler, nil), Events: d.Events,
+		Memory: d.Engine.Memory,
+		Fleet:  d.Fleet, Ledger: claims.NewLedger(d.Store, s.VM, d.Settler, nil), Events: d.Events,
 		Budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst, retry.DefaultWindow, nil), Domain: s.FailureDomain, Guard: guard,
 	}
 	runner.Init(s.DialTimeout.D())
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -27,6 +27,8 @@
 	connectionShare = 0.25
 	// bodyShare is the fraction of the memory that callers' bodies may take.
 	bodyShare = 0.25
+	// intakeShare is the fraction of the memory for what targets have sent and nobody has used yet.
+	intakeShare = 0.25
 	// connectionLogInterval is the interval at which closed connections are logged.
 	connectionLogInterval = time.Second
 )
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -116,10 +116,11 @@
 		}
 		received = true
 		s.pauseIdle()
-		s.conn.response.Used(len(ev.Data))
+		s.conn.response.Pin()
 		if err := s.forward(ev, verdict); err != nil {
 			return err
 		}
+		s.conn.response.Used(len(ev.Data))
 		if verdict == relay.Done {
 			err := s.flush()
 			s.conn.finish(in)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,7 +64,16 @@
 }
 
 // Client sends calls to engines. Safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	// Memory is what the responses under way may hold together until they are used; nil: they have no common bound. It must be set before the
+	// first call.
+	Memory *intake.Account
+
+	http *http.Client
+}
+
+// WholeFactor is what a byte of a response that is read whole costs, in bytes: the body is copied for the caller.
+const WholeFactor = 2
 
 // Limits of idle connections to one engine.
 const (
@@ -96,17 +105,42 @@
 	Weights     ids.WeightsVersion
 	Body        io.ReadCloser
 	in          *intake.Reader // below Body
+	whole       *intake.Share  // what is read whole
 }
 
 // NewResponse returns a response with the given body, of which a bounded part is read without a use.
 func NewResponse(body io.ReadCloser) *Response {
-	in := intake.NewReader(body)
-	return &Response{Body: struct {
-		io.Reader
-		io.Closer
-	}{in, body}, in: in}
+	return newCountedResponse(body, nil, func() {})
+}
+
+// newCountedResponse returns a response whose body comes out of an account. cancel ends the call.
+func newCountedResponse(body io.ReadCloser, memory *intake.Account, cancel func()) *Response {
+	in, whole := intake.NewReader(body), memory.Share(cancel)
+	in.Count(memory.Share(cancel))
+	return &Response{Body: &countedBody{Reader: in, body: body, in: in, whole: whole, cancel: cancel}, in: in, whole: whole}
 }
 
+// countedBody is a body that gives its memory back when it is closed.
+type countedBody struct {
+	io.Reader
+	body   io.Closer
+	in     *intake.Reader
+	whole  *intake.Share
+	cancel func()
+}
+
+// Close implements io.Closer.
+func (c *countedBody) Close() error {
+	err := c.body.Close()
+	c.cancel()
+	c.in.Close()
+	_ = c.whole.Set(0) // fails only if the share was evicted
+	return err
+}
+
+// Pin states that what was read is being passed on, so that ending the call does not free its memory.
+func (r *Response) Pin() { r.in.Pin() }
+
 // Used reports that bytes of the body were used, so that more may be read.
 func (r *Response) Used(bytes int) { r.in.Used(bytes) }
 
@@ -149,7 +183,13 @@
 	return c.post(ctx, call, PathResume, body)
 }
 
-func (c *Client) post(ctx context.Context, call *Call, path string, body []byte) (*Response, error) {
+func (c *Client) post(ctx context.Context, call *Call, path string, body []byte) (response *Response, failure error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		if failure != nil {
+			cancel()
+		}
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeUpstream, "build", string(call.Target), errorNoConnection)
@@ -164,7 +204,7 @@
 	if err != nil {
 		return nil, SendError(err, call.Target)
 	}
-	return readResponse(resp, call)
+	return readResponse(resp, newCountedResponse(resp.Body, c.Memory, cancel), call)
 }
 
 // SendError assigns an outcome to a failure to send a call: NotRun if the client never
@@ -177,8 +217,7 @@
 	return outcome.Wrap(err, outcome.Unknown, outcome.CodeUpstream, "send", string(t), errorFailed)
 }
 
-func readResponse(resp *http.Response, call *Call) (*Response, error) {
-	r := NewResponse(resp.Body)
+func readResponse(resp *http.Response, r *Response, call *Call) (*Response, error) {
 	r.Incarnation = incarnationOf(resp.Header)
 	r.Weights = ids.WeightsVersion(resp.Header.Get(HeaderWeights))
 	if resp.StatusCode != http.StatusOK {
@@ -228,7 +267,9 @@
 // ReadFull reads the body of a response that is not streamed. A truncated body, or one
 // that belongs to another attempt, is an error.
 func ReadFull(r *Response, call *Call) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(intake.UsedReader{From: r.Body, Used: r.Used}, maxFullResponse+1))
+	from := &intake.CountedReader{From: intake.UsedReader{From: r.Body, Used: r.Used}, Share: r.whole, Factor: WholeFactor}
+	body, err := io.ReadAll(io.LimitReader(from, maxFullResponse+1))
+	r.whole.Pin()
 	if err == nil && len(body) > maxFullResponse {
 		err = eris.New("the response is larger than 8 MiB")
 	}
--- a/internal/lab/crowd/engines_test.go
+++ b/internal/lab/crowd/engines_test.go
@@ -1,9 +1,14 @@
 package crowd
 
 import (
+	"fmt"
 	"maps"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 
+	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/lab"
 )
@@ -51,3 +56,27 @@
 	each(t, forms, play(wholeCall))
 	each(t, streams, play(streamCall))
 }
+
+// TestLargestResponsesOfEnginesInCalm has a few callers get the largest whole responses that engines may send: each arrives whole.
+func TestLargestResponsesOfEnginesInCalm(t *testing.T) {
+	text := strings.Repeat("x", nearlyLongWhole)
+	v := startGatewayWith(t, manyDescriptors, lab.StartOptions{OnCall: func(w http.ResponseWriter, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, `{"id":"chatcmpl-%s","choices":[{"finish_reason":"stop","text":"%s"}]}`, r.Header.Get(engine.HeaderRequestID), text)
+		return true
+	}})
+	var calls sync.WaitGroup
+	for range 3 {
+		calls.Go(func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+v.listen+"/v1/chat/completions", strings.NewReader(wholeCall))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			req.Header.Set("Authorization", "Bearer "+lab.KeyOf("hidroelectrica-norte"))
+			if status, got, err := do(req); err != nil || status != http.StatusOK || !strings.Contains(got, text) {
+				t.Errorf("status %d, %d bytes, error %v; want 200 and %d bytes and more", status, len(got), err, len(text))
+			}
+		})
+	}
+	calls.Wait()
+}
--- a/internal/relay/sse.go
+++ b/internal/relay/sse.go
@@ -81,6 +81,9 @@
 // input ends within an event, and another error if reading fails, an event is longer than
 // maxEventBytes or its id is not a number.
 func (r *Reader) Next() (Event, error) {
+	if cap(r.data) > keptBytes {
+		r.data = nil
+	}
 	r.data = r.data[:0]
 	var ev Event
 	started, something := false, false // the current block has a line; one that makes it an event
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -21,6 +21,7 @@
 	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/fleet"
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/outcome"
 	"github.com/threadwall/threadwall/internal/quarantine"
 	"github.com/threadwall/threadwall/internal/retry"
@@ -64,6 +65,8 @@
 	// Guard quarantines calls that crash targets. If nil, no call is quarantined.
 	Guard  *quarantine.Guard
 	Domain ids.FailureDomain
+	// Memory is what the responses that are read at a time may hold together; nil: they have no common bound.
+	Memory *intake.Account
 	http   *http.Client
 }
 
@@ -239,6 +242,8 @@
 }
 
 func (r *Runner) send(ctx context.Context, c *Call, attempt ids.Attempt, t routing.Target) (*claims.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+t.Addr+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NotRun, outcome.CodeBadRequest, "build", string(t.ID), "the call's path is not valid")
@@ -259,17 +264,20 @@
 		return nil, engine.SendError(err, t.ID)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readResponse(resp, attempt, t.ID)
+	share := r.Memory.Share(cancel)
+	defer func() { _ = share.Set(0) }() // fails only if the share was evicted
+	body := &intake.CountedReader{From: resp.Body, Share: share, Factor: engine.WholeFactor}
+	return readResponse(resp, body, attempt, t.ID)
 }
 
-func readResponse(resp *http.Response, attempt ids.Attempt, t ids.Target) (*claims.Response, error) {
+func readResponse(resp *http.Response, from io.Reader, attempt ids.Attempt, t ids.Target) (*claims.Response, error) {
 	if resp.Header.Get(engine.HeaderOutcome) == outcome.NotRun.String() {
 		return nil, outcome.Wrap(engine.ReadRefusal(resp), outcome.NotRun, outcome.CodeUpstream, "answer", string(t), "the target refused the call")
 	}
 	if echo := resp.Header.Get(engine.HeaderAttempt); echo != "" && echo != string(attempt) {
 		return nil, outcome.New(outcome.Unknown, outcome.CodeUpstream, "answer", string(t), "the target sent the response to another request")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
+	body, err := io.ReadAll(io.LimitReader(from, maxResponseBody+1))
 	if err == nil && len(body) > maxResponseBody {
 		err = eris.New("the response is larger than 512 KiB")
 	}
