--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,6 +49,7 @@
 	"github.com/threadwall/threadwall/internal/hlc"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/ingress"
+	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/kvfeed"
 	"github.com/threadwall/threadwall/internal/lease"
 	"github.com/threadwall/threadwall/internal/links"
@@ -64,6 +65,7 @@
 	"github.com/threadwall/threadwall/internal/rollout"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/settings"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/streams"
 	"github.com/threadwall/threadwall/internal/timeline"
 	"github.com/threadwall/threadwall/internal/traffic"
@@ -81,6 +83,8 @@
 	// SetFeedDial and SetOrderDial replace the functions by which Feeds and Engines connect to an address. Nil: they can't
 	// be replaced.
 	SetFeedDial, SetOrderDial func(dial func(ctx context.Context, addr string) (net.Conn, error))
+	// SetMemory gives Feeds and Engines the account for what they read. Nil: they have none.
+	SetMemory func(*intake.Account)
 	// Meter counts the bytes of Engines and Feeds, and of all other traffic with targets and
 	// peers. Nil disables counting.
 	Meter *traffic.Meter
@@ -259,6 +263,11 @@
 	s, edge := d.Settings, d.Settings.Edge
 	client := upstream.NewClient(s.DialTimeout.D())
 	client.Meter = d.adapter.Meter
+	client.Memory = intake.NewAccount(int64(float64(edge.MemoryMB<<20) * intakeShare))
+	if d.adapter.SetMemory != nil {
+		d.adapter.SetMemory(client.Memory)
+	}
+	client.Buffers = sockets.NewBuffers(int64(float64(edge.MemoryMB<<20) * replicaKernelShare))
 	d.buildLinks(client)
 	if d.adapter.Meter != nil {
 		d.adapter.Meter.CrossDomain = d.crossDomain
