Follow: dates of weights count from proofs where one VM reads the store for others; a disproved report is ignored

Change: in fleets where one VM reads the store for others, a change counts from the latest proof that it had not been made (a response of any key space with a lower revision, at most 1.2 to 1.6 s old in calm), unless that is 0.7 s old or less; in small fleets each VM reads for itself, and the peers' greater ages correct a late one. Disproved reports are ignored. The settle time of a new era is compared with the arrival, and holds for lists. At.PeerAnswered is gone again. A line weights-dated tells when a report moves a date.

--- a/internal/clock/rule_test.go
+++ b/internal/clock/rule_test.go
@@ -28,6 +28,7 @@
 	"forward/deliver.go":   "deadlines of connections are on the clock of timers",
 	"forward/body.go":      "deadlines of connections are on the clock of timers",
 	"ingress/conn.go":      "deadlines of connections are on the clock of timers",
+	"ingress/drain.go":     "ages of connections are on the clock of timers",
 	"ingress/listener.go":  "ages of writes are on the clock of timers",
 	"ingress/peers.go":     "ages of connections are on the clock of timers",
 	"gateway/body.go":      "deadlines of connections are on the clock of timers",
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -278,7 +278,7 @@
 	}
 	d.Fleet.KnownFraction = d.Replicas.KnownFraction
 	d.Fleet.MaxSnapshotAge = refreshEvery
-	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Clock: &follow.Clock{}, Pauses: &clock.Pauses{}, SettleTime: returnGrace, UnknownUse: edge.StartGrace.D() - weightsMargin, Log: d.Log}
+	d.Weights = &follow.Weights{Decode: d.adapter.DecodeWeights, Clock: &follow.Clock{}, Pauses: &clock.Pauses{}, OneReader: d.vms.oneReader, SettleTime: returnGrace, UnknownUse: edge.StartGrace.D() - weightsMargin, Log: d.Log}
 	d.Weights.SetWithin(edge.WeightsWithin.D() - weightsMargin)
 	planner := &forward.Planner{Cache: d.Fleet.Cache, FetchRate: fetchRate}
 	d.Forward = &forward.Forwarder{
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -145,6 +145,9 @@
 	return append(out, c.crossDomainReaders(domain)...)
 }
 
+// oneReader reports whether one VM reads the store for the others of its failure domain.
+func (c *vmList) oneReader() bool { return c.count() > c.d.Settings.Edge.DirectFleet }
+
 // startPeers returns the VMs whose copies of the store this VM reads at its start: the other VMs of a
 // small fleet, if the store has come back from an older copy of itself at any time. In a large fleet a VM
 // reads from its upstream peers anyway.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,8 +35,6 @@
 	Regained time.Time
 	// Relayed says that the response comes from a peer's copy.
 	Relayed bool
-	// PeerAnswered is when that peer answered before: it lacked the changes of this response then. Zero: it has not.
-	PeerAnswered time.Time
 	// EraSince is when the store was first known to be in the era of Revision, after it had come back
 	// from an older copy. Zero: no earlier era is known of.
 	EraSince time.Time
--- a/internal/follow/weights.go
+++ b/internal/follow/weights.go
@@ -30,6 +30,8 @@
 	Clock *Clock
 	// Pauses detects that this process has not run. If nil, it is taken to run all the time.
 	Pauses *clock.Pauses
+	// OneReader reports whether one VM reads the store for the others. Nil: each VM reads it for itself.
+	OneReader func() bool
 	// SettleTime is how long after the return of a store that has lost writes operators may take to
 	// write them again.
 	SettleTime time.Duration
@@ -56,8 +58,8 @@
 type version struct {
 	number uint64
 	at     time.Time
-	// estimated: the version was declared at this time or later. It came with a list, from a peer's copy of the store, or
-	// after a pause, and no peer has reported its age.
+	// estimated: the version was declared at this time or, seconds, later. It came with a list or was read late, and no peer
+	// has reported its age.
 	estimated bool
 	knownAt   time.Time // when this VM learned of it: it was declared by then
 	// fromPeerAt is when a peer reported it; zero once the store has returned it. A version
@@ -113,38 +115,60 @@
 	if era := at.Revision.Era(); era > w.era {
 		w.era, w.completeUntil = era, since
 	}
+	settling := w.started && w.settling(at, at.Sent)
+	if settling && w.completeUntil.Before(since) {
+		since = w.completeUntil
+	}
 	w.apply(objects, func(rev objectapi.Revision) time.Time {
-		if before := w.Clock.Before(rev); w.started && before.After(since) {
-			return before
+		if w.started && !settling {
+			return later(since, w.Clock.Before(rev))
 		}
 		return since
 	}, true)
 	w.started, w.provenAt = true, at.Sent
 }
 
-// Changed implements Handler. The store sends a change as soon as it is made, so the versions in it count as declared
-// when they may first have arrived, unless operators may write versions again that the store has lost.
+// Changed implements Handler.
 func (w *Weights) Changed(events []objectapi.Object, at At) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := clock.Now()
-	if !at.EraSince.IsZero() && now.Before(at.EraSince.Add(w.SettleTime)) {
-		w.apply(events, func(objectapi.Revision) time.Time { return w.completeUntil }, true)
-	} else {
-		since := w.changedSince(at, now)
-		w.apply(events, func(rev objectapi.Revision) time.Time { return later(since, w.Clock.Before(rev)) }, since.Before(now))
+	arrived := w.Pauses.ArrivedSince(now)
+	for i := range events {
+		since, estimated := w.changedSince(events[i].Version, at, arrived, now)
+		w.apply(events[i:i+1], func(objectapi.Revision) time.Time { return since }, estimated)
 	}
 	w.provenAt = at.Sent
 }
 
-// changedSince returns the earliest time at which a change that this VM receives at now may have been made: this process
-// or the peer from which the change comes may have paused.
-func (w *Weights) changedSince(at At, now time.Time) time.Time {
-	since := w.Pauses.ArrivedSince(now)
-	if !at.PeerAnswered.IsZero() && at.PeerAnswered.Before(since) {
-		since = at.PeerAnswered
+const (
+	// promptProofAge is the age of a proof up to which a change counts as read as soon as it was made.
+	promptProofAge = 700 * time.Millisecond
+	// maxReportedProofAge is the age of a proof up to which peers are told an age that counts from it.
+	maxReportedProofAge = 2 * time.Second
+)
+
+// changedSince returns the earliest time at which a change may have been made that this VM reads at now and that arrived at
+// arrived, and whether that time is an estimate.
+//
+// The store sends a change as soon as it is made, but this VM may have read it late, and a peer may have passed it on late. What
+// peers read from the store themselves corrects that. Where one VM reads it for the others, nobody would, so the change
+// counts from the latest proof that it had not been made.
+func (w *Weights) changedSince(rev objectapi.Revision, at At, arrived, now time.Time) (since time.Time, estimated bool) {
+	if w.settling(at, arrived) {
+		return w.completeUntil, true
 	}
-	return since
+	proven := later(w.provenAt, w.Clock.Before(rev))
+	prompt := !at.Relayed && (w.OneReader == nil || !w.OneReader() || now.Sub(proven) <= promptProofAge)
+	if prompt || proven.IsZero() {
+		return later(arrived, proven), arrived.Before(now)
+	}
+	return proven, now.Sub(proven) > maxReportedProofAge
+}
+
+// settling reports whether operators may, at a time, have written versions again that the store had lost.
+func (w *Weights) settling(at At, when time.Time) bool {
+	return !at.EraSince.IsZero() && when.Before(at.EraSince.Add(w.SettleTime))
 }
 
 func later(a, b time.Time) time.Time {
@@ -278,10 +302,13 @@
 	return out
 }
 
+// loggedChange is the least change of a version's age that is logged.
+const loggedChange = 100 * time.Millisecond
+
 // ApplyPeerAge applies a peer's report on a version. A VM that has just started or had lost the
 // store can't know the version's age, and one whose watch is unresponsive does not know the
-// version. Of two reports the one with the greater age counts, and none makes a version younger than this VM knows it.
-// A report that arrived during a pause of this process tells no more than that the version exists.
+// version. Of two reports the one with the greater age counts. A report of a smaller age than the time for which this VM has
+// known the version is wrong, and one that arrived during a pause of this process tells no more than that the version exists.
 func (w *Weights) ApplyPeerAge(a VersionAge, now time.Time) {
 	arrived := w.Pauses.ArrivedSince(now)
 	paused := arrived.Before(now)
@@ -302,12 +329,14 @@
 	all := w.models[a.Model]
 	for i := range all {
 		v := &all[i]
-		if v.number != a.Version || !v.estimated && !at.Before(v.at) {
+		if v.number != a.Version || v.knownAt.Before(at) || !v.estimated && !at.Before(v.at) {
 			continue
 		}
-		if v.at, v.estimated = at, false; v.knownAt.Before(at) {
-			v.at = v.knownAt
+		if v.estimated || v.at.Sub(at) >= loggedChange {
+			w.Log.State("weights-dated").Str("model", string(a.Model)).Uint64("version", a.Version).Int64("age_ms", now.Sub(at).Milliseconds()).
+				Int64("before_ms", now.Sub(v.at).Milliseconds()).Bool("estimated", v.estimated).Send()
 		}
+		v.at, v.estimated = at, false
 	}
 	makeMonotonic(all)
 }
--- a/internal/follow/weights_pause_test.go
+++ b/internal/follow/weights_pause_test.go
@@ -55,22 +55,26 @@
 	})
 }
 
-// TestRelayedChangeMayHaveWaitedAtPeer receives a version from a peer that answered 0.7 s before: it may have been declared right after that.
-func TestRelayedChangeMayHaveWaitedAtPeer(t *testing.T) {
+// TestChangeReadLateByTheOneReader reads a version in a process that is seconds behind without a pause: its latest proof of any key space is 3 s old, so the version may be.
+func TestChangeReadLateByTheOneReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		version := uint64(1)
-		w := &Weights{Decode: decoder(&version)}
+		c := &Clock{}
+		w := &Weights{Decode: decoder(&version), Pauses: &clock.Pauses{}, Clock: c, OneReader: func() bool { return true }}
 		w.SetWithin(11 * time.Second)
-		w.Listed([]objectapi.Object{{}}, At{Sent: clock.Now(), Relayed: true}, false)
-		answered := clock.Now()
-		time.Sleep(700 * time.Millisecond)
+		go w.Pauses.Run(t.Context())
+		time.Sleep(time.Second)
+		h := c.Wrap(w)
+		h.Listed([]objectapi.Object{{Version: 1}}, At{Revision: 1, Sent: clock.Now()}, false)
+		proven := clock.Now()
+		time.Sleep(3 * time.Second)
 		version = 2
-		w.Changed([]objectapi.Object{{}}, At{Sent: answered, Answered: clock.Now(), Relayed: true, PeerAnswered: answered})
-		if left, _ := w.Left("m", "1", clock.Now()); left != 10300*time.Millisecond {
-			t.Errorf("%v left, want 10.3s", left)
+		h.Changed([]objectapi.Object{{Version: 2}}, At{Revision: 2, Sent: proven, Answered: clock.Now()})
+		if left, _ := w.Left("m", "1", clock.Now()); left > 8*time.Second {
+			t.Errorf("%v left to version 1, want at most 8s", left)
 		}
 		if told := w.Recent(clock.Now()); len(told) != 0 {
-			t.Errorf("peers are told %v", told)
+			t.Errorf("peers are told %v as exact", told)
 		}
 	})
 }
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -52,7 +52,6 @@
 type client struct {
 	conn     *grpc.ClientConn
 	maxAge   time.Duration // longest time since the store answered the peer
-	answered time.Time     // when the peer last answered; zero: not yet
 	spaces   []*Space
 	have     []position    // position in each space of the peer
 	partials []partialCopy // full copies of which some chunks are missing
@@ -128,7 +127,6 @@
 		}
 		c.apply(i, p, sent)
 	}
-	c.answered = clock.Now()
 	return nil
 }
 
@@ -154,7 +152,7 @@
 func (c *client) apply(i int, p *mirrorpb.Part, sent time.Time) {
 	s := c.spaces[i]
 	c.have[i] = position{copyID: p.Copy, change: p.Change}
-	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs), Relayed: true, PeerAnswered: c.answered}
+	at := follow.At{Revision: objectapi.Revision(p.Revision), Sent: before(sent, p.AgeUs), Answered: before(clock.Now(), p.ContactUs), Relayed: true}
 	if p.EraAgeUs > 0 {
 		at.EraSince = before(clock.Now(), p.EraAgeUs)
 	}
