Edge: bodies get the memory that replicas' answers don't take

Cause: kept an eighth of the memory free for what replicas may send, on top of answer_mb. What they take is a part of the runtime's memory, which the division follows anyway.

--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -21,7 +21,8 @@
 	leastShare = 0.1
 	// connectionShare is the fraction of the memory that connections and their heads may take at most.
 	connectionShare = 0.25
-	// intakeShare is the fraction of the memory for what replicas have sent and nobody has used yet.
+	// intakeShare is the fraction of the memory for what replicas have sent and nobody has used yet. It is a part of the runtime's, and not
+	// kept free: bodies may take it until replicas do.
 	intakeShare = 0.125
 	// replicaKernelShare is the fraction of the memory for large receive buffers of connections to replicas.
 	replicaKernelShare = 0.05
@@ -33,7 +34,7 @@
 // usage is what the VM's memory holds, in bytes.
 type usage struct {
 	runtime int64 // mapped by the Go runtime and not given back
-	answers int64 // part of it: responses in memory, whole or being read
+	answers int64 // part of it: responses in memory
 	conns   int64 // part of it: callers' connections and their heads, as they are charged
 	bodies  int64
 }
@@ -69,10 +70,10 @@
 	if read == nil {
 		read = runtimeMemory
 	}
-	heap, answers := int64(0), f.Tuning.MaxResponseMemory+f.Upstream.Memory.Limit()
+	heap := int64(0)
 	divideNow := func() {
-		to := divide(memory, answers, usage{
-			runtime: read(), answers: f.ResponseBytes() + f.Upstream.Memory.Held(), conns: d.connections.Used(), bodies: f.Bodies.Held(),
+		to := divide(memory, f.Tuning.MaxResponseMemory, usage{
+			runtime: read(), answers: f.ResponseBytes(), conns: d.connections.Used(), bodies: f.Bodies.Held(),
 		})
 		f.Bodies.SetLimit(to.bodies)
 		d.connections.SetLimit(to.conns)
