--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -116,16 +116,17 @@
 	return all[:min(len(all), maxCollectors)]
 }
 
-// allListVersions reports whether each VM that is or was part of the fleet lists software versions before streams begin there.
-func (c *vmList) allListVersions() bool {
+// allListVersions reports whether each VM that is or was part of the fleet lists software versions before streams begin there; known is false
+// before the list of VMs was read.
+func (c *vmList) allListVersions() (all, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.records {
 		if !r.ListsVersions {
-			return false
+			return false, true
 		}
 	}
-	return c.records != nil
+	return true, c.records != nil
 }
 
 // sendStreams sends a peer a message of the directory of streams.
--- a/internal/versionlog/versionlog.go
+++ b/internal/versionlog/versionlog.go
@@ -71,8 +71,8 @@
 	// InUse returns the versions that have replicas, or had some within streams.RecordTTL, by service. Services without
 	// streams that callers may take up are left out.
 	InUse func() map[string][]ids.SoftwareVersion
-	// NoOthers reports whether no VM has ever run that did not list versions.
-	NoOthers func() bool
+	// NoOthers reports whether no VM has ever run that did not list versions; known is false before the list of VMs was read.
+	NoOthers func() (noOthers, known bool)
 	// Rank returns the number of live VMs that precede this one in writing objects.
 	Rank func() int
 	// OnChange is called when an object has changed, without a lock held.
--- a/internal/versionlog/versionlog_test.go
+++ b/internal/versionlog/versionlog_test.go
@@ -35,7 +35,7 @@
 func (w *lab) start() (*Log, func()) {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	l := &Log{
-		Store: w.store, NoOthers: func() bool { return w.all }, Rank: func() int { return 0 }, OnChange: func() {}, Now: time.Now,
+		Store: w.store, NoOthers: func() (noOthers, known bool) { return w.all, true }, Rank: func() int { return 0 }, OnChange: func() {}, Now: time.Now,
 		InUse: func() map[string][]ids.SoftwareVersion {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/versionlog/write.go
+++ b/internal/versionlog/write.go
@@ -93,10 +93,11 @@
 
 // wanted returns the objects that are to be written.
 func (l *Log) wanted(at time.Time) (out []wanted) {
-	inUse, trusted := l.InUse(), l.NoOthers()
+	inUse := l.InUse()
+	trusted, known := l.NoOthers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.listed {
+	if !l.listed || !known {
 		return nil
 	}
 	if at.Sub(l.checked) > maxPause {
