Upstream: an exchange ends after 256 interim responses

Suspected cause: each call parses 1.5 MiB of them, some 37,000 responses, so the processor runs out. Not traced by a profile.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -249,6 +249,9 @@
 // maxStrayBytes bounds the body of a response that is discarded.
 const maxStrayBytes = 256 << 10
 
+// maxInterim is the number of interim responses (1xx) before an exchange fails: each costs processor time.
+const maxInterim = 256
+
 // exchange writes the request and reads responses until one belongs to it.
 func (cn *conn) exchange(ctx context.Context, to Replica, r *Request, strays *atomic.Int64) (*Response, error) {
 	stop := context.AfterFunc(ctx, cn.close)
@@ -256,11 +259,16 @@
 	reused := cn.used
 	cn.used = true
 	cn.in.Renew()
+	interim := 0
 	for stray := 0; ; stray++ {
 		cn.in.BeginHead(maxHeadBytes)
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
 		cn.in.EndHead()
 		if err == nil && resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				stop()
+				return nil, w.failure(ctx, intake.ErrUseless, to)
+			}
 			stray--
 			continue // an interim response (1xx) does not count
 		}
