--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -234,10 +234,10 @@
 	})
 }
 
-// Stop shuts down gracefully. It reports "not ready" and notifies peers, gives the load
-// balancer time to notice, in which it takes only calls that end before the drain does, closes the listener for callers, waits for requests in flight up to
-// the drain timeout and for pending claims up to settleTimeout, and then ends the background
-// tasks. It always returns nil.
+// Stop shuts down gracefully. It reports "not ready" and notifies peers, and gives the load
+// balancer time to notice. From then on it takes only calls that end before the drain does. It
+// closes the listener for callers, waits for requests in flight up to the drain timeout and for
+// pending claims up to settleTimeout, and then ends the background tasks. It always returns nil.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ready.leave()
 	d.Gateway.Drain(clock.Now().Add(d.Settings.ReadyNotice.D() + d.Settings.DrainTimeout.D() - writeMargin))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -170,9 +170,10 @@
 		"this VM can't prove that its configuration is the newest").After(vmRetryAfter)
 }
 
-// recheckAdmission refuses a send if the call's deadline has passed, if it would not end in the drain of a
-// VM that shuts down or, for a call with an API key, if the catalog's proof has expired. None of it was so when the call was admitted, but the call may have
-// waited since, and the VM may have been suspended.
+// recheckAdmission refuses a send if the call's deadline has passed, if it would not end in the drain
+// of a VM that shuts down or, for a call with an API key, if the catalog's proof has expired. None of
+// it was so when the call was admitted, but the call may have waited since, and the VM may have been
+// suspended.
 func (r *run) recheckAdmission() *outcome.Error {
 	switch {
 	case clock.Until(r.ends) <= 0:
