Streams: VMs that start read the list of versions without a watch at once, and one VM writes it

A further key space costs each VM that reads the store directly at its start a list and a watch, though nearly all of them read from a peer a second later; and three VMs create each object, two in vain. Change: the watch of that space begins 2 s after its list (the watch returns what changes meanwhile), and one VM writes at once, the others after 0.3 s or more.

--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -41,6 +41,8 @@
 	// versionsWatchWait is the wait of the watch of versions at which streams may have begun: a VM that lacks one reads or writes
 	// it.
 	versionsWatchWait = 25 * time.Second
+	// versionsWatchDelay is how long after its list that watch begins: most VMs that start read from a peer by then.
+	versionsWatchDelay = 2 * time.Second
 	// coalescePerVM is the delay per entry VM for which changes of replicas are coalesced: changes
 	// come in bursts, and each wakes up a watch.
 	coalescePerVM = 8 * time.Millisecond
@@ -87,6 +89,9 @@
 			Store: d.store, Prefix: s.Prefix, Handler: handler, Log: d.Log, Health: &health,
 			Wait: d.wait(s.Prefix), CoalesceDelay: d.coalesceDelay(s.Prefix), Reconnecting: known && clock.Since(at.Sent) > storeLostAfter,
 		}
+		if s.Prefix == versionlog.Prefix {
+			f.WatchDelay = versionsWatchDelay
+		}
 		all.Go(func() { f.Run(ctx) })
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -82,6 +82,8 @@
 	// CoalesceDelay returns how long to wait after a change for more, so that a series of changes
 	// costs one call. If nil, there is no delay.
 	CoalesceDelay func() time.Duration
+	// WatchDelay is how long after a list the next watch begins, which returns what changes meanwhile.
+	WatchDelay time.Duration
 	// Reconnecting says that the store was unavailable before Run, as far as this VM knows.
 	Reconnecting bool
 	// Health is shared by the followers of one store. Nil if this is the only one.
@@ -145,6 +147,7 @@
 			at.Regained = at.Answered
 		}
 		f.Handler.Listed(objects, at, f.lost)
+		timing.Sleep(ctx, f.WatchDelay)
 		return nil
 	}
 	if f.Wait != nil {
--- a/internal/versionlog/write.go
+++ b/internal/versionlog/write.go
@@ -21,9 +21,9 @@
 	// unusedFor is how long a version must have been unused before it is removed: until no VM lets streams begin there unless it
 	// is listed, also one that has heard of the version's end and return later than this VM.
 	unusedFor = streams.RecordTTL + 10*time.Second
-	// firstWriters is the number of VMs that write at once; the others wait for them for lateWriters and a random time up to
+	// firstWriters is the number of VMs that write at once; the others wait for it for lateWriters and a random time up to
 	// lateSpread.
-	firstWriters = 3
+	firstWriters = 1
 	lateWriters  = 300 * time.Millisecond
 	lateSpread   = time.Second
 	// retryPause is the pause after a write that failed.
