--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -89,7 +89,7 @@
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:            sockets.LimitedDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
+			DialContext:            sockets.ClientDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost:    idleConnsPerEngine,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -76,7 +76,7 @@
 func (r *Runner) Init(dialTimeout time.Duration) {
 	r.http = &http.Client{
 		Transport: &http.Transport{
-			DialContext:            sockets.LimitedDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
+			DialContext:            sockets.ClientDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaders,
--- a/internal/sockets/bounded.go
+++ b/internal/sockets/bounded.go
@@ -68,13 +68,15 @@
 	}
 }
 
-// LimitedDial returns a dial function whose connections LimitReadBuffer bounds.
-func LimitedDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// ClientDial returns a dial function for clients that read while they write, such as those of net/http: LimitReadBuffer bounds its
+// connections, and they share their errors (ShareErrors).
+func ClientDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
-		if err == nil {
-			LimitReadBuffer(c)
+		if err != nil {
+			return nil, err
 		}
-		return c, err
+		LimitReadBuffer(c)
+		return ShareErrors(c), nil
 	}
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/threadwall/threadwall/internal/ids"
+	"github.com/threadwall/threadwall/internal/sockets"
 	"github.com/threadwall/threadwall/internal/timing"
 	"github.com/threadwall/threadwall/internal/tunnelpb"
 )
@@ -56,6 +57,7 @@
 		return stream.Send(&tunnelpb.FromTarget{Result: result})
 	}
 	defer func() { _ = conn.Close() }()
+	conn = sockets.ShareErrors(conn)
 	s.Served.Add(1)
 	if err := stream.Send(&tunnelpb.FromTarget{Result: result}); err != nil {
 		return err
@@ -80,15 +82,18 @@
 }
 
 // copyToTarget writes what the caller sends, until the stream ends. It drops what arrives together with
-// the end: the caller has given that request up.
+// the end: the caller has given that request up. It also drops what comes after a failed write: copyFromTarget then tells the caller how
+// the target has ended the connection, after all that it sent.
 func copyToTarget(conn net.Conn, stream grpc.BidiStreamingServer[tunnelpb.ToTarget, tunnelpb.FromTarget]) {
+	failed := false
 	for {
 		m, err := stream.Recv()
 		if err != nil || stream.Context().Err() != nil {
 			return
 		}
-		if _, err := conn.Write(m.Data); err != nil {
-			return
+		if !failed {
+			_, err := conn.Write(m.Data)
+			failed = err != nil
 		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -197,7 +197,7 @@
 	case tunneled:
 		cn.tunnel, cn.via = raw, raw.Via()
 	}
-	cn.nc = c.Meter.Conn(nc, traffic.Requests, traffic.Responses)
+	cn.nc = c.Meter.Conn(sockets.ShareErrors(nc), traffic.Requests, traffic.Responses)
 	cn.in = intake.NewReader(cn.nc)
 	cn.in.Count(c.Memory.Share(cn.close))
 	cn.br = bufio.NewReaderSize(cn.in, readBufferSize)
