--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,6 +22,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/threadwall/threadwall/internal/httphead"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/membership"
@@ -88,13 +89,13 @@
 // redirects.
 func NewClient(dialTimeout time.Duration) *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
+		Transport: httphead.Transport(&http.Transport{
 			DialContext:            sockets.ClientDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			MaxIdleConnsPerHost:    idleConnsPerEngine,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,48 @@
+// Package httphead checks the heads of responses. net/http reads some heads that HTTP/1.1 (RFC 9110, RFC 9112) does not allow, and what it
+// makes of them is not what the peer has sent.
+package httphead
+
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of malformed heads, possibly wrapped.
+var (
+	ErrVersion = eris.New("the response is not of HTTP/1")
+	ErrStatus  = eris.New("the status of the response is out of range")
+)
+
+const maxStatus = 599
+
+// Check returns an error if the head of a response is malformed. An interim response is well formed unless it switches protocols, since
+// no request asks for that.
+func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return eris.Wrap(ErrVersion, resp.Proto)
+	}
+	switch status := resp.StatusCode; {
+	case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+		return eris.Wrap(ErrStatus, resp.Status)
+	}
+	return nil
+}
+
+// Transport returns a transport whose responses have passed Check. Its errors wrap those of Check.
+func Transport(base http.RoundTripper) http.RoundTripper { return checked{base} }
+
+type checked struct{ base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (c checked) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := c.base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/internal/objectapi/http.go
+++ b/internal/objectapi/http.go
@@ -15,6 +15,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
+
+	"github.com/threadwall/threadwall/internal/httphead"
 )
 
 // HTTP endpoints of the object API:
@@ -64,7 +66,7 @@
 func NewClient(base string, timeout time.Duration, b Budget) *Client {
 	return &Client{
 		base:    base,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		http:    &http.Client{Transport: httphead.Transport(&http.Transport{MaxIdleConnsPerHost: 16})},
 		writes:  rate.NewLimiter(rate.Limit(b.WritesPerSecond), int(b.WritesPerSecond*burstSeconds)+1),
 		reads:   rate.NewLimiter(rate.Limit(b.ReadsPerSecond), int(b.ReadsPerSecond*burstSeconds)+1),
 		timeout: timeout,
--- /dev/null
+++ b/internal/services/head_test.go
@@ -0,0 +1,27 @@
+package services
+
+import (
+	"net"
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/lab/rawreply"
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// refuses checks that a head is taken for no response of a service.
+func refuses(t *testing.T, head string) {
+	t.Helper()
+	a, err := send(t, func(c *net.TCPConn, _ rawreply.Request) { rawreply.Write(c, head+"\nok") })
+	if err == nil {
+		t.Errorf("got status %d, %q as a response", a.Status, a.Body)
+	} else if got := outcome.Of(err).Outcome; got != outcome.Unknown {
+		t.Errorf("got %v, want unknown", got)
+	}
+}
+
+// TestStatusOfServiceOutOfRangeIsNoResponse has a service send status lines that HTTP/1.1 does not allow.
+func TestStatusOfServiceOutOfRangeIsNoResponse(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 ", "HTTP/1.1 099 ", "HTTP/1.1 +20 ", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 ", "HTTP/9.9 200 OK"} {
+		t.Run(line, func(t *testing.T) { refuses(t, line+"\nContent-Length: 2\n") })
+	}
+}
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -20,6 +20,7 @@
 	"github.com/threadwall/threadwall/internal/config"
 	"github.com/threadwall/threadwall/internal/engine"
 	"github.com/threadwall/threadwall/internal/fleet"
+	"github.com/threadwall/threadwall/internal/httphead"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/outcome"
@@ -75,12 +76,12 @@
 // carries an Idempotency-Key by itself.
 func (r *Runner) Init(dialTimeout time.Duration) {
 	r.http = &http.Client{
-		Transport: &http.Transport{
+		Transport: httphead.Transport(&http.Transport{
 			DialContext:            sockets.ClientDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaders,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/internal/upstream/head_test.go
@@ -0,0 +1,38 @@
+package upstream
+
+import (
+	"net"
+	"testing"
+
+	"github.com/threadwall/threadwall/internal/lab/rawreply"
+	"github.com/threadwall/threadwall/internal/outcome"
+)
+
+// refuses checks that a head is taken for no response, and that its connection is not used again.
+func refuses(t *testing.T, head string) {
+	t.Helper()
+	to := replyRaw(t, func(c *net.TCPConn, _ rawreply.Request) { rawreply.Write(c, head+"\nok") })
+	c := client()
+	if a, err := c.Send(t.Context(), to, request("a", nil)); err == nil {
+		t.Errorf("got status %d, %v as a response", a.Status, a.Header)
+		a.Close()
+	} else if got := outcome.Of(err).Outcome; got != outcome.Unknown {
+		t.Errorf("got %v, want unknown", got)
+	}
+	if c.pool("r1").anyOpen() {
+		t.Error("the connection is kept")
+	}
+}
+
+// TestStatusOutOfRangeIsNoResponse has a replica send status lines that HTTP/1.1 does not allow, with a sound response after some.
+func TestStatusOutOfRangeIsNoResponse(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\nId: a\nContent-Length: 2\n"
+	for _, head := range []string{
+		"HTTP/1.1 000 \n\n" + sound, "HTTP/1.1 001 \n\n" + sound, "HTTP/1.1 099 \n\n" + sound, "HTTP/1.1 +20 \n\n" + sound,
+		"HTTP/1.1 101 Switching Protocols\n\n" + sound,
+		"HTTP/1.1 000 \nId: a\nContent-Length: 2\n", "HTTP/1.1 600 \nId: a\nContent-Length: 2\n", "HTTP/1.1 999 \nId: a\nContent-Length: 2\n",
+		"HTTP/9.9 200 OK\nId: a\nContent-Length: 2\n", "HTTP/2.0 200 OK\nId: a\nContent-Length: 2\n",
+	} {
+		t.Run(head, func(t *testing.T) { refuses(t, head) })
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/httphead"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/intake"
 	"github.com/threadwall/threadwall/internal/links"
@@ -264,6 +265,9 @@
 		cn.in.BeginHead(maxHeadBytes)
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
 		cn.in.EndHead()
+		if err == nil {
+			err = httphead.Check(resp)
+		}
 		if err == nil && resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim {
 				stop()
