--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,12 +6,14 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Errors of malformed heads, possibly wrapped.
 var (
-	ErrVersion = eris.New("the response is not of HTTP/1")
-	ErrStatus  = eris.New("the status of the response is out of range")
+	ErrVersion   = eris.New("the response is not of HTTP/1")
+	ErrStatus    = eris.New("the status of the response is out of range")
+	ErrFieldName = eris.New("a field of the response has a malformed name")
 )
 
 const maxStatus = 599
@@ -26,6 +28,11 @@
 	case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
 		return eris.Wrap(ErrStatus, resp.Status)
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrFieldName, "%q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/services/head_test.go
+++ b/internal/services/head_test.go
@@ -1,6 +1,7 @@
 package services
 
 import (
+	"io"
 	"net"
 	"testing"
 
@@ -11,7 +12,11 @@
 // refuses checks that a head is taken for no response of a service.
 func refuses(t *testing.T, head string) {
 	t.Helper()
-	a, err := send(t, func(c *net.TCPConn, _ rawreply.Request) { rawreply.Write(c, head+"\nok") })
+	a, err := send(t, func(c *net.TCPConn, _ rawreply.Request) {
+		rawreply.Write(c, head+"\nok")
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c) // so that the connection is not reset
+	})
 	if err == nil {
 		t.Errorf("got status %d, %q as a response", a.Status, a.Body)
 	} else if got := outcome.Of(err).Outcome; got != outcome.Unknown {
@@ -25,3 +30,10 @@
 		t.Run(line, func(t *testing.T) { refuses(t, line+"\nContent-Length: 2\n") })
 	}
 }
+
+// TestBlankInFieldNameOfServiceIsNoResponse has a service send names of fields that HTTP/1.1 does not allow.
+func TestBlankInFieldNameOfServiceIsNoResponse(t *testing.T) {
+	for _, fields := range []string{"X Odd: 1\nContent-Length: 2\n", "X-Odd : 1\nContent-Length: 2\n", "Content-Length : 200\n", "Transfer-Encoding : chunked\n", "X\x01Odd: 1\nContent-Length: 2\n"} {
+		t.Run(fields, func(t *testing.T) { refuses(t, "HTTP/1.1 200 OK\n"+fields) })
+	}
+}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -36,3 +36,14 @@
 		t.Run(head, func(t *testing.T) { refuses(t, head) })
 	}
 }
+
+// TestBlankInFieldNameIsNoResponse has a replica send names of fields that HTTP/1.1 does not allow.
+func TestBlankInFieldNameIsNoResponse(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\nId: a\nContent-Length: 2\n"
+	for _, head := range []string{
+		sound + "X Odd: 1\n", sound + "X-Odd : 1\n", "HTTP/1.1 200 OK\nId: a\nContent-Length : 200\n", "HTTP/1.1 200 OK\nId: a\nTransfer-Encoding : chunked\n",
+		"HTTP/1.1 103 Early Hints\nX Odd: 1\n\n" + sound, sound + ": 1\n", sound + "X\x01Odd: 1\n", sound + "X\tOdd: 1\n",
+	} {
+		t.Run(head, func(t *testing.T) { refuses(t, head) })
+	}
+}
