--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -3,6 +3,7 @@
 package httphead
 
 import (
+	"bufio"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +37,19 @@
 	return nil
 }
 
+// Read reads the head of a response to a request with the given method, whose body is read from in as well. It returns an error if the head
+// is malformed.
+func Read(in *bufio.Reader, method string) (*http.Response, error) {
+	if err := checkCoding(in); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(in, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, Check(resp)
+}
+
 // Transport returns a transport whose responses have passed Check. Its errors wrap those of Check.
 func Transport(base http.RoundTripper) http.RoundTripper { return checked{base} }
 
--- a/internal/services/head_test.go
+++ b/internal/services/head_test.go
@@ -37,3 +37,8 @@
 		t.Run(fields, func(t *testing.T) { refuses(t, "HTTP/1.1 200 OK\n"+fields) })
 	}
 }
+
+// TestCodingOfOldServiceIsNoBody has a service send a response of HTTP/1.0 in chunks.
+func TestCodingOfOldServiceIsNoBody(t *testing.T) {
+	refuses(t, "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n")
+}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"io"
 	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/threadwall/threadwall/internal/lab/rawreply"
 	"github.com/threadwall/threadwall/internal/outcome"
@@ -47,3 +50,24 @@
 		t.Run(head, func(t *testing.T) { refuses(t, head) })
 	}
 }
+
+// TestCodingOfOldVersionIsNoBody has a replica send a response of HTTP/1.0 in chunks.
+func TestCodingOfOldVersionIsNoBody(t *testing.T) {
+	refuses(t, "HTTP/1.0 200 OK\nId: a\ntransfer-encoding: chunked\n")
+	refuses(t, "HTTP/1.0 200 OK\nX-Long: "+strings.Repeat("x", 4000)+"\nTransfer-Encoding: chunked\nId: a\n")
+}
+
+// TestOldVersionIsAResponse has a replica send a response of HTTP/1.0 in pieces, with a body that looks like a field.
+func TestOldVersionIsAResponse(t *testing.T) {
+	const body = "\r\nTransfer-Encoding: chunked\r\n"
+	to := replyRaw(t, func(c *net.TCPConn, _ rawreply.Request) {
+		for _, piece := range []string{"HTT", "P/1.0 200 OK\n", "Id: a\nX-Long: " + strings.Repeat("x", 4000), strings.Repeat("x", 20_000) + "\n", "\n"} {
+			rawreply.Write(c, piece)
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, _ = io.WriteString(c, body)
+	})
+	if got, err := roundTrip(t, client(), to, request("a", nil)); err != nil || got != body {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -263,11 +263,8 @@
 	interim := 0
 	for stray := 0; ; stray++ {
 		cn.in.BeginHead(maxHeadBytes)
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+		resp, err := httphead.Read(cn.br, r.Method)
 		cn.in.EndHead()
-		if err == nil {
-			err = httphead.Check(resp)
-		}
 		if err == nil && resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim {
 				stop()
