--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/threadwall/threadwall/internal/catalog"
 	"github.com/threadwall/threadwall/internal/clock"
+	"github.com/threadwall/threadwall/internal/follow"
 	"github.com/threadwall/threadwall/internal/ids"
 	"github.com/threadwall/threadwall/internal/routing"
 	"github.com/threadwall/threadwall/internal/streams"
@@ -26,6 +28,10 @@
 	keepersEvery = 200 * time.Millisecond
 	// versionsWait bounds how long a starting VM waits for the list of versions before it is ready.
 	versionsWait = 2 * time.Second
+	// minVersionsReadPause is the shortest time between two reads of the versions of a service for streams that callers take up, and
+	// versionsReadShare the part of it that each VM adds, so that a large fleet makes at most 500 such reads a second.
+	minVersionsReadPause = 100 * time.Millisecond
+	versionsReadShare    = 2 * time.Millisecond
 )
 
 // buildStreams creates what knows where streams began.
@@ -33,12 +39,12 @@
 	s := d.Settings
 	d.versions = &versionlog.Log{
 		Store: d.store, InUse: d.Replicas.SoftwareInUse, NoOthers: d.vms.allListVersions, Rank: d.keeperRank,
-		OnChange: d.Replicas.Publish, Now: clock.Now, Log: d.Log,
+		ReadPause: d.versionsReadPause, OnChange: d.Replicas.Publish, Now: clock.Now, Log: d.Log,
 	}
 	d.Replicas.StreamVersions, d.Replicas.HasStreams = d.versions, d.hasStreams
 	d.streams = &streams.Directory{
 		VM: s.VM, FailureDomain: s.FailureDomain, Peers: d.vms.streamPeers, Collectors: d.collectors,
-		Sole: d.Replicas.SoleVersion, Send: d.sendStreams, Now: clock.Now,
+		Sole: d.Replicas.SoleVersion, Prove: d.proveSoleVersion, Send: d.sendStreams, Now: clock.Now,
 	}
 	d.Replicas.OnNewSoftware = d.streams.VersionsChanged
 	d.archive = &streams.Archive{
@@ -49,6 +55,27 @@
 	}
 }
 
+// versionsReadPause returns the time between two reads of the versions of a service.
+func (d *Daemon) versionsReadPause() time.Duration {
+	return max(minVersionsReadPause, time.Duration(len(d.vms.streamPeers()))*versionsReadShare)
+}
+
+// proveSoleVersion returns the only version at which the store says, when asked now, that streams of a service have begun that may still
+// go on; streams.Several: there may be several; zero: the store does not know.
+func (d *Daemon) proveSoleVersion(ctx context.Context, service string) (sole streams.Version, ok bool) {
+	if !d.versions.Refresh(ctx, service) {
+		return 0, false
+	}
+	switch _, count := d.versions.Sole(service); count {
+	case follow.SeveralVersions:
+		return streams.Several, true
+	case follow.OneVersion:
+		return d.Replicas.SoleVersion(streams.ServiceHash(service)), true
+	default:
+		return 0, true
+	}
+}
+
 // hasStreams reports whether a route leads to the service whose streams callers may take up; known is false without a
 // configuration.
 func (d *Daemon) hasStreams(service string) (has, known bool) {
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -62,17 +62,22 @@
 	if r.call.Resumes == "" && r.call.LastEvent == "" || r.f.Versions == nil {
 		return nil
 	}
-	v, result := streams.Version(0), streams.NotFound
-	if r.call.Resumes != "" && r.f.Streams != nil {
-		v, result = r.f.Streams.Lookup(ctx, r.origin.key, r.service)
+	if r.f.Streams == nil {
+		return r.takeUpAtSole()
 	}
-	if result == streams.Found {
-		return r.takeUpAt(v)
+	// A call that names no stream finds no record, but may go on if there is one version only.
+	v, result := r.f.Streams.Lookup(ctx, r.origin.key, r.service)
+	if result != streams.Found {
+		return r.refuseUnknownOrigin(result)
 	}
+	return r.takeUpAt(v)
+}
+
+// takeUpAtSole makes the call go on at the only version that this VM has seen.
+func (r *run) takeUpAtSole() *outcome.Error {
 	software, sole := r.f.Versions.SoleSoftware(r.service)
-	if !sole || r.call.Resumes != "" && r.f.Streams != nil {
-		r.logOrigin(result, "")
-		return r.refuseOrigin("the software version at which the stream began is not known")
+	if !sole {
+		return r.refuseUnknownOrigin(streams.NotFound)
 	}
 	r.origin.set(software)
 	return nil
@@ -108,6 +113,11 @@
 	return nil
 }
 
+func (r *run) refuseUnknownOrigin(result streams.Result) *outcome.Error {
+	r.logOrigin(result, "")
+	return r.refuseOrigin("the software version at which the stream began is not known")
+}
+
 func (r *run) refuseOrigin(message string) *outcome.Error {
 	return outcome.New(outcome.NotRun, outcome.CodeNoTarget, stepOrigin, "", message).After(noTargetRetryAfter)
 }
--- a/internal/streams/holders.go
+++ b/internal/streams/holders.go
@@ -83,6 +83,20 @@
 	return sorted
 }
 
+// reachesAllDomains reports whether each failure domain of the peers has a live one. It is false without peers.
+func reachesAllDomains(peers []Peer) bool {
+	reached := map[ids.FailureDomain]bool{}
+	for _, p := range peers {
+		reached[p.FailureDomain] = reached[p.FailureDomain] || p.Alive
+	}
+	for _, alive := range reached {
+		if !alive {
+			return false
+		}
+	}
+	return len(peers) > 0
+}
+
 // onlyAlive returns the live peers, or all if none is known to be alive.
 func onlyAlive(all []Peer) []Peer {
 	alive := slices.DeleteFunc(slices.Clone(all), func(p Peer) bool { return !p.Alive })
--- a/internal/streams/lookup.go
+++ b/internal/streams/lookup.go
@@ -49,6 +49,8 @@
 	missing  map[ids.VM]bool // VMs that have no record
 	sole     Version         // what Directory.Sole returned at this VM or one of them; zero: neither knows
 	differ   bool            // they returned different ones
+	reaching bool            // no failure domain is out of reach
+	proven   bool            // the store has answered
 	version  Version
 	result   Result
 	finished chan struct{} // closed when result is final
@@ -58,24 +60,22 @@
 // lookupTimeout.
 func (d *Directory) Lookup(ctx context.Context, k Key, service string) (Version, Result) {
 	d.Lookups.Add(1)
-	v, result := d.lookup(ctx, Question{Key: k, Service: ServiceHash(service)})
+	v, result := d.lookup(ctx, service, Question{Key: k, Service: ServiceHash(service)})
 	if result != Found {
 		d.NotFound.Add(1)
 	}
 	return v, result
 }
 
-func (d *Directory) lookup(ctx context.Context, q Question) (Version, Result) {
+func (d *Directory) lookup(ctx context.Context, service string, q Question) (Version, Result) {
 	l := d.startLookup(q)
 	if l == nil {
 		return d.own(q.Key)
 	}
 	defer d.endLookup(q.Key, l)
-	if len(l.asked) == 0 {
-		return l.absent() // there is no other VM
-	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
+	go d.prove(ctx, service, l)
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
 	for {
@@ -100,7 +100,11 @@
 	if d.records[k] != nil {
 		return nil
 	}
-	l := &lookup{started: d.Now(), asked: mayHold(d.candidates(k)), missing: map[ids.VM]bool{}, sole: d.Sole(q.Service), finished: make(chan struct{})}
+	candidates := d.candidates(k)
+	l := &lookup{
+		started: d.Now(), asked: mayHold(candidates), reaching: reachesAllDomains(candidates),
+		missing: map[ids.VM]bool{}, sole: d.Sole(q.Service), finished: make(chan struct{}),
+	}
 	if d.lookups == nil {
 		d.lookups = map[Key][]*lookup{}
 	}
@@ -117,6 +121,28 @@
 	return out
 }
 
+// prove ends a lookup if the store says that there is one version only.
+func (d *Directory) prove(ctx context.Context, service string, l *lookup) {
+	if d.Prove == nil {
+		return
+	}
+	sole, ok := d.Prove(ctx, service)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.proven = true
+	switch {
+	case sole == Several:
+		l.sole = Several
+	case sole != 0:
+		l.finish(sole, Found)
+	case len(l.asked) == 0:
+		l.finish(l.absent())
+	}
+}
+
 // own returns this VM's own record.
 func (d *Directory) own(k Key) (Version, Result) {
 	d.mu.Lock()
@@ -140,7 +166,7 @@
 		return l.version, l.result
 	default:
 	}
-	if len(l.missing) == 0 {
+	if len(l.missing) == 0 && len(l.asked) > 0 {
 		return 0, NoAnswer
 	}
 	return l.absent()
@@ -148,7 +174,8 @@
 
 // absent returns the result if no VM has a record. The caller holds Directory.mu.
 func (l *lookup) absent() (Version, Result) {
-	if l.sole == 0 || l.sole == Several || l.differ {
+	inStep := l.proven || l.reaching && len(l.missing) >= len(l.asked)
+	if !inStep || l.sole == 0 || l.sole == Several || l.differ {
 		return 0, NotFound
 	}
 	return l.sole, Found
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -16,8 +16,9 @@
 // # Invariants
 //
 //   - A record never changes. Two records of one key that differ void each other: Lookup then finds a conflict.
-//   - Nothing is derived from the absence of a record, except by a VM that has seen one version only since before any
-//     stream began that may still go on.
+//   - Nothing is derived from the absence of a record, except that a stream began at the only version, if the store says so after the
+//     stream was taken up. While the store does not answer, that is derived from what this VM and its peers have seen, but only if all that
+//     were asked have answered and no failure domain is out of reach: VMs that are cut off together agree on what is over.
 //
 // # Cost
 //
@@ -26,6 +27,7 @@
 package streams
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"math"
@@ -129,6 +131,9 @@
 	// Sole returns the only version at which streams of a service that may still go on have begun; Several: there may be several;
 	// zero: it is not known. serviceHash is that of ServiceHash. Sole must not call methods of the Directory.
 	Sole func(serviceHash uint64) Version
+	// Prove does the same as Sole by what the store lists, in answer to a question that is sent after the call, until ctx ends. ok is
+	// false if the store has not answered. Nil: there is no store.
+	Prove func(ctx context.Context, service string) (sole Version, ok bool)
 	// Collectors returns the VMs that save records in the store, this one included if it is one of them, in an order on which VMs
 	// agree. Nil: records are not saved.
 	Collectors func() []ids.VM
--- a/internal/versionlog/versionlog.go
+++ b/internal/versionlog/versionlog.go
@@ -75,6 +75,8 @@
 	NoOthers func() (noOthers, known bool)
 	// Rank returns the number of live VMs that precede this one in writing objects.
 	Rank func() int
+	// ReadPause returns the time between two reads of an object on behalf of Refresh.
+	ReadPause func() time.Duration
 	// OnChange is called when an object has changed, without a lock held.
 	OnChange func()
 	// Now returns the time, on a clock that counts suspensions of the VM.
@@ -100,6 +102,8 @@
 	unused       map[ids.SoftwareVersion]time.Time
 	unknownSince time.Time
 	lackingSince time.Time // the object has lacked a version, or been of an earlier era; zero: it is complete
+	next         *read     // that calls of Refresh wait for, not yet sent; nil: none
+	reading      bool      // a goroutine sends reads
 }
 
 var (
