--- a/internal/services/head_test.go
+++ b/internal/services/head_test.go
@@ -42,3 +42,18 @@
 func TestCodingOfOldServiceIsNoBody(t *testing.T) {
 	refuses(t, "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n")
 }
+
+// TestHeadOfServiceCutOffIsNoResponse has a service close the connection at each byte of a head.
+func TestHeadOfServiceCutOffIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Long: 123\r\n\r\n"
+	for n := range len(head) {
+		a, err := send(t, func(c *net.TCPConn, _ rawreply.Request) {
+			_, _ = io.WriteString(c, head[:n])
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c) // so that the connection is not reset
+		})
+		if err == nil {
+			t.Errorf("%q: got status %d, %q as a response", head[:n], a.Status, a.Body)
+		}
+	}
+}
--- a/internal/tunnel/reset_test.go
+++ b/internal/tunnel/reset_test.go
@@ -68,3 +68,23 @@
 		}
 	}
 }
+
+// TestHeadCutOffBehindTunnel has a target close its side within the head of a response: the tunnel passes on what came, and the end.
+func TestHeadCutOffBehindTunnel(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nX-Lo"
+	for _, reset := range []bool{false, true} {
+		got, err := upload(t, func(c *net.TCPConn) {
+			rawreply.Write(c, "HTTP/1.1 200 OK\nX-Lo")
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				rawreply.Reset(c)
+				return
+			}
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+		})
+		if got != part || (err != nil) != reset {
+			t.Errorf("reset %v: got %q, %v", reset, got, err)
+		}
+	}
+}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -71,3 +71,15 @@
 		t.Errorf("got %q, %v", got, err)
 	}
 }
+
+// TestHeadCutOffIsNoResponse has a replica close the connection at each byte of a head.
+func TestHeadCutOffIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: a\r\nX-Long: 123\r\n\r\n"
+	for n := range len(head) {
+		to := replyRaw(t, func(c *net.TCPConn, _ rawreply.Request) { _, _ = io.WriteString(c, head[:n]) })
+		if a, err := client().Send(t.Context(), to, request("a", nil)); err == nil {
+			t.Errorf("%q: got %v as a response", head[:n], a.Header)
+			a.Close()
+		}
+	}
+}
