--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -65,8 +65,11 @@
 	if r.f.Streams == nil {
 		return r.takeUpAtSole()
 	}
-	// A call that names no stream finds no record, but may go on if there is one version only.
-	v, result := r.f.Streams.Lookup(ctx, r.origin.key, r.service)
+	lookup := r.f.Streams.Lookup
+	if r.call.Resumes == "" {
+		lookup = r.f.Streams.LookupUnnamed
+	}
+	v, result := lookup(ctx, r.origin.key, r.service)
 	if result != streams.Found {
 		return r.refuseUnknownOrigin(result)
 	}
@@ -113,6 +116,7 @@
 	return nil
 }
 
+// refuseUnknownOrigin refuses a call whose stream began at a version that the lookup with the given result did not find.
 func (r *run) refuseUnknownOrigin(result streams.Result) *outcome.Error {
 	r.logOrigin(result, "")
 	return r.refuseOrigin("the software version at which the stream began is not known")
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -17,6 +17,7 @@
 	ErrFieldName = eris.New("a field of the response has a malformed name")
 )
 
+// maxStatus is the highest status that HTTP allows (RFC 9110, 15).
 const maxStatus = 599
 
 // Check returns an error if the head of a response is malformed. An interim response is well formed unless it switches protocols, since
@@ -37,8 +38,8 @@
 	return nil
 }
 
-// Read reads the head of a response to a request with the given method, whose body is read from in as well. It returns an error if the head
-// is malformed.
+// Read reads the head of a response to a request with the given method. The body of the response is read from in as well. Read returns an
+// error if the head is malformed.
 func Read(in *bufio.Reader, method string) (*http.Response, error) {
 	if err := checkCoding(in); err != nil {
 		return nil, err
@@ -47,12 +48,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, Check(resp)
+	if err := Check(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // Transport returns a transport whose responses have passed Check. Its errors wrap those of Check.
 func Transport(base http.RoundTripper) http.RoundTripper { return checked{base} }
 
+// checked is a transport that checks the responses of another one.
 type checked struct{ base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/streams/lookup.go
+++ b/internal/streams/lookup.go
@@ -51,6 +51,7 @@
 	differ   bool            // they returned different ones
 	reaching bool            // no failure domain is out of reach
 	proven   bool            // the store has answered
+	unnamed  bool            // nobody has a record, since the caller names no stream
 	version  Version
 	result   Result
 	finished chan struct{} // closed when result is final
@@ -60,22 +61,42 @@
 // lookupTimeout.
 func (d *Directory) Lookup(ctx context.Context, k Key, service string) (Version, Result) {
 	d.Lookups.Add(1)
-	v, result := d.lookup(ctx, service, Question{Key: k, Service: ServiceHash(service)})
+	q := Question{Key: k, Service: ServiceHash(service)}
+	l := d.startLookup(q, false)
+	if l == nil {
+		return d.count(d.own(k))
+	}
+	return d.count(d.lookup(ctx, service, q, l))
+}
+
+// LookupUnnamed returns the version at which a stream began whose caller does not name it, which is known only if there is one version. k is
+// the key of a stream that has not begun.
+func (d *Directory) LookupUnnamed(ctx context.Context, k Key, service string) (Version, Result) {
+	d.Lookups.Add(1)
+	q := Question{Key: k, Service: ServiceHash(service)}
+	l := d.startLookup(q, true)
+	if l == nil {
+		return d.count(0, NotFound)
+	}
+	return d.count(d.lookup(ctx, service, q, l))
+}
+
+// count counts the result of a lookup.
+func (d *Directory) count(v Version, result Result) (Version, Result) {
 	if result != Found {
 		d.NotFound.Add(1)
 	}
 	return v, result
 }
 
-func (d *Directory) lookup(ctx context.Context, service string, q Question) (Version, Result) {
-	l := d.startLookup(q)
-	if l == nil {
-		return d.own(q.Key)
-	}
+// lookup asks the peers and the store.
+func (d *Directory) lookup(ctx context.Context, service string, q Question, l *lookup) (Version, Result) {
 	defer d.endLookup(q.Key, l)
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	go d.prove(ctx, service, l)
+	if d.Prove != nil {
+		go d.prove(ctx, service, l)
+	}
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
 	for {
@@ -93,7 +114,7 @@
 }
 
 // startLookup registers a lookup. It returns nil if this VM has a record.
-func (d *Directory) startLookup(q Question) *lookup {
+func (d *Directory) startLookup(q Question, unnamed bool) *lookup {
 	k := q.Key
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -103,7 +124,7 @@
 	candidates := d.candidates(k)
 	l := &lookup{
 		started: d.Now(), asked: mayHold(candidates), reaching: reachesAllDomains(candidates),
-		missing: map[ids.VM]bool{}, sole: d.Sole(q.Service), finished: make(chan struct{}),
+		missing: map[ids.VM]bool{}, unnamed: unnamed, sole: d.Sole(q.Service), finished: make(chan struct{}),
 	}
 	if d.lookups == nil {
 		d.lookups = map[Key][]*lookup{}
@@ -121,24 +142,19 @@
 	return out
 }
 
-// prove ends a lookup if the store says that there is one version only.
+// prove asks the store, and ends a lookup if nothing is to be expected of peers then.
 func (d *Directory) prove(ctx context.Context, service string, l *lookup) {
-	if d.Prove == nil {
-		return
-	}
 	sole, ok := d.Prove(ctx, service)
-	if !ok {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l.proven = true
+	l.proven = ok
+	if ok && sole != 0 {
+		l.sole = sole
+	}
 	switch {
-	case sole == Several:
-		l.sole = Several
-	case sole != 0:
+	case ok && sole != 0 && sole != Several:
 		l.finish(sole, Found)
-	case len(l.asked) == 0:
+	case len(l.asked) == 0, ok && sole == Several && l.unnamed:
 		l.finish(l.absent())
 	}
 }
@@ -172,9 +188,10 @@
 	return l.absent()
 }
 
-// absent returns the result if no VM has a record. The caller holds Directory.mu.
+// absent returns the result if no VM has a record: the only version, if this VM and its peers can know that it is the only one. The caller
+// holds Directory.mu.
 func (l *lookup) absent() (Version, Result) {
-	inStep := l.proven || l.reaching && len(l.missing) >= len(l.asked)
+	inStep := l.proven || l.reaching && len(l.missing) >= len(l.asked) // VMs that are cut off together may all know too little
 	if !inStep || l.sole == 0 || l.sole == Several || l.differ {
 		return 0, NotFound
 	}
--- a/internal/streams/step_test.go
+++ b/internal/streams/step_test.go
@@ -93,3 +93,19 @@
 		}
 	})
 }
+
+// TestUnnamedStreamIsRefusedAtOnce takes up a stream that the caller does not name, while the store lists several versions and no peer answers.
+func TestUnnamedStreamIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, scenario{vms: 6, domains: 3, soleUntil: time.Hour, loss: 1}, 1)
+		d := f.all[0].d
+		d.Prove = func(context.Context, string) (Version, bool) { return Several, true }
+		began := time.Now()
+		if v, result := d.LookupUnnamed(context.Background(), KeyOf("t1", "h", "q1"), "llm"); result == Found || time.Since(began) > 0 {
+			t.Errorf("got %d, %v after %v", v, result, time.Since(began))
+		}
+		for _, v := range f.all {
+			v.kill()
+		}
+	})
+}
--- a/internal/versionlog/versionlog.go
+++ b/internal/versionlog/versionlog.go
@@ -15,6 +15,7 @@
 //   - An object of an earlier era proves nothing: the store has come back from a copy that may lack a version. A VM that
 //     knew the object before writes what it knew; any other VM marks it as Unknown.
 //   - A first object is marked as Unknown if VMs of releases without this package may have run.
+//   - The copy of a VM that is out of step lacks what came meanwhile. What depends on that calls Refresh first.
 //
 // # Known limits
 //
