--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -4,7 +4,11 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/http/httpguts"
@@ -15,6 +19,7 @@
 	ErrVersion   = eris.New("the response is not of HTTP/1")
 	ErrStatus    = eris.New("the status of the response is out of range")
 	ErrFieldName = eris.New("a field of the response has a malformed name")
+	ErrInterim   = eris.New("more interim responses than allowed")
 )
 
 // maxStatus is the highest status that HTTP allows (RFC 9110, 15).
@@ -30,7 +35,12 @@
 	case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
 		return eris.Wrap(ErrStatus, resp.Status)
 	}
-	for name := range resp.Header {
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if the name of a field is malformed.
+func checkNames(h http.Header) error {
+	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return eris.Wrapf(ErrFieldName, "%q", name)
 		}
@@ -54,20 +64,38 @@
 	return resp, nil
 }
 
-// Transport returns a transport whose responses have passed Check. Its errors wrap those of Check.
+// Transport returns a transport whose responses have passed Check, interim ones as well. Its errors wrap those of Check. It closes the
+// connection of a malformed head, since what follows on it may belong to no request.
 func Transport(base http.RoundTripper) http.RoundTripper { return checked{base} }
 
+// maxInterim is the number of interim responses that Transport takes before a response. net/http has no bound of its own where they are checked.
+const maxInterim = 5
+
 // checked is a transport that checks the responses of another one.
 type checked struct{ base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (c checked) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := c.base.RoundTrip(req)
+	var conn atomic.Pointer[net.Conn]
+	var interim atomic.Int64
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(got httptrace.GotConnInfo) { conn.Store(&got.Conn) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			if interim.Add(1) > maxInterim {
+				return ErrInterim
+			}
+			return checkNames(http.Header(h))
+		},
+	})
+	resp, err := c.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	if err := Check(resp); err != nil {
 		_ = resp.Body.Close()
+		if used := conn.Load(); used != nil {
+			_ = (*used).Close()
+		}
 		return nil, err
 	}
 	return resp, nil
