--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -238,7 +238,10 @@
 		cause := ReadRefusal(resp)
 		return outcome.Wrap(cause, outcome.NotRun, outcome.CodeUpstream, "answer", peer, errorRefused)
 	}
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return outcome.Wrap(err, outcome.Unknown, outcome.CodeUpstream, "read", peer, errorFailed)
+	}
 	cause := &StatusError{Status: resp.StatusCode, Body: body}
 	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
 		return outcome.Wrap(cause, outcome.Ran, outcome.CodeBadRequest, "answer", peer, "the target rejected the request as invalid")
