--- a/internal/services/reset_test.go
+++ b/internal/services/reset_test.go
@@ -56,3 +56,17 @@
 		}
 	}
 }
+
+// TestWholeResponseOfServiceResetAtOnce has a target close its side after a whole response to a long body, and reset the connection at once.
+func TestWholeResponseOfServiceResetAtOnce(t *testing.T) {
+	for range plays {
+		a, err := send(t, func(c *net.TCPConn, _ rawreply.Request) {
+			rawreply.Write(c, "HTTP/1.1 200 OK\n\nall of it")
+			_ = c.CloseWrite()
+			rawreply.Reset(c)
+		})
+		if err != nil || string(a.Body) != "all of it" {
+			t.Errorf("got %v, %v; want all of it", a, err)
+		}
+	}
+}
--- a/internal/streams/step_test.go
+++ b/internal/streams/step_test.go
@@ -109,3 +109,40 @@
 		}
 	})
 }
+
+// TestVMsOutOfStepDoNotGuessForUnnamedStreams does the same for calls that name no stream, with one VM or a whole failure domain that knows the old
+// version only: cut off, or in touch again and not yet up to date.
+func TestVMsOutOfStepDoNotGuessForUnnamedStreams(t *testing.T) {
+	old := VersionOf("llm", "v1")
+	for _, vms := range []int{2, 3, 6, 60} {
+		for _, together := range []bool{false, true} {
+			for _, cut := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d VMs, together %v, cut %v", vms, together, cut), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newTestFleet(t, scenario{vms: vms, domains: 3}, 1)
+						for i, v := range f.all {
+							sole := Several
+							if i == 0 || together && i%3 == 0 {
+								sole = old
+							}
+							v.d.Sole = func(uint64) Version { return sole }
+						}
+						if cut {
+							f.cut("z0", 1)
+							time.Sleep(testAliveFor + time.Second)
+						}
+						for i := range 20 {
+							k := KeyOf("t1", "h", ids.Request(fmt.Sprint("q", i)))
+							if v, result := f.all[0].d.LookupUnnamed(context.Background(), k, "llm"); result == Found {
+								t.Errorf("the stream goes on at %d", v)
+							}
+						}
+						for _, v := range f.all {
+							v.kill()
+						}
+					})
+				})
+			}
+		}
+	}
+}
